--- /dev/null
+++ b/Makefile
@@ -0,0 +1,25 @@
+# Everything a developer or CI runs. Needs Go and make only.
+GO ?= go
+
+.PHONY: build demo test lint experiment capacity generate tools
+
+build:
+	$(GO) build -o bin/ ./cmd/...
+
+demo: build
+	./scripts/demo.sh
+
+test:
+	$(GO) test -race -count=1 ./...
+
+tools:
+	cd tools && $(GO) build -o ../.bin/ google.golang.org/protobuf/cmd/protoc-gen-go connectrpc.com/connect/cmd/protoc-gen-connect-go honnef.co/go/tools/cmd/staticcheck
+
+lint: tools
+	test -z "$$(gofmt -l cmd internal)"
+	$(GO) vet ./...
+	.bin/staticcheck ./cmd/... ./internal/...
+
+generate: tools
+	cd tools/buf && $(GO) build -o ../../.bin/ github.com/bufbuild/buf/cmd/buf
+	PATH="$(CURDIR)/.bin:$$PATH" .bin/buf generate
--- /dev/null
+++ b/cmd/hemlockctl/main.go
@@ -0,0 +1,10 @@
+// Command hemlockctl is the operators' command line.
+package main
+
+import (
+	"os"
+
+	"github.com/hemlockdyke/hemlockdyke/internal/cli"
+)
+
+func main() { os.Exit(cli.Run(os.Args[1:], os.Stdout, os.Stderr)) }
--- /dev/null
+++ b/cmd/hemlockdyke-controller/main.go
@@ -0,0 +1,48 @@
+// Command hemlockdyke-controller serves the resource API and carries out
+// planned changes.
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/hemlockdyke/hemlockdyke/internal/daemon"
+	"github.com/hemlockdyke/hemlockdyke/internal/logging"
+	"github.com/hemlockdyke/hemlockdyke/internal/settings"
+)
+
+// shutdownGrace bounds the wait for open operator requests.
+const shutdownGrace = 15 * time.Second
+
+func main() {
+	app := kingpin.New("hemlockdyke-controller", "Serves the resource API and carries out planned changes.")
+	path := app.Flag("settings", "Settings file.").Required().String()
+	check := app.Flag("check-settings", "Print the effective settings and exit.").Bool()
+	kingpin.MustParse(app.Parse(os.Args[1:]))
+
+	s := settings.DefaultController()
+	app.FatalIfError(settings.LoadFile(*path, &s), "settings")
+	if *check {
+		app.FatalIfError(settings.Print(os.Stdout, s), "settings")
+		return
+	}
+	log := logging.New(os.Stderr, s.Log.Level, "controller", s.ID)
+	controller, err := daemon.StartController(s, log)
+	app.FatalIfError(err, "start")
+
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	select {
+	case <-ctx.Done():
+	case err := <-controller.Failed():
+		log.Error().Err(err).Msg("listener failed")
+	}
+	graceful, cancel := context.WithTimeout(context.Background(), shutdownGrace)
+	defer cancel()
+	controller.Shutdown(graceful)
+}
--- /dev/null
+++ b/internal/adapter/callerhttp/callerhttp.go
@@ -0,0 +1,323 @@
+// Package callerhttp serves callers: chat completions for model pools, plain
+// HTTP for service pools, and the health checks of the platform's balancer.
+package callerhttp
+
+import (
+	"encoding/json"
+	"io"
+	"math"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+	"github.com/gorilla/mux"
+	"github.com/rs/zerolog"
+
+	"github.com/hemlockdyke/hemlockdyke/internal/adapter/target"
+	"github.com/hemlockdyke/hemlockdyke/internal/app/router"
+	"github.com/hemlockdyke/hemlockdyke/internal/core/code"
+	"github.com/hemlockdyke/hemlockdyke/internal/core/fairqueue"
+	"github.com/hemlockdyke/hemlockdyke/internal/core/rendezvous"
+	"github.com/hemlockdyke/hemlockdyke/internal/core/resource"
+	"github.com/hemlockdyke/hemlockdyke/internal/core/routing"
+	"github.com/hemlockdyke/hemlockdyke/internal/wire"
+)
+
+// Settings bound what callers may send.
+type Settings struct {
+	MaxBodyBytes    int64
+	DefaultDeadline time.Duration
+}
+
+// Observer is told how each request ended.
+type Observer interface {
+	Observe(pool, team string, result router.Result)
+}
+
+// Server serves callers. It is safe for concurrent use.
+type Server struct {
+	settings Settings
+	control  *router.Control
+	traffic  *router.Traffic
+	claims   *router.Claims
+	observer Observer
+	log      zerolog.Logger
+	now      func() time.Time
+}
+
+// New returns a Server.
+func New(s Settings, control *router.Control, traffic *router.Traffic, claims *router.Claims, observer Observer, log zerolog.Logger, now func() time.Time) *Server {
+	return &Server{settings: s, control: control, traffic: traffic, claims: claims, observer: observer, log: log, now: now}
+}
+
+// Handler returns the callers' HTTP interface.
+func (s *Server) Handler() http.Handler {
+	r := mux.NewRouter()
+	r.HandleFunc("/livez", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok\n") })
+	r.HandleFunc("/readyz", s.readyz)
+	r.HandleFunc("/v1/chat/completions", s.chat).Methods(http.MethodPost)
+	r.HandleFunc("/services/{pool}/{path:.*}", s.service)
+	r.NotFoundHandler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.fail(w, requestID(r), code.New(code.NotFound, "no such path"), 0)
+	})
+	return r
+}
+
+func (s *Server) readyz(w http.ResponseWriter, _ *http.Request) {
+	ready := s.control.Ready()
+	if !ready.Ready {
+		s.fail(w, "", code.New(ready.Reason, "not ready"), 0)
+		return
+	}
+	_, _ = io.WriteString(w, "ok\n")
+}
+
+// maxID bounds the length of ids that callers choose.
+const maxID = 128
+
+func requestID(r *http.Request) string {
+	id := r.Header.Get(wire.HeaderRequest)
+	if id == "" {
+		return uuid.NewString()
+	}
+	return id
+}
+
+// parse reads what both kinds of request have in common.
+func (s *Server) parse(r *http.Request) (router.Request, error) {
+	req := router.Request{ID: requestID(r), Team: r.Header.Get(wire.HeaderTeam), Method: r.Method}
+	if len(req.ID) > maxID {
+		return req, code.New(code.BadHeader, "%s is longer than %d", wire.HeaderRequest, maxID)
+	}
+	if _, ok := s.control.Table().Team(req.Team); !ok {
+		return req, code.New(code.UnknownTeam, "no team %q", req.Team)
+	}
+	priority, err := parsePriority(r.Header.Get(wire.HeaderPriority))
+	if err != nil {
+		return req, err
+	}
+	req.Priority = priority
+	deadline, err := s.parseDeadline(r.Header.Get(wire.HeaderDeadline))
+	if err != nil {
+		return req, err
+	}
+	req.Deadline = s.now().Add(deadline)
+	if chat := r.Header.Get(wire.HeaderChat); chat != "" {
+		req.Chat = rendezvous.Hash(req.Team + "/" + chat)
+	} else {
+		req.Chat = rendezvous.Hash(req.ID)
+	}
+	req.Body, err = s.body(r)
+	return req, err
+}
+
+func parsePriority(v string) (fairqueue.Priority, error) {
+	switch v {
+	case "urgent":
+		return fairqueue.Urgent, nil
+	case "", "normal":
+		return fairqueue.Normal, nil
+	case "bulk":
+		return fairqueue.Bulk, nil
+	}
+	return 0, code.New(code.BadHeader, "%s is not urgent, normal or bulk", wire.HeaderPriority)
+}
+
+// maxDeadline is the longest deadline a caller may ask for.
+const maxDeadline = time.Hour
+
+func (s *Server) parseDeadline(v string) (time.Duration, error) {
+	if v == "" {
+		return s.settings.DefaultDeadline, nil
+	}
+	ms, err := strconv.ParseInt(v, 10, 64)
+	if err != nil || ms <= 0 || ms > maxDeadline.Milliseconds() {
+		return 0, code.New(code.BadHeader, "%s is not between 1 and %d", wire.HeaderDeadline, maxDeadline.Milliseconds())
+	}
+	return time.Duration(ms) * time.Millisecond, nil
+}
+
+func (s *Server) body(r *http.Request) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(r.Body, s.settings.MaxBodyBytes+1))
+	if err != nil {
+		return nil, code.New(code.BadBody, "body not readable: %s", err)
+	}
+	if int64(len(body)) > s.settings.MaxBodyBytes {
+		return nil, code.New(code.BodyTooLarge, "body is larger than %d bytes", s.settings.MaxBodyBytes)
+	}
+	return body, nil
+}
+
+func (s *Server) chat(w http.ResponseWriter, r *http.Request) {
+	req, err := s.parse(r)
+	if err != nil {
+		s.fail(w, req.ID, err, 0)
+		return
+	}
+	var body wire.ChatRequest
+	if err := json.Unmarshal(req.Body, &body); err != nil {
+		s.fail(w, req.ID, code.New(code.BadBody, "%s", err), 0)
+		return
+	}
+	pool, ok := s.control.Table().PoolForModel(body.Model)
+	if !ok {
+		s.fail(w, req.ID, code.New(code.UnknownPool, "no pool serves model %q", body.Model), 0)
+		return
+	}
+	req.Pool, req.Idempotent, req.Stream = pool, true, true
+	req.Path = "/v1/chat/completions"
+	req.Header = forwardHeader(r, wire.HeaderChat, wire.HeaderPriority, "Content-Type")
+	if body.Stream {
+		s.streamChat(w, r, req, body.Model)
+	} else {
+		s.wholeChat(w, r, req, body.Model)
+	}
+}
+
+func forwardHeader(r *http.Request, names ...string) http.Header {
+	h := make(http.Header)
+	for _, name := range names {
+		if v := r.Header.Get(name); v != "" {
+			h.Set(name, v)
+		}
+	}
+	return h
+}
+
+func (s *Server) streamChat(w http.ResponseWriter, r *http.Request, req router.Request, model string) {
+	flusher := http.NewResponseController(w)
+	parts := 0
+	result := s.traffic.Do(r.Context(), req, func(a target.Answer) error {
+		if parts == 0 {
+			w.Header().Set("Content-Type", "text/event-stream")
+			w.Header().Set(wire.HeaderRequest, req.ID)
+			w.WriteHeader(http.StatusOK)
+		}
+		if err := wire.WriteEvent(w, wire.NewChunk(req.ID, model, a.Text, parts)); err != nil {
+			return err
+		}
+		parts++
+		return flusher.Flush()
+	})
+	s.done(req, result)
+	switch {
+	case result.Code == code.OK:
+		_ = wire.WriteEvent(w, wire.NewLastChunk(req.ID, model, parts))
+		_ = wire.WriteDone(w)
+	case parts == 0:
+		s.fail(w, req.ID, code.New(result.Code, "request %s", req.ID), result.RetryAfter)
+	default:
+		// The status is out already. An error event without the end marker keeps
+		// the caller from taking the part for the whole.
+		_ = wire.WriteEvent(w, errorBody(code.New(result.Code, "request %s", req.ID)))
+	}
+}
+
+func (s *Server) wholeChat(w http.ResponseWriter, r *http.Request, req router.Request, model string) {
+	var text strings.Builder
+	result := s.traffic.Do(r.Context(), req, func(a target.Answer) error {
+		text.WriteString(a.Text)
+		return nil
+	})
+	s.done(req, result)
+	if result.Code != code.OK {
+		s.fail(w, req.ID, code.New(result.Code, "request %s", req.ID), result.RetryAfter)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set(wire.HeaderRequest, req.ID)
+	_ = json.NewEncoder(w).Encode(wire.NewCompletion(req.ID, model, text.String()))
+}
+
+func (s *Server) service(w http.ResponseWriter, r *http.Request) {
+	req, err := s.parse(r)
+	if err != nil {
+		s.fail(w, req.ID, err, 0)
+		return
+	}
+	name := mux.Vars(r)["pool"]
+	pool, ok := s.control.Table().Pool(name)
+	if !ok || pool.Spec.Protocol != resource.ProtocolService {
+		s.fail(w, req.ID, code.New(code.UnknownPool, "no service pool %q", name), 0)
+		return
+	}
+	req.Pool = pool
+	req.Idempotent = idempotent(r.Method, pool)
+	req.Path = "/" + mux.Vars(r)["path"]
+	if r.URL.RawQuery != "" {
+		req.Path += "?" + r.URL.RawQuery
+	}
+	req.Header = forwardHeader(r, "Content-Type", "Accept", wire.HeaderIdempotencyKey)
+	key := r.Header.Get(wire.HeaderIdempotencyKey)
+	if key == "" || req.Idempotent {
+		answer, result := s.runService(r, req)
+		s.respond(w, req, answer, result)
+		return
+	}
+	s.claimed(w, r, req, key)
+}
+
+func idempotent(method string, pool *routing.Pool) bool {
+	return method == http.MethodGet || method == http.MethodHead || pool.Spec.IdempotentWrites
+}
+
+func (s *Server) runService(r *http.Request, req router.Request) (target.Answer, router.Result) {
+	var answer target.Answer
+	result := s.traffic.Do(r.Context(), req, func(a target.Answer) error {
+		answer = a
+		return nil
+	})
+	s.done(req, result)
+	return answer, result
+}
+
+func (s *Server) respond(w http.ResponseWriter, req router.Request, answer target.Answer, result router.Result) {
+	if result.Code != code.OK {
+		s.fail(w, req.ID, code.New(result.Code, "request %s", req.ID), result.RetryAfter)
+		return
+	}
+	writeAnswer(w, req.ID, answer.Status, answer.Header.Get("Content-Type"), answer.Body)
+}
+
+func writeAnswer(w http.ResponseWriter, id string, status int, contentType string, body []byte) {
+	if contentType != "" {
+		w.Header().Set("Content-Type", contentType)
+	}
+	w.Header().Set(wire.HeaderRequest, id)
+	w.WriteHeader(status)
+	_, _ = w.Write(body)
+}
+
+func (s *Server) done(req router.Request, result router.Result) {
+	s.observer.Observe(req.Pool.Name, req.Team, result)
+	s.log.Debug().Str("request", req.ID).Uint64("chat", req.Chat).Str("team", req.Team).
+		Str("pool", req.Pool.Name).Str("target", result.Target).Int("code", int(result.Code)).
+		Int("attempts", result.Attempts).Dur("total", result.Total).Msg("request ended")
+}
+
+// fail answers with a numbered code, at once.
+func (s *Server) fail(w http.ResponseWriter, id string, err error, retryAfter time.Duration) {
+	var coded *code.Error
+	if !errors.As(err, &coded) {
+		coded = code.New(code.OutcomeUnknown, "%s", err)
+	}
+	if id != "" {
+		w.Header().Set(wire.HeaderRequest, id)
+	}
+	if retryAfter > 0 {
+		w.Header().Set("Retry-After", strconv.Itoa(int(math.Ceil(retryAfter.Seconds()))))
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(coded.Code.Lookup().Status)
+	_ = json.NewEncoder(w).Encode(errorBody(coded))
+}
+
+func errorBody(e *code.Error) wire.ErrorBody {
+	info := e.Code.Lookup()
+	return wire.ErrorBody{Error: wire.ErrorDetail{
+		Code: int(e.Code), Name: info.Name, Message: e.Message, Ran: info.Ran.String(), Field: e.Field,
+	}}
+}
--- /dev/null
+++ b/internal/adapter/metrics/metrics.go
@@ -0,0 +1,128 @@
+// Package metrics counts what a router does, in registries of its own.
+package metrics
+
+import (
+	"encoding/json"
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+
+	gometrics "github.com/rcrowley/go-metrics"
+
+	"github.com/hemlockdyke/hemlockdyke/internal/app/router"
+	"github.com/hemlockdyke/hemlockdyke/internal/core/code"
+)
+
+// maxSeries bounds the number of team and pool series: with 31,000 teams an
+// unbounded registry would outgrow the memory of a small VM.
+const maxSeries = 2000
+
+// Requests counts requests by pool and result. It is safe for concurrent use.
+type Requests struct {
+	mu       sync.Mutex
+	registry gometrics.Registry
+	series   int
+}
+
+// NewRequests returns empty counters.
+func NewRequests() *Requests { return &Requests{registry: gometrics.NewRegistry()} }
+
+// Observe records how a request ended.
+func (m *Requests) Observe(pool, _ string, result router.Result) {
+	m.counter("pool." + pool + ".code." + result.Code.Lookup().Name).Inc(1)
+	if result.Code == code.OK {
+		m.timer("pool." + pool + ".first_part").Update(result.FirstPart)
+	}
+	if result.Attempts > 1 {
+		m.counter("pool." + pool + ".retries").Inc(int64(result.Attempts - 1))
+	}
+}
+
+func (m *Requests) counter(name string) gometrics.Counter {
+	if !m.admit(name) {
+		name = "other"
+	}
+	return gometrics.GetOrRegisterCounter(name, m.registry)
+}
+
+func (m *Requests) timer(name string) gometrics.Timer {
+	if !m.admit(name) {
+		name = "other_timer"
+	}
+	return gometrics.GetOrRegisterTimer(name, m.registry)
+}
+
+func (m *Requests) admit(name string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.registry.Get(name) != nil {
+		return true
+	}
+	if m.series >= maxSeries {
+		return false
+	}
+	m.series++
+	return true
+}
+
+// WriteJSON writes every metric.
+func (m *Requests) WriteJSON(w io.Writer) error { return json.NewEncoder(w).Encode(m.registry) }
+
+// Traffic counts the bytes and writes of control connections.
+type Traffic struct {
+	BytesIn, BytesOut, Reads, Writes atomic.Int64
+}
+
+// Listen wraps a listener so that its connections are counted.
+func (t *Traffic) Listen(l net.Listener) net.Listener {
+	return &countingListener{Listener: l, traffic: t}
+}
+
+// Wrap counts one connection.
+func (t *Traffic) Wrap(c net.Conn) net.Conn { return &countingConn{Conn: c, traffic: t} }
+
+type countingListener struct {
+	net.Listener
+	traffic *Traffic
+}
+
+func (l *countingListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return l.traffic.Wrap(c), nil
+}
+
+type countingConn struct {
+	net.Conn
+	traffic *Traffic
+}
+
+func (c *countingConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.traffic.BytesIn.Add(int64(n))
+	c.traffic.Reads.Add(1)
+	return n, err
+}
+
+func (c *countingConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.traffic.BytesOut.Add(int64(n))
+	c.traffic.Writes.Add(1)
+	return n, err
+}
+
+// ControlBytes is the control traffic of one process since its start.
+type ControlBytes struct {
+	In     int64 `json:"in"`
+	Out    int64 `json:"out"`
+	Reads  int64 `json:"reads"`
+	Writes int64 `json:"writes"`
+}
+
+// Snapshot returns the counts.
+func (t *Traffic) Snapshot() ControlBytes {
+	return ControlBytes{In: t.BytesIn.Load(), Out: t.BytesOut.Load(), Reads: t.Reads.Load(), Writes: t.Writes.Load()}
+}
--- /dev/null
+++ b/internal/adapter/peer/peer.go
@@ -0,0 +1,156 @@
+// Package peer carries the peer protocol over connect-go.
+package peer
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
+
+	peerv1 "github.com/hemlockdyke/hemlockdyke/gen/hemlockdyke/peer/v1"
+	"github.com/hemlockdyke/hemlockdyke/gen/hemlockdyke/peer/v1/peerv1connect"
+	"github.com/hemlockdyke/hemlockdyke/internal/core/code"
+)
+
+// maxMessage bounds one message: a snapshot of 31,000 teams has about 6 MB.
+const maxMessage = 32 << 20
+
+// pingAfter and pingTimeout find connections that have gone silent: without
+// them every call to a peer would wait for its own timeout on a connection that
+// something in between has forgotten, although a new one would work.
+const (
+	pingAfter   = time.Second
+	pingTimeout = 500 * time.Millisecond
+)
+
+// Handler answers one incoming message.
+type Handler interface {
+	Handle(ctx context.Context, m proto.Message) (proto.Message, error)
+}
+
+// NewHandler returns the HTTP handler of the peer service.
+func NewHandler(h Handler) (string, http.Handler) {
+	return peerv1connect.NewPeerServiceHandler(&server{h}, connect.WithReadMaxBytes(maxMessage))
+}
+
+// Protocols returns the HTTP versions of the peer service: HTTP/2 without TLS.
+func Protocols() *http.Protocols {
+	p := new(http.Protocols)
+	p.SetHTTP1(true)
+	p.SetUnencryptedHTTP2(true)
+	return p
+}
+
+type server struct{ handler Handler }
+
+var _ peerv1connect.PeerServiceHandler = (*server)(nil)
+
+func handle[Req, Resp any](ctx context.Context, s *server, req *connect.Request[Req]) (*connect.Response[Resp], error) {
+	out, err := s.handler.Handle(ctx, any(req.Msg).(proto.Message))
+	if err != nil {
+		return nil, toConnect(err)
+	}
+	resp, ok := any(out).(*Resp)
+	if !ok {
+		return nil, connect.NewError(connect.CodeInternal, errors.Newf("unexpected reply %T", out))
+	}
+	return connect.NewResponse(resp), nil
+}
+
+func toConnect(err error) error {
+	var coded *code.Error
+	if errors.As(err, &coded) {
+		return connect.NewError(connect.CodeFailedPrecondition, coded)
+	}
+	return connect.NewError(connect.CodeUnavailable, err)
+}
+
+func (s *server) Exchange(ctx context.Context, req *connect.Request[peerv1.ExchangeRequest]) (*connect.Response[peerv1.ExchangeResponse], error) {
+	return handle[peerv1.ExchangeRequest, peerv1.ExchangeResponse](ctx, s, req)
+}
+
+func (s *server) Deliver(ctx context.Context, req *connect.Request[peerv1.DeliverRequest]) (*connect.Response[peerv1.DeliverResponse], error) {
+	return handle[peerv1.DeliverRequest, peerv1.DeliverResponse](ctx, s, req)
+}
+
+func (s *server) Gossip(ctx context.Context, req *connect.Request[peerv1.GossipRequest]) (*connect.Response[peerv1.GossipResponse], error) {
+	return handle[peerv1.GossipRequest, peerv1.GossipResponse](ctx, s, req)
+}
+
+func (s *server) Push(ctx context.Context, req *connect.Request[peerv1.PushRequest]) (*connect.Response[peerv1.PushResponse], error) {
+	return handle[peerv1.PushRequest, peerv1.PushResponse](ctx, s, req)
+}
+
+func (s *server) Pull(ctx context.Context, req *connect.Request[peerv1.PullRequest]) (*connect.Response[peerv1.PullResponse], error) {
+	return handle[peerv1.PullRequest, peerv1.PullResponse](ctx, s, req)
+}
+
+// Caller calls listed peers. It is safe for concurrent use.
+type Caller struct {
+	clients map[uint32]peerv1connect.PeerServiceClient
+	timeout time.Duration
+}
+
+// NewCaller returns a Caller for peers by router number. wrap sees each new
+// connection, to count its traffic.
+func NewCaller(addresses map[uint32]string, timeout time.Duration, wrap func(net.Conn) net.Conn) *Caller {
+	dialer := &net.Dialer{Timeout: timeout}
+	transport := &http.Transport{
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			conn, err := dialer.DialContext(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return wrap(conn), nil
+		},
+		Protocols: unencryptedHTTP2(),
+		HTTP2:     &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTimeout},
+	}
+	client := &http.Client{Transport: transport}
+	c := &Caller{clients: make(map[uint32]peerv1connect.PeerServiceClient), timeout: timeout}
+	for id, address := range addresses {
+		c.clients[id] = peerv1connect.NewPeerServiceClient(client, "http://"+address, connect.WithReadMaxBytes(maxMessage))
+	}
+	return c
+}
+
+func unencryptedHTTP2() *http.Protocols {
+	p := new(http.Protocols)
+	p.SetUnencryptedHTTP2(true)
+	return p
+}
+
+// Call sends one request to a peer and returns its reply.
+func (c *Caller) Call(ctx context.Context, to uint32, m proto.Message) (proto.Message, error) {
+	client, ok := c.clients[to]
+	if !ok {
+		return nil, code.New(code.UnknownRouter, "router %d is not listed", to)
+	}
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	switch m := m.(type) {
+	case *peerv1.ExchangeRequest:
+		return call(ctx, client.Exchange, m)
+	case *peerv1.DeliverRequest:
+		return call(ctx, client.Deliver, m)
+	case *peerv1.GossipRequest:
+		return call(ctx, client.Gossip, m)
+	case *peerv1.PushRequest:
+		return call(ctx, client.Push, m)
+	case *peerv1.PullRequest:
+		return call(ctx, client.Pull, m)
+	}
+	return nil, errors.Newf("no call for %T", m)
+}
+
+func call[Req, Resp any](ctx context.Context, do func(context.Context, *connect.Request[Req]) (*connect.Response[Resp], error), m *Req) (proto.Message, error) {
+	resp, err := do(ctx, connect.NewRequest(m))
+	if err != nil {
+		return nil, err
+	}
+	return any(resp.Msg).(proto.Message), nil
+}
--- /dev/null
+++ b/internal/app/controller/controller.go
@@ -0,0 +1,116 @@
+// Package controller accepts operators' changes and carries out planned changes.
+package controller
+
+import (
+	"context"
+	"math"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+	"google.golang.org/protobuf/proto"
+
+	peerv1 "github.com/hemlockdyke/hemlockdyke/gen/hemlockdyke/peer/v1"
+	"github.com/hemlockdyke/hemlockdyke/internal/app/configstore"
+	"github.com/hemlockdyke/hemlockdyke/internal/core/resource"
+	core "github.com/hemlockdyke/hemlockdyke/internal/core/router"
+	"github.com/hemlockdyke/hemlockdyke/internal/core/ticket"
+)
+
+// PeerCaller calls routers.
+type PeerCaller interface {
+	Call(ctx context.Context, to uint32, m proto.Message) (proto.Message, error)
+}
+
+// Controller serves operators. It is safe for concurrent use.
+type Controller struct {
+	store   *configstore.Store
+	peers   PeerCaller
+	routers []uint32
+	log     zerolog.Logger
+}
+
+// New returns a Controller for the listed routers.
+func New(store *configstore.Store, peers PeerCaller, routers []uint32, log zerolog.Logger) *Controller {
+	return &Controller{store: store, peers: peers, routers: routers, log: log}
+}
+
+// Accepted is the answer to a change.
+type Accepted struct {
+	Operation resource.Operation `json:"operation"`
+	InForce   InForce            `json:"inForce"`
+}
+
+// InForce says at which routers a revision is in force.
+type InForce struct {
+	Revision uint64   `json:"revision"`
+	Routers  int      `json:"routers"`
+	Listed   int      `json:"listed"`
+	Behind   []uint32 `json:"behind"`
+}
+
+// pushWait is how long an accepted change is pushed before the operator gets the
+// answer. What was not reached by then is reached by gossip and polls.
+const pushWait = time.Second
+
+// Apply accepts a change and pushes it to every router. The push comes before
+// the answer: a change that a majority already has survives an outage of the
+// table service, since every router that stays ready hears from a majority.
+func (c *Controller) Apply(ctx context.Context, operation string, resources []resource.Resource) (Accepted, error) {
+	op, change, err := c.store.Accept(ctx, operation, resources)
+	if err != nil {
+		return Accepted{Operation: op}, err
+	}
+	c.log.Info().Str("operation", operation).Uint64("revision", op.Revision).Msg("change accepted")
+	if change == nil {
+		return Accepted{Operation: op, InForce: c.InForce(ctx, op.Revision)}, nil
+	}
+	push := &peerv1.PushRequest{Protocol: ticket.Protocol, Changes: core.ToWire([]resource.Change{*change})}
+	revisions := c.all(ctx, push, func(m proto.Message) uint64 { return m.(*peerv1.PushResponse).GetRevision() })
+	return Accepted{Operation: op, InForce: c.compare(op.Revision, revisions)}, nil
+}
+
+// InForce asks every router for its revision.
+func (c *Controller) InForce(ctx context.Context, revision uint64) InForce {
+	ask := &peerv1.PullRequest{Protocol: ticket.Protocol, AfterRevision: math.MaxUint64}
+	revisions := c.all(ctx, ask, func(m proto.Message) uint64 { return m.(*peerv1.PullResponse).GetHead() })
+	return c.compare(revision, revisions)
+}
+
+func (c *Controller) compare(revision uint64, revisions map[uint32]uint64) InForce {
+	out := InForce{Revision: revision, Listed: len(c.routers), Behind: []uint32{}}
+	for _, id := range c.routers {
+		if have, ok := revisions[id]; ok && have >= revision {
+			out.Routers++
+		} else {
+			out.Behind = append(out.Behind, id)
+		}
+	}
+	return out
+}
+
+// all calls every router and returns the revisions of those that answered in time.
+func (c *Controller) all(ctx context.Context, m proto.Message, revision func(proto.Message) uint64) map[uint32]uint64 {
+	ctx, cancel := context.WithTimeout(ctx, pushWait)
+	defer cancel()
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	out := make(map[uint32]uint64)
+	for _, id := range c.routers {
+		wg.Go(func() {
+			reply, err := c.peers.Call(ctx, id, m)
+			if err != nil {
+				c.log.Debug().Err(err).Uint32("peer", id).Msg("router not reached")
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			out[id] = revision(reply)
+		})
+	}
+	wg.Wait()
+	return out
+}
+
+// Store returns the configuration store.
+func (c *Controller) Store() *configstore.Store { return c.store }
--- /dev/null
+++ b/internal/app/controller/reconciler.go
@@ -0,0 +1,279 @@
+package controller
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+
+	"github.com/hemlockdyke/hemlockdyke/internal/app/configstore"
+	"github.com/hemlockdyke/hemlockdyke/internal/core/lease"
+	"github.com/hemlockdyke/hemlockdyke/internal/core/plannedchange"
+	"github.com/hemlockdyke/hemlockdyke/internal/core/resource"
+	"github.com/hemlockdyke/hemlockdyke/internal/port"
+)
+
+const (
+	leasePrefix  = "lease/plannedchange/"
+	statusPrefix = "status/plannedchange/"
+)
+
+// TargetOrders observes targets and sends them orders.
+type TargetOrders interface {
+	// Observe returns a target's open requests and state.
+	Observe(ctx context.Context, address string) (open int, state map[string]string, err error)
+	// Order sends an order that expires. The target may refuse an old fencing number.
+	Order(ctx context.Context, address string, fencing uint64, action, argument string, expires time.Time) error
+}
+
+// Reconciler carries out planned changes. Every controller runs one; a lease per
+// change decides which of them works on it.
+type Reconciler struct {
+	controller *Controller
+	table      port.Table
+	orders     TargetOrders
+	holder     string
+	duration   time.Duration
+	log        zerolog.Logger
+	now        func() time.Time
+	leases     map[string]*lease.Lease
+	// looking holds when this process first looked for a revision at the routers.
+	looking map[uint64]time.Time
+}
+
+// NewReconciler returns a Reconciler. holder must be unique to this process.
+func NewReconciler(c *Controller, table port.Table, orders TargetOrders, holder string, duration time.Duration, log zerolog.Logger, now func() time.Time) *Reconciler {
+	return &Reconciler{
+		controller: c, table: table, orders: orders, holder: holder, duration: duration,
+		log: log, now: now, leases: make(map[string]*lease.Lease), looking: make(map[uint64]time.Time),
+	}
+}
+
+// Pass looks at every planned change once.
+func (r *Reconciler) Pass(ctx context.Context) error {
+	conf, err := r.controller.store.Load(ctx)
+	if err != nil {
+		return err
+	}
+	w := newWorld(conf)
+	for _, res := range conf.Resources {
+		if res.Kind != resource.KindPlannedChange {
+			continue
+		}
+		if err := r.advance(ctx, w, res); err != nil {
+			r.log.Warn().Err(err).Str("change", res.Metadata.Name).Msg("planned change not advanced")
+		}
+	}
+	return nil
+}
+
+// world is the configuration by key.
+type world map[resource.Key]resource.Resource
+
+func newWorld(conf *configstore.Configuration) world {
+	w := make(world, len(conf.Resources))
+	for _, r := range conf.Resources {
+		w[r.Key()] = r
+	}
+	return w
+}
+
+func decode[T any](w world, kind resource.Kind, name string) (T, resource.Resource, error) {
+	var spec T
+	r, ok := w[resource.Key{Kind: kind, Name: name}]
+	if !ok {
+		return spec, r, errors.Newf("no %s %q", kind, name)
+	}
+	return spec, r, resource.Decode(r.Spec, &spec)
+}
+
+func (r *Reconciler) advance(ctx context.Context, w world, res resource.Resource) error {
+	name := res.Metadata.Name
+	var spec resource.PlannedChangeSpec
+	if err := resource.Decode(res.Spec, &spec); err != nil {
+		return err
+	}
+	status, version, err := r.readStatus(ctx, name)
+	if err != nil {
+		return err
+	}
+	if status.Phase == plannedchange.Done && status.ObservedGeneration == res.Metadata.Generation {
+		return nil
+	}
+	targetSpec, target, err := decode[resource.TargetSpec](w, resource.KindTarget, spec.Target)
+	if err != nil {
+		return err
+	}
+	pool, _, err := decode[resource.PoolSpec](w, resource.KindPool, targetSpec.Pool)
+	if err != nil {
+		return err
+	}
+	held, err := r.hold(ctx, name, pool.ChecksFencing)
+	if err != nil || held == nil {
+		return err
+	}
+	next, action := plannedchange.Step(spec, res.Metadata.Generation, status, r.observe(ctx, target, targetSpec))
+	if err := r.act(ctx, action, held, spec, target, targetSpec, &next); err != nil {
+		return err
+	}
+	if next == status {
+		return nil
+	}
+	return r.writeStatus(ctx, name, next, version)
+}
+
+func (r *Reconciler) observe(ctx context.Context, target resource.Resource, spec resource.TargetSpec) plannedchange.Observation {
+	o := plannedchange.Observation{Leaving: spec.Leaving}
+	o.InForce = r.inForce(ctx, target)
+	open, state, err := r.orders.Observe(ctx, spec.Address)
+	if err == nil {
+		o.Reachable, o.Open, o.State = true, open, state
+	}
+	return o
+}
+
+// silentAfter is how long routers that can't be reached are waited for. By then
+// they have heard of the change by way of others or turned unready, since it is
+// longer than a router may serve without the store and without a majority.
+const silentAfter = 15 * time.Second
+
+// inForce reports whether no router sends new work to a target that was changed.
+// The wait for silent routers is measured on the local clock from when this
+// process first looked; clocks of different VMs are not compared.
+func (r *Reconciler) inForce(ctx context.Context, target resource.Resource) bool {
+	force := r.controller.InForce(ctx, target.Metadata.ResourceVersion)
+	if force.Routers == force.Listed {
+		return true
+	}
+	since, ok := r.looking[target.Metadata.ResourceVersion]
+	if !ok {
+		r.looking[target.Metadata.ResourceVersion] = r.now()
+		return false
+	}
+	return force.Routers*2 > force.Listed && r.now().Sub(since) > silentAfter
+}
+
+func (r *Reconciler) act(ctx context.Context, action plannedchange.ActionKind, held *lease.Lease, spec resource.PlannedChangeSpec, target resource.Resource, targetSpec resource.TargetSpec, next *plannedchange.Status) error {
+	switch action {
+	case plannedchange.MarkLeaving:
+		return r.markLeaving(ctx, target, targetSpec)
+	case plannedchange.Order:
+		return r.order(ctx, held, spec, targetSpec, next)
+	}
+	return nil
+}
+
+func (r *Reconciler) markLeaving(ctx context.Context, target resource.Resource, spec resource.TargetSpec) error {
+	if spec.Leaving {
+		return nil
+	}
+	spec.Leaving = true
+	encoded, err := json.Marshal(spec)
+	if err != nil {
+		return errors.Wrap(err, "encode target")
+	}
+	target.Spec = encoded
+	operation := fmt.Sprintf("leaving-%s-%d", target.Metadata.Name, target.Metadata.ResourceVersion)
+	_, err = r.controller.Apply(ctx, operation, []resource.Resource{target})
+	return err
+}
+
+// order sends the order if the lease lasts longer than the order does. The check
+// comes last before sending: a process that was paused after it still can't do
+// harm, since the target drops an expired order.
+func (r *Reconciler) order(ctx context.Context, held *lease.Lease, spec resource.PlannedChangeSpec, target resource.TargetSpec, next *plannedchange.Status) error {
+	now := r.now()
+	fencing, ok := held.Held(now)
+	if !ok || held.Remaining(now) < plannedchange.OrderLife {
+		return nil
+	}
+	next.Fencing = fencing
+	action, argument := plannedchange.Wanted(spec)
+	return r.orders.Order(ctx, target.Address, fencing, action, argument, now.Add(plannedchange.OrderLife))
+}
+
+// hold takes or renews the lease of a change; nil means that another process has it.
+func (r *Reconciler) hold(ctx context.Context, name string, checksFencing bool) (*lease.Lease, error) {
+	l, ok := r.leases[name]
+	if !ok {
+		s := lease.Settings{Holder: r.holder, Duration: r.duration}
+		if !checksFencing {
+			s.Extra = plannedchange.OrderLife
+		}
+		l = lease.New(s)
+		r.leases[name] = l
+	}
+	var row lease.Row
+	version, err := r.readJSON(ctx, leasePrefix+name, &row)
+	if err != nil {
+		return nil, err
+	}
+	action := l.Observe(r.now(), row, version)
+	if action.Kind == lease.Write {
+		return r.writeLease(ctx, l, name, action)
+	}
+	if _, held := l.Held(r.now()); !held {
+		return nil, nil
+	}
+	return l, nil
+}
+
+func (r *Reconciler) writeLease(ctx context.Context, l *lease.Lease, name string, action lease.Action) (*lease.Lease, error) {
+	sent := r.now()
+	err := r.put(ctx, leasePrefix+name, action.Row, action.Version)
+	switch {
+	case err == nil:
+		l.Written(sent, action.Row)
+		return l, nil
+	case errors.Is(err, port.ErrConflict):
+		l.Lost()
+		return nil, nil
+	default:
+		// The write may have taken effect. Not using it is always safe: the row
+		// then runs out like that of a dead holder.
+		return nil, err
+	}
+}
+
+func (r *Reconciler) readStatus(ctx context.Context, name string) (plannedchange.Status, uint64, error) {
+	var s plannedchange.Status
+	version, err := r.readJSON(ctx, statusPrefix+name, &s)
+	return s, version, err
+}
+
+// writeStatus stores a status unless another process has stored one since it was read.
+func (r *Reconciler) writeStatus(ctx context.Context, name string, s plannedchange.Status, version uint64) error {
+	r.log.Info().Str("change", name).Str("phase", string(s.Phase)).Str("message", s.Message).Msg("planned change")
+	return r.put(ctx, statusPrefix+name, s, version)
+}
+
+func (r *Reconciler) readJSON(ctx context.Context, key string, into any) (uint64, error) {
+	row, err := r.table.Get(ctx, key)
+	if errors.Is(err, port.ErrNotFound) {
+		return 0, nil
+	}
+	if err != nil {
+		return 0, err
+	}
+	return row.Version, errors.Wrapf(json.Unmarshal(row.Value, into), "row %s", key)
+}
+
+func (r *Reconciler) put(ctx context.Context, key string, v any, version uint64) error {
+	value, err := json.Marshal(v)
+	if err != nil {
+		return errors.Wrap(err, "encode row")
+	}
+	return r.table.Commit(ctx, port.Txn{
+		Conditions: []port.Condition{{Key: key, Version: version}},
+		Writes:     []port.Write{{Key: key, Value: value}},
+	})
+}
+
+// Status returns the stored status of a planned change.
+func (r *Reconciler) Status(ctx context.Context, name string) (plannedchange.Status, error) {
+	s, _, err := r.readStatus(ctx, name)
+	return s, err
+}
--- /dev/null
+++ b/internal/cli/cli.go
@@ -0,0 +1,333 @@
+package cli
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"reflect"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/cockroachdb/errors"
+	"github.com/google/uuid"
+	"gopkg.in/yaml.v3"
+
+	"github.com/hemlockdyke/hemlockdyke/internal/app/controller"
+	"github.com/hemlockdyke/hemlockdyke/internal/core/code"
+	"github.com/hemlockdyke/hemlockdyke/internal/core/resource"
+)
+
+// The exit codes.
+const (
+	ExitOK       = 0
+	ExitFailed   = 1
+	ExitUsage    = 2
+	ExitConflict = 3
+	ExitUnknown  = 4 // the outcome of a change is not known
+)
+
+// App is one invocation of hemlockctl.
+type App struct {
+	out    io.Writer
+	client *Client
+	output string
+}
+
+// Run parses the arguments, does what they say and returns the exit code.
+func Run(args []string, out, errOut io.Writer) int {
+	app := kingpin.New("hemlockctl", "Declares resources of a hemlockdyke fleet and shows what holds.")
+	app.UsageWriter(errOut).ErrorWriter(errOut).Terminate(nil)
+	servers := app.Flag("server", "Base URL of a controller; may be repeated.").
+		Envar("HEMLOCKCTL_SERVER").Default("http://127.0.0.1:7301").Strings()
+	output := app.Flag("output", "table, json or yaml.").Short('o').Default("table").Enum("table", "json", "yaml")
+	a := &App{out: out}
+	commands := a.commands(app)
+	selected, err := app.Parse(args)
+	if err != nil {
+		fmt.Fprintln(errOut, code.New(code.BadUsage, "%s", err))
+		return ExitUsage
+	}
+	a.client, a.output = NewClient(*servers), *output
+	run, ok := commands[selected]
+	if !ok {
+		return ExitOK // --help and completion have printed already
+	}
+	if err := run(); err != nil {
+		fmt.Fprintln(errOut, err)
+		return exitCode(err)
+	}
+	return ExitOK
+}
+
+func exitCode(err error) int {
+	var coded *code.Error
+	if !errors.As(err, &coded) {
+		return ExitFailed
+	}
+	switch coded.Code {
+	case code.Conflict:
+		return ExitConflict
+	case code.ChangeUnknown:
+		return ExitUnknown
+	case code.BadUsage, code.BadResource:
+		return ExitUsage
+	}
+	return ExitFailed
+}
+
+func (a *App) commands(app *kingpin.Application) map[string]func() error {
+	apply := app.Command("apply", "Create or change the resources of a file.")
+	file := apply.Flag("file", "YAML file, - for standard input.").Short('f').Required().String()
+	operation := apply.Flag("operation", "Name of the operation; give the same one to repeat a change safely.").String()
+
+	get := app.Command("get", "List the resources of a kind, or show one.")
+	getKind, getName := kindArg(get), get.Arg("name", "Name.").String()
+
+	describe := app.Command("describe", "Show one resource with its status.")
+	describeKind, describeName := kindArg(describe), describe.Arg("name", "Name.").Required().String()
+
+	remove := app.Command("delete", "Delete a resource.")
+	removeKind, removeName := kindArg(remove), remove.Arg("name", "Name.").Required().String()
+
+	drain := app.Command("drain", "Plan the drain of a target.")
+	drainTarget := drain.Arg("target", "Target.").Required().String()
+
+	watch := app.Command("watch", "Print changes as they are accepted.")
+	after := watch.Flag("after", "Revision to start after.").Default("0").Uint64()
+	count := watch.Flag("count", "Stop after this many changes; 0 means never.").Default("0").Int()
+
+	op := app.Command("operation", "Show the outcome of an operation.")
+	opName := op.Arg("name", "Name.").Required().String()
+
+	explain := app.Command("explain", "Say why a chat goes where it goes.")
+	pool := explain.Flag("pool", "Pool.").Required().String()
+	team := explain.Flag("team", "Team.").Required().String()
+	chat := explain.Flag("chat", "Chat.").Required().String()
+
+	return map[string]func() error{
+		apply.FullCommand():    func() error { return a.apply(*file, *operation) },
+		get.FullCommand():      func() error { return a.get(*getKind, *getName) },
+		describe.FullCommand(): func() error { return a.describe(*describeKind, *describeName) },
+		remove.FullCommand():   func() error { return a.remove(*removeKind, *removeName) },
+		drain.FullCommand():    func() error { return a.drain(*drainTarget) },
+		watch.FullCommand():    func() error { return a.watch(*after, *count) },
+		op.FullCommand():       func() error { return a.operation(*opName) },
+		explain.FullCommand():  func() error { return a.explain(*pool, *team, *chat) },
+	}
+}
+
+func kindArg(cmd *kingpin.CmdClause) *string {
+	names := make([]string, 0, len(resource.Kinds()))
+	for _, k := range resource.Kinds() {
+		names = append(names, strings.ToLower(string(k)))
+	}
+	return cmd.Arg("kind", strings.Join(names, ", ")+".").Required().Enum(names...)
+}
+
+func kindOf(word string) resource.Kind {
+	for _, k := range resource.Kinds() {
+		if strings.EqualFold(string(k), word) {
+			return k
+		}
+	}
+	return resource.Kind(word)
+}
+
+// apply fills in the versions of existing resources, so that a change that
+// another operator makes meanwhile is a conflict and is not overwritten unseen.
+func (a *App) apply(file, operation string) error {
+	resources, err := ReadFile(file)
+	if err != nil {
+		return err
+	}
+	var changed []resource.Resource
+	for _, r := range resources {
+		old, err := a.client.Get(r.Kind, r.Metadata.Name)
+		if err != nil && !isCode(err, code.NoSuchResource) {
+			return err
+		}
+		if err == nil && sameSpec(old.Spec, r.Spec) {
+			fmt.Fprintf(a.out, "%s/%s unchanged\n", r.Kind, r.Metadata.Name)
+			continue
+		}
+		if r.Metadata.ResourceVersion == 0 {
+			r.Metadata.ResourceVersion = old.Metadata.ResourceVersion
+		}
+		changed = append(changed, r)
+	}
+	if len(changed) == 0 {
+		return nil
+	}
+	return a.send(operation, changed)
+}
+
+func isCode(err error, c code.Code) bool {
+	var coded *code.Error
+	return errors.As(err, &coded) && coded.Code == c
+}
+
+func sameSpec(x, y json.RawMessage) bool {
+	var vx, vy any
+	return json.Unmarshal(x, &vx) == nil && json.Unmarshal(y, &vy) == nil && reflect.DeepEqual(vx, vy)
+}
+
+func (a *App) send(operation string, resources []resource.Resource) error {
+	if operation == "" {
+		operation = uuid.NewString()
+	}
+	accepted, err := a.client.Apply(operation, resources)
+	if err != nil {
+		return err
+	}
+	return a.print(accepted, func(w io.Writer) {
+		for _, r := range resources {
+			fmt.Fprintf(w, "%s/%s\taccepted\n", r.Kind, r.Metadata.Name)
+		}
+		printAccepted(w, accepted)
+	})
+}
+
+func printAccepted(w io.Writer, accepted controller.Accepted) {
+	fmt.Fprintf(w, "revision %d\tin force at %d of %d routers\n",
+		accepted.Operation.Revision, accepted.InForce.Routers, accepted.InForce.Listed)
+	if len(accepted.InForce.Behind) > 0 {
+		fmt.Fprintf(w, "behind\trouters %v\n", accepted.InForce.Behind)
+	}
+	fmt.Fprintf(w, "operation\t%s\n", accepted.Operation.Name)
+}
+
+func (a *App) get(kind, name string) error {
+	if name != "" {
+		return a.describe(kind, name)
+	}
+	list, err := a.client.List(kindOf(kind))
+	if err != nil {
+		return err
+	}
+	return a.print(list, func(w io.Writer) {
+		fmt.Fprintln(w, "NAME\tGENERATION\tVERSION\tSPEC")
+		for _, r := range list {
+			fmt.Fprintf(w, "%s\t%d\t%d\t%s\n", r.Metadata.Name, r.Metadata.Generation, r.Metadata.ResourceVersion, r.Spec)
+		}
+	})
+}
+
+func (a *App) describe(kind, name string) error {
+	d, err := a.client.Get(kindOf(kind), name)
+	if err != nil {
+		return err
+	}
+	return a.print(d, func(w io.Writer) {
+		fmt.Fprintf(w, "kind\t%s\nname\t%s\ngeneration\t%d (observed %d)\nversion\t%d\nspec\t%s\n",
+			d.Kind, d.Metadata.Name, d.Metadata.Generation, d.Status.ObservedGeneration, d.Metadata.ResourceVersion, d.Spec)
+		for _, c := range d.Status.Conditions {
+			fmt.Fprintf(w, "condition\t%s=%s (%s)\n", c.Type, c.Status, c.Reason)
+		}
+		if d.Status.InForce != nil && len(d.Status.InForce.Behind) > 0 {
+			fmt.Fprintf(w, "behind\trouters %v\n", d.Status.InForce.Behind)
+		}
+		if d.Status.Change != nil {
+			fmt.Fprintf(w, "phase\t%s: %s\n", d.Status.Change.Phase, d.Status.Change.Message)
+		}
+	})
+}
+
+func (a *App) remove(kind, name string) error {
+	old, err := a.client.Get(kindOf(kind), name)
+	if err != nil {
+		return err
+	}
+	old.Deleted = true
+	return a.send("", []resource.Resource{old.Resource})
+}
+
+func (a *App) drain(target string) error {
+	old, err := a.client.Get(resource.KindTarget, target)
+	if err != nil {
+		return err
+	}
+	spec, err := json.Marshal(resource.PlannedChangeSpec{Target: target, Action: resource.ActionDrain})
+	if err != nil {
+		return errors.Wrap(err, "encode change")
+	}
+	// The version in the name makes a second drain of the same target state the
+	// same change, and one of a changed target a new one.
+	name := fmt.Sprintf("drain-%s-%d", target, old.Metadata.ResourceVersion)
+	return a.send("", []resource.Resource{{
+		Kind: resource.KindPlannedChange, Metadata: resource.Metadata{Name: name}, Spec: spec,
+	}})
+}
+
+func (a *App) watch(after uint64, count int) error {
+	seen := 0
+	for count == 0 || seen < count {
+		changes, err := a.client.Watch(after)
+		if err != nil {
+			return err
+		}
+		for _, ch := range changes {
+			after = ch.Revision
+			seen++
+			err := a.print(ch, func(w io.Writer) {
+				for _, r := range ch.Resources {
+					fmt.Fprintf(w, "%d\t%s/%s\tdeleted=%t\t%s\n", ch.Revision, r.Kind, r.Metadata.Name, r.Deleted, r.Spec)
+				}
+			})
+			if err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func (a *App) operation(name string) error {
+	accepted, err := a.client.Operation(name)
+	if err != nil {
+		return err
+	}
+	return a.print(accepted, func(w io.Writer) { printAccepted(w, accepted) })
+}
+
+func (a *App) explain(pool, team, chat string) error {
+	e, err := a.client.Explain(pool, team, chat)
+	if err != nil {
+		return err
+	}
+	return a.print(e, func(w io.Writer) {
+		fmt.Fprintf(w, "pool\t%s at revision %d\nowner\trouter %s while it is live\norder\t%s\n",
+			e.Pool, e.Revision, e.Owner, strings.Join(e.Order, ", "))
+		if len(e.Leaving) > 0 {
+			fmt.Fprintf(w, "leaving\t%s\n", strings.Join(e.Leaving, ", "))
+		}
+	})
+}
+
+// print writes v in the chosen format; table writes it for a person.
+func (a *App) print(v any, table func(io.Writer)) error {
+	switch a.output {
+	case "json":
+		enc := json.NewEncoder(a.out)
+		enc.SetIndent("", "  ")
+		return enc.Encode(v)
+	case "yaml":
+		return a.printYAML(v)
+	}
+	w := tabwriter.NewWriter(a.out, 0, 4, 2, ' ', 0)
+	table(w)
+	return w.Flush()
+}
+
+// printYAML goes through JSON, so that both formats have the same field names.
+func (a *App) printYAML(v any) error {
+	data, err := json.Marshal(v)
+	if err != nil {
+		return errors.Wrap(err, "encode output")
+	}
+	var plain any
+	if err := yaml.Unmarshal(data, &plain); err != nil {
+		return errors.Wrap(err, "encode output")
+	}
+	return yaml.NewEncoder(a.out).Encode(plain)
+}
--- /dev/null
+++ b/internal/core/code/code.go
@@ -0,0 +1,169 @@
+// Package code defines the numbered result codes that callers and operators see.
+// docs/ERRORS.md lists every code; a test keeps the two in step.
+package code
+
+import "fmt"
+
+// Ran says whether the request that a code answers may have run at a target.
+type Ran int
+
+const (
+	// RanNo promises that no target ran the request.
+	RanNo Ran = iota
+	// RanYes says that a target ran the request, at least in part.
+	RanYes
+	// RanUnknown says that the request may or may not have run.
+	RanUnknown
+)
+
+// String returns the word used in response bodies and in docs/ERRORS.md.
+func (r Ran) String() string {
+	switch r {
+	case RanNo:
+		return "no"
+	case RanYes:
+		return "yes"
+	default:
+		return "unknown"
+	}
+}
+
+// Code is a numbered result. The thousands digit names the family: 1 bad
+// request, 2 refused before dispatch, 3 failed after dispatch, 4 outcome
+// unknown, 5 operator API, 6 settings, 7 between hemlockdyke processes.
+type Code int
+
+// The result codes. Numbers are stable: a number is never given a new meaning.
+const (
+	OK Code = 0
+
+	BadBody          Code = 1001
+	BodyTooLarge     Code = 1002
+	UnknownTeam      Code = 1003
+	UnknownPool      Code = 1004
+	BadHeader        Code = 1005
+	KeyReused        Code = 1006
+	NotFound         Code = 1007
+	NotReady         Code = 2001
+	QueueFull        Code = 2002
+	DeadlineTooShort Code = 2003
+	TeamLimit        Code = 2004
+	NoTarget         Code = 2005
+	ClaimStoreDown   Code = 2006
+	StaleConfig      Code = 2007
+	TargetRefused    Code = 2008
+	ShuttingDown     Code = 2009
+	InProgress       Code = 2010
+
+	AttemptsSpent   Code = 3001
+	DeadlinePassed  Code = 3002
+	StreamCut       Code = 3003
+	RetryBudget     Code = 3004
+	AnswerMismatch  Code = 3005
+	CallerGone      Code = 3006
+	OutcomeUnknown  Code = 4001
+	ChangeUnknown   Code = 4002
+	BadResource     Code = 5001
+	Conflict        Code = 5002
+	NoSuchResource  Code = 5003
+	StoreDown       Code = 5004
+	BadReference    Code = 5005
+	NoSuchOperation Code = 5006
+	BadSettings     Code = 6001
+	BadUsage        Code = 6002
+	BadProtocol     Code = 7001
+	UnknownRouter   Code = 7002
+	OldIncarnation  Code = 7003
+)
+
+// Info describes one code.
+type Info struct {
+	Name   string
+	Status int // HTTP status sent with the code
+	Ran    Ran
+	Remedy string
+}
+
+var table = map[Code]Info{
+	BadBody:          {"bad_body", 400, RanNo, "Correct the request body."},
+	BodyTooLarge:     {"body_too_large", 413, RanNo, "Send a smaller body or raise limits.maxBodyBytes."},
+	UnknownTeam:      {"unknown_team", 403, RanNo, "Send a known team in X-Team, or create the Team."},
+	UnknownPool:      {"unknown_pool", 404, RanNo, "Name an existing pool or model, or create the Pool."},
+	BadHeader:        {"bad_header", 400, RanNo, "Correct the named header."},
+	KeyReused:        {"key_reused", 422, RanNo, "Use a new Idempotency-Key for a different request."},
+	NotFound:         {"not_found", 404, RanNo, "Correct the path."},
+	NotReady:         {"not_ready", 503, RanNo, "Wait for the router to load its configuration."},
+	QueueFull:        {"queue_full", 503, RanNo, "Come back after Retry-After; add targets if it lasts."},
+	DeadlineTooShort: {"deadline_too_short", 503, RanNo, "Come back after Retry-After or allow more time."},
+	TeamLimit:        {"team_limit", 429, RanNo, "Come back after Retry-After or raise the Team's limit."},
+	NoTarget:         {"no_target", 503, RanNo, "Come back after Retry-After; check the pool's targets."},
+	ClaimStoreDown:   {"claim_store_down", 503, RanNo, "Come back after Retry-After; the table service is down."},
+	StaleConfig:      {"stale_config", 503, RanNo, "Use another router; this one may miss a change."},
+	TargetRefused:    {"target_refused", 503, RanNo, "Come back after Retry-After; the target turned it away."},
+	ShuttingDown:     {"shutting_down", 503, RanNo, "Use another router; this one is stopping."},
+	InProgress:       {"in_progress", 409, RanUnknown, "Ask again later with the same Idempotency-Key."},
+	AttemptsSpent:    {"attempts_spent", 502, RanYes, "Ask again; every attempt failed."},
+	DeadlinePassed:   {"deadline_passed", 504, RanYes, "Ask again with a later deadline."},
+	StreamCut:        {"stream_cut", 502, RanYes, "Ask again; the stream ended before its end marker."},
+	RetryBudget:      {"retry_budget", 503, RanYes, "Come back after Retry-After; retries are suspended."},
+	AnswerMismatch:   {"answer_mismatch", 502, RanYes, "Ask again; the target answered another request."},
+	CallerGone:       {"caller_gone", 499, RanYes, "None; the caller closed the connection."},
+	OutcomeUnknown:   {"outcome_unknown", 502, RanUnknown, "Check at the service before asking again."},
+	ChangeUnknown:    {"change_unknown", 503, RanUnknown, "Ask for the named operation until it settles."},
+	BadResource:      {"bad_resource", 422, RanNo, "Correct the field that the message names."},
+	Conflict:         {"conflict", 409, RanNo, "Read the resource again and repeat the change on it."},
+	NoSuchResource:   {"no_such_resource", 404, RanNo, "Check kind and name."},
+	StoreDown:        {"store_down", 503, RanNo, "Try again when the table service is back."},
+	BadReference:     {"bad_reference", 422, RanNo, "Create the resource that the field refers to first."},
+	NoSuchOperation:  {"no_such_operation", 404, RanNo, "The change was not accepted; send it again."},
+	BadSettings:      {"bad_settings", 0, RanNo, "Correct the settings file at the named line."},
+	BadUsage:         {"bad_usage", 0, RanNo, "See --help."},
+	BadProtocol:      {"bad_protocol", 400, RanNo, "Run the same release on every VM."},
+	UnknownRouter:    {"unknown_router", 403, RanNo, "List the router in settings.peers."},
+	OldIncarnation:   {"old_incarnation", 409, RanNo, "None; an earlier process of the router spoke late."},
+}
+
+// Lookup returns the description of c. Unlisted codes are described as unknown
+// outcomes, since claiming "not run" for them could be false.
+func (c Code) Lookup() Info {
+	info, ok := table[c]
+	if !ok {
+		return Info{Name: "unlisted", Status: 500, Ran: RanUnknown}
+	}
+	return info
+}
+
+// All returns a copy of the code table.
+func All() map[Code]Info {
+	out := make(map[Code]Info, len(table))
+	for c, info := range table {
+		out[c] = info
+	}
+	return out
+}
+
+// Error is an error that carries a code. Field is the path of the offending
+// resource or settings field, empty if none applies.
+type Error struct {
+	Code    Code
+	Field   string
+	Message string
+}
+
+// New returns an *Error with a formatted message.
+func New(c Code, format string, args ...any) *Error {
+	return &Error{Code: c, Message: fmt.Sprintf(format, args...)}
+}
+
+// AtField returns an *Error about one field.
+func AtField(c Code, field, format string, args ...any) *Error {
+	return &Error{Code: c, Field: field, Message: fmt.Sprintf(format, args...)}
+}
+
+// Error renders the number, name, field and message.
+func (e *Error) Error() string {
+	if e.Field == "" {
+		return fmt.Sprintf("%d %s: %s", int(e.Code), e.Code.Lookup().Name, e.Message)
+	}
+	return fmt.Sprintf("%d %s: %s: %s", int(e.Code), e.Code.Lookup().Name, e.Field, e.Message)
+}
--- /dev/null
+++ b/internal/core/config/config.go
@@ -0,0 +1,126 @@
+// Package config holds the configuration that one process has applied. It only
+// moves to higher revisions, whole changes at a time.
+package config
+
+import (
+	"sort"
+
+	"github.com/hemlockdyke/hemlockdyke/internal/core/resource"
+)
+
+// Result says what Apply did with a change.
+type Result int
+
+const (
+	// Applied: the change was the next revision and is now in force.
+	Applied Result = iota
+	// Old: the revision is already in force; nothing changed.
+	Old
+	// Gap: changes between the current revision and this one are missing.
+	Gap
+	// Invalid: a resource does not pass validation; nothing changed.
+	Invalid
+)
+
+// logLength is how many recent changes are kept for peers that lag. At 11,000
+// changes a day it covers more than two hours.
+const logLength = 1024
+
+// State is the applied configuration. It is not safe for concurrent use.
+type State struct {
+	revision  uint64
+	resources map[resource.Key]resource.Resource
+	log       []resource.Change // consecutive, ending at revision
+}
+
+// New returns an empty State at revision 0.
+func New() *State {
+	return &State{resources: make(map[resource.Key]resource.Resource)}
+}
+
+// Revision returns the revision in force.
+func (s *State) Revision() uint64 { return s.revision }
+
+// Apply puts the next revision in force. A change that arrives late or twice is
+// reported as Old and cannot revert a newer one.
+func (s *State) Apply(c resource.Change) Result {
+	if c.Revision <= s.revision {
+		return Old
+	}
+	if c.Revision != s.revision+1 {
+		return Gap
+	}
+	for _, r := range c.Resources {
+		if !r.Deleted && resource.Validate(r) != nil {
+			return Invalid
+		}
+	}
+	for _, r := range c.Resources {
+		s.put(r)
+	}
+	s.revision = c.Revision
+	s.log = append(s.log, c)
+	if len(s.log) > logLength {
+		s.log = append([]resource.Change(nil), s.log[len(s.log)-logLength/2:]...)
+	}
+	return Applied
+}
+
+func (s *State) put(r resource.Resource) {
+	if r.Deleted {
+		delete(s.resources, r.Key())
+		return
+	}
+	s.resources[r.Key()] = r
+}
+
+// Load replaces the configuration with a snapshot of a higher revision.
+func (s *State) Load(revision uint64, resources []resource.Resource) Result {
+	if revision <= s.revision {
+		return Old
+	}
+	next := make(map[resource.Key]resource.Resource, len(resources))
+	for _, r := range resources {
+		if resource.Validate(r) != nil {
+			return Invalid
+		}
+		next[r.Key()] = r
+	}
+	s.resources = next
+	s.revision = revision
+	s.log = nil
+	return Applied
+}
+
+// Since returns the changes after a revision, and false if they are no longer kept.
+func (s *State) Since(after uint64) ([]resource.Change, bool) {
+	if after >= s.revision {
+		return nil, true
+	}
+	missing := s.revision - after
+	if missing > uint64(len(s.log)) {
+		return nil, false
+	}
+	return s.log[uint64(len(s.log))-missing:], true
+}
+
+// Resources returns every resource ordered by kind and name.
+func (s *State) Resources() []resource.Resource {
+	out := make([]resource.Resource, 0, len(s.resources))
+	for _, r := range s.resources {
+		out = append(out, r)
+	}
+	sort.Slice(out, func(i, j int) bool {
+		if out[i].Kind != out[j].Kind {
+			return out[i].Kind < out[j].Kind
+		}
+		return out[i].Metadata.Name < out[j].Metadata.Name
+	})
+	return out
+}
+
+// Get returns one resource.
+func (s *State) Get(k resource.Key) (resource.Resource, bool) {
+	r, ok := s.resources[k]
+	return r, ok
+}
--- /dev/null
+++ b/internal/core/rendezvous/rendezvous.go
@@ -0,0 +1,64 @@
+// Package rendezvous orders nodes for a key by highest random weight, so that
+// every process computes the same order without shared state, and a joining or
+// leaving node moves only the keys that it gains or loses.
+package rendezvous
+
+import "github.com/cespare/xxhash/v2"
+
+// Hash returns the hash of a name, for use as a key or a node seed.
+func Hash(name string) uint64 { return xxhash.Sum64String(name) }
+
+// Mix combines a key with a node seed into a uniformly distributed weight. It
+// is the finalizer of the SplitMix64 generator.
+func Mix(key, seed uint64) uint64 {
+	z := key ^ (seed * 0x9e3779b97f4a7c15)
+	z = (z ^ (z >> 30)) * 0xbf58476d1ce4e5b9
+	z = (z ^ (z >> 27)) * 0x94d049bb133111eb
+	return z ^ (z >> 31)
+}
+
+// MaxTop is the largest number of nodes that Top returns.
+const MaxTop = 16
+
+// Top holds the indexes of the highest weighted nodes in descending order.
+type Top struct {
+	Index  [MaxTop]int32
+	weight [MaxTop]uint64
+	Len    int
+}
+
+// Reset empties t.
+func (t *Top) Reset() { t.Len = 0 }
+
+// Offer inserts node index with the given weight, keeping the best limit nodes.
+func (t *Top) Offer(index int32, weight uint64, limit int) {
+	if t.Len == limit && weight <= t.weight[limit-1] {
+		return
+	}
+	at := t.Len
+	if at == limit {
+		at--
+	} else {
+		t.Len++
+	}
+	for at > 0 && t.weight[at-1] < weight {
+		t.weight[at] = t.weight[at-1]
+		t.Index[at] = t.Index[at-1]
+		at--
+	}
+	t.weight[at] = weight
+	t.Index[at] = index
+}
+
+// First returns the id with the highest weight for key, and false if ids is empty.
+func First(key uint64, ids []uint32) (uint32, bool) {
+	var best uint32
+	var bestWeight uint64
+	for i, id := range ids {
+		w := Mix(key, uint64(id)+1)
+		if i == 0 || w > bestWeight {
+			best, bestWeight = id, w
+		}
+	}
+	return best, len(ids) > 0
+}
--- /dev/null
+++ b/internal/core/router/core.go
@@ -0,0 +1,254 @@
+package router
+
+import (
+	"math/rand/v2"
+	"time"
+
+	peerv1 "github.com/hemlockdyke/hemlockdyke/gen/hemlockdyke/peer/v1"
+	"github.com/hemlockdyke/hemlockdyke/internal/core/code"
+	"github.com/hemlockdyke/hemlockdyke/internal/core/config"
+	"github.com/hemlockdyke/hemlockdyke/internal/core/ledger"
+	"github.com/hemlockdyke/hemlockdyke/internal/core/member"
+	"github.com/hemlockdyke/hemlockdyke/internal/core/resource"
+	"github.com/hemlockdyke/hemlockdyke/internal/core/retry"
+	"github.com/hemlockdyke/hemlockdyke/internal/core/routing"
+	"github.com/hemlockdyke/hemlockdyke/internal/core/ticket"
+)
+
+// TickInterval is how often the core expects a Tick.
+const TickInterval = 50 * time.Millisecond
+
+// Settings configure a Core.
+type Settings struct {
+	Self        uint32
+	Incarnation uint64
+	Routers     []uint32 // every listed router, Self included
+	Seed        uint64
+
+	GossipInterval time.Duration
+	GossipFanout   int
+	PollInterval   time.Duration
+	SuspectAfter   time.Duration
+	FreshFor       time.Duration
+
+	Ledger ledger.Settings
+}
+
+// DefaultSettings returns the settings of router self in a fleet.
+func DefaultSettings(self uint32, routers []uint32) Settings {
+	return Settings{
+		Self: self, Incarnation: 1, Routers: routers, Seed: uint64(self),
+		GossipInterval: 500 * time.Millisecond, GossipFanout: 1,
+		PollInterval: 2 * time.Second, SuspectAfter: 2 * time.Second, FreshFor: 5 * time.Second,
+		Ledger: ledger.DefaultSettings(len(routers)),
+	}
+}
+
+// request is a request that waits for a ticket or holds one.
+type request struct {
+	arrived Arrived
+	pool    string
+	granted uint64 // target UID
+}
+
+// Core is the state of one router. It is not safe for concurrent use: the
+// control goroutine owns it.
+type Core struct {
+	settings Settings
+	rand     *rand.Rand
+
+	config  *config.State
+	table   *routing.Table
+	members *member.State
+
+	ledgers  map[string]*ledger.Ledger
+	clients  map[string]*ticket.Client
+	requests map[uint64]*request
+	budgets  map[string]*retry.Budget
+
+	// failedOwner holds the time until which an owner that left exchanges
+	// unanswered is passed over, although its heartbeats may still arrive by
+	// way of others.
+	failedOwner map[uint32]time.Time
+
+	started    time.Time
+	nextGossip time.Time
+	nextPoll   time.Time
+	nextProbe  time.Time
+	storeRead  time.Time
+	fromStore  bool
+	pulling    time.Time // when the pull under way began; zero if none
+	leaving    bool
+	ready      Ready
+	readySent  bool
+
+	actions []Action
+}
+
+// New returns a Core that has no configuration yet.
+func New(now time.Time, s Settings) *Core {
+	rnd := rand.New(rand.NewPCG(s.Seed, uint64(s.Self)))
+	return &Core{
+		settings:    s,
+		rand:        rnd,
+		config:      config.New(),
+		table:       routing.Build(0, nil),
+		members:     member.New(s.Self, s.Incarnation, s.Routers, s.SuspectAfter, rnd),
+		ledgers:     make(map[string]*ledger.Ledger),
+		clients:     make(map[string]*ticket.Client),
+		requests:    make(map[uint64]*request),
+		budgets:     make(map[string]*retry.Budget),
+		failedOwner: make(map[uint32]time.Time),
+		started:     now,
+	}
+}
+
+// Step takes one event and returns the actions that follow. The slice is valid
+// until the next call.
+func (c *Core) Step(now time.Time, ev Event) []Action {
+	c.actions = c.actions[:0]
+	switch ev := ev.(type) {
+	case Arrived:
+		c.arrived(now, ev)
+	case Ended:
+		c.ended(ev)
+	case Reported:
+		c.reported(now, ev)
+	case CallIn:
+		c.callIn(now, ev)
+	case CallOut:
+		c.callOut(now, ev)
+	case StoreRead:
+		c.storeWasRead(now, ev)
+	case Tick:
+		c.tick(now)
+	case Leave:
+		c.leaving = true
+		c.members.Leave()
+	}
+	c.exchange(now)
+	c.updateReady(now)
+	return c.actions
+}
+
+func (c *Core) emit(a Action) { c.actions = append(c.actions, a) }
+
+// Table returns the routing table in force.
+func (c *Core) Table() *routing.Table { return c.table }
+
+// Revision returns the configuration revision in force.
+func (c *Core) Revision() uint64 { return c.config.Revision() }
+
+// Revisions returns the last known revision of every listed router.
+func (c *Core) Revisions() map[uint32]uint64 {
+	out := c.members.Revisions()
+	out[c.settings.Self] = c.config.Revision()
+	return out
+}
+
+// IncarnationAlive reports whether a process of a router may still run: its
+// heartbeats arrive and it has not restarted.
+func (c *Core) IncarnationAlive(now time.Time, id uint32, incarnation uint64) bool {
+	return c.members.Alive(now, id) && c.members.Incarnation(id) == incarnation
+}
+
+// OpenRequests returns the number of requests that wait or run.
+func (c *Core) OpenRequests() int { return len(c.requests) }
+
+// updateReady decides whether this router may take new work. One that has
+// neither read the store nor heard from a majority for a while may miss a drain
+// or a change that is in force elsewhere: callers would be sent to a target that
+// is already gone. It refuses until it is sure again.
+func (c *Core) updateReady(now time.Time) {
+	next := Ready{Ready: true}
+	switch {
+	case c.leaving:
+		next = Ready{Reason: code.ShuttingDown}
+	case c.config.Revision() == 0 || !c.current(now):
+		next = Ready{Reason: code.NotReady}
+	case !c.fresh(now):
+		next = Ready{Reason: code.StaleConfig}
+	}
+	if next != c.ready || !c.readySent {
+		c.ready, c.readySent = next, true
+		c.emit(next)
+	}
+}
+
+// current reports whether the first configuration is known to be up to date: it
+// came from the store, or a majority has been heard and nobody has a higher one.
+func (c *Core) current(now time.Time) bool {
+	if c.fromStore {
+		return true
+	}
+	highest, _ := c.members.HighestRevision()
+	return c.members.HeardMajority(now, c.settings.FreshFor) && c.config.Revision() >= highest
+}
+
+func (c *Core) fresh(now time.Time) bool {
+	if !c.storeRead.IsZero() && now.Sub(c.storeRead) <= c.settings.FreshFor {
+		return true
+	}
+	return c.members.HeardMajority(now, c.settings.FreshFor)
+}
+
+// jittered returns a period of up to a quarter more or less than d. Without it
+// the timers of many routers fall into step after an outage and their reads
+// arrive at the store together.
+func (c *Core) jittered(d time.Duration) time.Duration {
+	return time.Duration(float64(d) * (0.75 + 0.5*c.rand.Float64()))
+}
+
+func (c *Core) tick(now time.Time) {
+	if !now.Before(c.nextGossip) {
+		c.nextGossip = now.Add(c.jittered(c.settings.GossipInterval))
+		c.gossip(now)
+	}
+	if !now.Before(c.nextPoll) {
+		c.nextPoll = now.Add(c.jittered(c.settings.PollInterval))
+		c.emit(ReadStore{After: c.config.Revision()})
+	}
+	c.followOwners(now)
+	for _, name := range c.ledgerNames() {
+		l := c.ledgers[name]
+		for _, id := range c.settings.Routers {
+			if !c.members.Alive(now, id) {
+				c.deliver(now, name, l.Depart(now, id, false))
+			}
+		}
+		c.deliver(now, name, l.Tick(now))
+	}
+	if !now.Before(c.nextProbe) {
+		c.nextProbe = now.Add(c.jittered(probeInterval))
+		c.probe(now)
+	}
+	c.pullIfBehind(now)
+}
+
+// probeInterval is the mean time between two looks at the targets' own counts,
+// while a ledger needs them.
+const probeInterval = 500 * time.Millisecond
+
+// probe asks for the counts of the targets of ledgers that need them. In quiet
+// times none does, so probes cost nothing. Plain services report no load, and a
+// probe would be a request to their application.
+func (c *Core) probe(now time.Time) {
+	for _, name := range c.ledgerNames() {
+		p, ok := c.table.Pool(name)
+		if !ok || p.Spec.Protocol != resource.ProtocolModel || !c.ledgers[name].WantsReports(now) {
+			continue
+		}
+		for _, t := range p.Targets {
+			c.emit(Probe{Pool: name, Target: t})
+		}
+	}
+}
+
+func (c *Core) gossip(now time.Time) {
+	c.members.Beat(now, c.config.Revision())
+	for _, to := range c.members.Partners(c.settings.GossipFanout) {
+		c.emit(Send{To: to, Message: &peerv1.GossipRequest{
+			Protocol: ticket.Protocol, Router: c.settings.Self, Heartbeats: c.members.Heartbeats(),
+		}})
+	}
+}
--- /dev/null
+++ b/internal/core/router/peers.go
@@ -0,0 +1,120 @@
+package router
+
+import (
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	peerv1 "github.com/hemlockdyke/hemlockdyke/gen/hemlockdyke/peer/v1"
+	"github.com/hemlockdyke/hemlockdyke/internal/core/code"
+	"github.com/hemlockdyke/hemlockdyke/internal/core/ticket"
+)
+
+func (c *Core) callIn(now time.Time, ev CallIn) {
+	reply, err := c.handle(now, ev.Message)
+	c.emit(Respond{Call: ev.Call, Message: reply, Err: err})
+}
+
+func (c *Core) handle(now time.Time, m proto.Message) (proto.Message, error) {
+	if p, ok := m.(interface{ GetProtocol() uint32 }); ok && p.GetProtocol() != ticket.Protocol {
+		return nil, code.New(code.BadProtocol, "protocol %d, want %d", p.GetProtocol(), ticket.Protocol)
+	}
+	switch m := m.(type) {
+	case *peerv1.ExchangeRequest:
+		return c.handleExchange(now, m)
+	case *peerv1.DeliverRequest:
+		return c.handleDeliver(m)
+	case *peerv1.GossipRequest:
+		return c.handleGossip(now, m)
+	case *peerv1.PushRequest:
+		return c.handlePush(m)
+	case *peerv1.PullRequest:
+		return c.handlePull(m)
+	}
+	return nil, code.New(code.BadProtocol, "unexpected message")
+}
+
+func (c *Core) handleExchange(now time.Time, m *peerv1.ExchangeRequest) (proto.Message, error) {
+	if !c.members.Listed(m.GetRouter()) {
+		return nil, code.New(code.UnknownRouter, "router %d is not listed", m.GetRouter())
+	}
+	if m.GetUnfollow() {
+		if l, ok := c.ledgers[m.GetPool()]; ok {
+			c.deliver(now, m.GetPool(), l.Depart(now, m.GetRouter(), true))
+		}
+		return &peerv1.ExchangeResponse{}, nil
+	}
+	l, ok := c.ledger(now, m.GetPool())
+	if !ok {
+		return nil, code.New(code.UnknownPool, "no pool %q at revision %d", m.GetPool(), c.config.Revision())
+	}
+	resp, deliveries, err := l.Exchange(now, m)
+	if err != nil {
+		return nil, err
+	}
+	c.deliver(now, m.GetPool(), deliveries)
+	return resp, nil
+}
+
+// handleDeliver refuses grants meant for an earlier process of this router.
+func (c *Core) handleDeliver(m *peerv1.DeliverRequest) (proto.Message, error) {
+	if m.GetIncarnation() != c.settings.Incarnation {
+		return nil, code.New(code.OldIncarnation, "grants are for incarnation %d", m.GetIncarnation())
+	}
+	c.granted(m.GetPool(), c.client(m.GetPool()).Delivered(m.GetOwner(), m.GetGrants()))
+	return &peerv1.DeliverResponse{}, nil
+}
+
+func (c *Core) handleGossip(now time.Time, m *peerv1.GossipRequest) (proto.Message, error) {
+	if !c.members.Listed(m.GetRouter()) {
+		return nil, code.New(code.UnknownRouter, "router %d is not listed", m.GetRouter())
+	}
+	c.merge(now, m.GetHeartbeats())
+	return &peerv1.GossipResponse{Heartbeats: c.members.Heartbeats()}, nil
+}
+
+// merge takes in heartbeats. The tickets of a router that restarted become
+// ghosts at once: its requests were cut off with the old process.
+func (c *Core) merge(now time.Time, heartbeats []*peerv1.Heartbeat) {
+	for _, id := range c.members.Merge(now, heartbeats) {
+		delete(c.failedOwner, id)
+		for _, name := range c.ledgerNames() {
+			if c.ledgers[name].Incarnation(id) < c.members.Incarnation(id) {
+				c.deliver(now, name, c.ledgers[name].Depart(now, id, false))
+			}
+		}
+	}
+	c.pullIfBehind(now)
+}
+
+func (c *Core) callOut(now time.Time, ev CallOut) {
+	switch req := ev.Request.(type) {
+	case *peerv1.ExchangeRequest:
+		if resp, ok := ev.Reply.(*peerv1.ExchangeResponse); ok && resp != nil && !req.GetUnfollow() {
+			c.granted(req.GetPool(), c.client(req.GetPool()).Replied(ev.To, resp))
+		}
+	case *peerv1.DeliverRequest:
+		if ev.Reply == nil {
+			c.redeliver(now, ev.To, req)
+		}
+	case *peerv1.GossipRequest:
+		if resp, ok := ev.Reply.(*peerv1.GossipResponse); ok && resp != nil {
+			c.merge(now, resp.GetHeartbeats())
+		}
+	case *peerv1.PullRequest:
+		c.pulling = time.Time{}
+		if resp, ok := ev.Reply.(*peerv1.PullResponse); ok && resp != nil {
+			c.pulled(resp)
+		}
+	}
+}
+
+// redeliver sends late grants again while their router is the same process and
+// alive. Until they arrive the router's request waits although its ticket is
+// counted.
+func (c *Core) redeliver(now time.Time, to uint32, req *peerv1.DeliverRequest) {
+	l, ok := c.ledgers[req.GetPool()]
+	if ok && l.Incarnation(to) == req.GetIncarnation() && c.members.Alive(now, to) {
+		c.emit(Send{To: to, Message: req})
+	}
+}
--- /dev/null
+++ b/internal/core/ticket/ticket.go
@@ -0,0 +1,225 @@
+// Package ticket is a router's side of load bounding for one pool: it asks the
+// pool's owner for tickets, gives them back, and moves to another owner without
+// losing one.
+package ticket
+
+import (
+	"sort"
+	"time"
+
+	peerv1 "github.com/hemlockdyke/hemlockdyke/gen/hemlockdyke/peer/v1"
+)
+
+// Protocol is the version of the peer protocol. A peer that speaks another one
+// is refused, since it may mean something else by the same fields.
+const Protocol = 1
+
+// retransmitAfter is how long an exchange may stay unanswered before it is sent
+// again, and failAfter unanswered sends the owner counts as failed.
+const (
+	retransmitAfter = 250 * time.Millisecond
+	failAfter       = 2
+)
+
+type openTicket struct {
+	target uint64
+	team   uint64
+}
+
+// Client asks for the tickets of one pool. It has at most one exchange under
+// way: what comes up meanwhile goes with the next one, so messages batch by
+// themselves as the rate grows. It is not safe for concurrent use.
+type Client struct {
+	pool        string
+	self        uint32
+	incarnation uint64
+
+	owner     uint32
+	known     bool // the owner has this router's inventory
+	sequence  uint64
+	inFlight  *peerv1.ExchangeRequest
+	sentAt    time.Time
+	unreplied int
+
+	asks     map[uint64]*peerv1.Ask // neither granted nor refused yet
+	unsent   map[uint64]bool
+	open     map[uint64]openTicket
+	releases []*peerv1.Release
+	deadline map[uint64]time.Time
+}
+
+// New returns a Client without an owner.
+func New(pool string, self uint32, incarnation uint64) *Client {
+	return &Client{
+		pool: pool, self: self, incarnation: incarnation,
+		asks:     make(map[uint64]*peerv1.Ask),
+		unsent:   make(map[uint64]bool),
+		open:     make(map[uint64]openTicket),
+		deadline: make(map[uint64]time.Time),
+	}
+}
+
+// Owner returns the router that this client follows, 0 if none.
+func (c *Client) Owner() uint32 { return c.owner }
+
+// Open returns the number of tickets held.
+func (c *Client) Open() int { return len(c.open) }
+
+// Waiting returns the number of asks without an answer.
+func (c *Client) Waiting() int { return len(c.asks) }
+
+// Follow moves to another owner. Everything still open goes to the new one with
+// the next exchange. Releases not yet sent are dropped: the new owner learns the
+// inventory, and the old one drops this router.
+func (c *Client) Follow(owner uint32) {
+	if owner == c.owner {
+		return
+	}
+	c.owner = owner
+	c.forget()
+}
+
+// forget makes the next exchange carry the inventory and every open ask.
+func (c *Client) forget() {
+	c.known = false
+	c.inFlight = nil
+	c.unreplied = 0
+	c.releases = nil
+	for id := range c.asks {
+		c.unsent[id] = true
+	}
+}
+
+// Ask adds a request that needs a ticket until a deadline.
+func (c *Client) Ask(a *peerv1.Ask, deadline time.Time) {
+	c.asks[a.GetId()] = a
+	c.unsent[a.GetId()] = true
+	c.deadline[a.GetId()] = deadline
+}
+
+// Release gives a ticket back or withdraws an ask.
+func (c *Client) Release(id uint64, outcome peerv1.Outcome) {
+	_, held := c.open[id]
+	_, asked := c.asks[id]
+	if !held && !asked {
+		return
+	}
+	sent := held || !c.unsent[id]
+	c.drop(id)
+	delete(c.open, id)
+	if sent {
+		c.releases = append(c.releases, &peerv1.Release{Id: id, Outcome: outcome})
+	}
+}
+
+func (c *Client) drop(id uint64) {
+	delete(c.asks, id)
+	delete(c.unsent, id)
+	delete(c.deadline, id)
+}
+
+// Next returns the exchange to send now, or nil. It repeats an unanswered one
+// with the same sequence number and content.
+func (c *Client) Next(now time.Time) *peerv1.ExchangeRequest {
+	if c.owner == 0 {
+		return nil
+	}
+	if c.inFlight != nil {
+		if now.Sub(c.sentAt) < retransmitAfter {
+			return nil
+		}
+		c.unreplied++
+		c.sentAt = now
+		return c.inFlight
+	}
+	if c.known && len(c.unsent) == 0 && len(c.releases) == 0 {
+		return nil
+	}
+	c.inFlight = c.build(now)
+	c.sentAt = now
+	return c.inFlight
+}
+
+func (c *Client) build(now time.Time) *peerv1.ExchangeRequest {
+	c.sequence++
+	req := &peerv1.ExchangeRequest{
+		Protocol: Protocol, Pool: c.pool, Router: c.self, Incarnation: c.incarnation,
+		Sequence: c.sequence, Releases: c.releases,
+	}
+	c.releases = nil
+	for _, id := range sortedKeys(c.unsent) {
+		a := c.asks[id]
+		a.DeadlineMillis = uint32(max(c.deadline[id].Sub(now).Milliseconds(), 0))
+		req.Asks = append(req.Asks, a)
+	}
+	clear(c.unsent)
+	if c.known {
+		return req
+	}
+	req.HasInventory = true
+	for _, id := range sortedKeys(c.open) {
+		t := c.open[id]
+		req.Inventory = append(req.Inventory, &peerv1.OpenTicket{Id: id, Target: t.target, Team: t.team})
+	}
+	return req
+}
+
+// sortedKeys makes messages the same for the same state; the asks keep the
+// order in which they arrived because ids rise.
+func sortedKeys[V any](m map[uint64]V) []uint64 {
+	keys := make([]uint64, 0, len(m))
+	for k := range m {
+		keys = append(keys, k)
+	}
+	sort.Slice(keys, func(i, j int) bool { return keys[i] < keys[j] })
+	return keys
+}
+
+// Replied takes in the owner's reply and returns its grants. A reply to anything
+// but the exchange under way is late and changes nothing.
+func (c *Client) Replied(from uint32, resp *peerv1.ExchangeResponse) []*peerv1.Grant {
+	if from != c.owner || c.inFlight == nil || resp.GetSequence() != c.inFlight.GetSequence() {
+		return nil
+	}
+	hadInventory := c.inFlight.GetHasInventory()
+	c.inFlight = nil
+	c.unreplied = 0
+	if resp.GetWantInventory() {
+		c.forget()
+		return nil
+	}
+	c.known = c.known || hadInventory
+	return c.take(resp.GetGrants())
+}
+
+// Delivered takes in grants of asks that had to wait at the owner.
+func (c *Client) Delivered(from uint32, grants []*peerv1.Grant) []*peerv1.Grant {
+	if from != c.owner {
+		return nil
+	}
+	return c.take(grants)
+}
+
+// take records grants. One whose ask is gone was withdrawn meanwhile: its ticket
+// goes back, or the owner would count it for ever.
+func (c *Client) take(grants []*peerv1.Grant) []*peerv1.Grant {
+	var out []*peerv1.Grant
+	for _, g := range grants {
+		a, ok := c.asks[g.GetId()]
+		if !ok {
+			if _, held := c.open[g.GetId()]; !held && g.GetTarget() != 0 {
+				c.releases = append(c.releases, &peerv1.Release{Id: g.GetId(), Outcome: peerv1.Outcome_OUTCOME_UNUSED})
+			}
+			continue
+		}
+		c.drop(g.GetId())
+		if g.GetTarget() != 0 {
+			c.open[g.GetId()] = openTicket{target: g.GetTarget(), team: a.GetTeam()}
+		}
+		out = append(out, g)
+	}
+	return out
+}
+
+// Failed reports whether the owner left several sends unanswered.
+func (c *Client) Failed() bool { return c.unreplied >= failAfter }
--- /dev/null
+++ b/internal/logging/logging.go
@@ -0,0 +1,18 @@
+// Package logging sets up the JSON lines log of the binaries.
+package logging
+
+import (
+	"io"
+
+	"github.com/rs/zerolog"
+)
+
+// New returns a logger that writes JSON lines to w. An unknown level means info;
+// checked settings don't hold one.
+func New(w io.Writer, level, process string, id uint32) zerolog.Logger {
+	parsed, err := zerolog.ParseLevel(level)
+	if err != nil {
+		parsed = zerolog.InfoLevel
+	}
+	return zerolog.New(w).Level(parsed).With().Timestamp().Str("process", process).Uint32("id", id).Logger()
+}
