--- a/Makefile
+++ b/Makefile
@@ -23,3 +23,6 @@
 generate: tools
 	cd tools/buf && $(GO) build -o ../../.bin/ github.com/bufbuild/buf/cmd/buf
 	PATH="$(CURDIR)/.bin:$$PATH" .bin/buf generate
+
+experiment: build
+	./bin/hemlockdyke-bench experiment
--- a/cmd/hemlockdyke-bench/main.go
+++ b/cmd/hemlockdyke-bench/main.go
@@ -6,10 +6,13 @@
 	"context"
 	"encoding/json"
 	"os"
+	"strings"
+	"sync"
 	"time"
 
 	"github.com/alecthomas/kingpin/v2"
 
+	"github.com/hemlockdyke/hemlockdyke/internal/experiment"
 	"github.com/hemlockdyke/hemlockdyke/internal/load"
 )
 
@@ -30,9 +33,41 @@
 	cmd.Flag("seed", "Seed.").Default("1").Uint64Var(&s.Seed)
 	limit := cmd.Flag("limit", "Longest run.").Default("50s").Duration()
 
+	exp := app.Command("experiment", "Compare routing policies on the same simulated traffic.")
+	only := exp.Flag("scenario", "Run only this scenario.").String()
+	onlyPolicy := exp.Flag("policy", "Run only policies whose names start with this.").String()
+	seeds := exp.Flag("seeds", "Number of seeds.").Default("5").Uint64()
+
 	switch kingpin.MustParse(app.Parse(os.Args[1:])) {
 	case cmd.FullCommand():
 		app.FatalIfError(runLoad(s, *limit), "load")
+	case exp.FullCommand():
+		runExperiment(*only, *onlyPolicy, *seeds)
+	}
+}
+
+// runExperiment prints a line per run and a summary per policy. Each run is
+// independent of the others and the same for the same seed.
+func runExperiment(only, onlyPolicy string, seeds uint64) {
+	for _, s := range experiment.Scenarios() {
+		if only != "" && s.Name != only {
+			continue
+		}
+		for _, p := range experiment.Policies() {
+			if !strings.HasPrefix(p.Name, onlyPolicy) {
+				continue
+			}
+			results := make([]experiment.Result, seeds)
+			var runs sync.WaitGroup
+			for i := range results {
+				runs.Go(func() { results[i] = experiment.Run(s, p, uint64(i)+1) })
+			}
+			runs.Wait()
+			for _, r := range results {
+				r.Print(os.Stdout)
+			}
+			experiment.PrintSummary(os.Stdout, results)
+		}
 	}
 }
 
--- a/internal/adapter/peer/peer.go
+++ b/internal/adapter/peer/peer.go
@@ -105,7 +105,7 @@
 			if err != nil {
 				return nil, err
 			}
-			return wrap(conn), nil
+			return newCoalescer(wrap(conn)), nil
 		},
 		Protocols: unencryptedHTTP2(),
 		HTTP2:     &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTimeout},
--- a/internal/core/ledger/ledger.go
+++ b/internal/core/ledger/ledger.go
@@ -58,6 +58,8 @@
 		RebuildFor: 3 * time.Second,
 		MaxQueued:  10000,
 		Memory:     100_000,
+
+		HomePatience: 300 * time.Millisecond,
 	}
 }
 
@@ -65,8 +67,11 @@
 // loaded one is taken.
 const candidates = 8
 
-// urgentReserve is the share of MaxPerTarget that only urgent requests may use.
-const urgentReserve = 0.1
+// The shares of MaxPerTarget that a class leaves to higher classes.
+const (
+	normalReserve = 0.05
+	bulkReserve   = 0.25
+)
 
 // Teams gives the ledger a team's weight and fleet-wide limit by UID.
 type Teams interface {
@@ -92,6 +97,7 @@
 	sequence    uint64
 	reply       *peerv1.ExchangeResponse
 	tickets     map[uint64]ticket
+	heard       time.Time // when it last sent an exchange
 }
 
 // ghost is a ticket whose router departed.
@@ -118,6 +124,7 @@
 	ghosts    []ghost
 	teamOpen  map[uint64]int
 	queue     *fairqueue.Queue
+	patient   []fairqueue.Item // wait for a target that holds their chat's cache
 	memory    memory
 	drain     rate
 	created   time.Time
@@ -191,6 +198,7 @@
 		l.followers[req.GetRouter()] = f
 		l.dropGhosts(func(g ghost) bool { return g.router == req.GetRouter() && g.incarnation == req.GetIncarnation() })
 	}
+	f.heard = now
 	if f.reply != nil && req.GetSequence() <= f.sequence {
 		return f.reply, nil, nil
 	}
@@ -266,7 +274,7 @@
 func (l *Ledger) release(now time.Time, router uint32, f *follower, r *peerv1.Release) {
 	t, ok := f.tickets[r.GetId()]
 	if !ok {
-		l.queue.Remove(func(it fairqueue.Item) bool { return it.Router == router && it.ID == r.GetId() })
+		l.withdraw(func(it fairqueue.Item) bool { return it.Router == router && it.ID == r.GetId() })
 		return
 	}
 	l.close(f, r.GetId())
@@ -290,10 +298,14 @@
 		Priority: clampPriority(a.GetPriority()), Chat: a.GetChat(), Excluded: a.GetExcluded(),
 		Arrived: now, Deadline: now.Add(time.Duration(a.GetDeadlineMillis()) * time.Millisecond),
 	}
-	if l.queue.Queued(router, a.GetId()) {
+	if l.queue.Queued(router, a.GetId()) || l.waitsPatiently(router, a.GetId()) {
 		return nil
 	}
 	if !l.mustWait(it) {
+		if l.isPatient(now, it) {
+			l.patient = append(l.patient, it)
+			return nil
+		}
 		if uid, ok := l.place(now, it); ok {
 			return l.grant(f, it, uid)
 		}
@@ -362,9 +374,54 @@
 	return time.Duration(float64(ahead+1) / perSecond * float64(time.Second))
 }
 
+func (l *Ledger) waitsPatiently(router uint32, id uint64) bool {
+	for _, it := range l.patient {
+		if it.Router == router && it.ID == id {
+			return true
+		}
+	}
+	return false
+}
+
+// withdraw forgets the waiting asks for which gone is true and returns them.
+func (l *Ledger) withdraw(gone func(fairqueue.Item) bool) []fairqueue.Item {
+	removed := l.queue.Remove(gone)
+	kept := l.patient[:0]
+	for _, it := range l.patient {
+		if gone(it) {
+			removed = append(removed, it)
+		} else {
+			kept = append(kept, it)
+		}
+	}
+	l.patient = kept
+	return removed
+}
+
+// servePatient grants the asks whose target has room again, and moves those that
+// have waited long enough on.
+func (l *Ledger) servePatient(now time.Time) []Delivery {
+	var out []Delivery
+	kept := l.patient[:0]
+	for _, it := range l.patient {
+		if l.isPatient(now, it) {
+			kept = append(kept, it)
+			continue
+		}
+		if uid, ok := l.place(now, it); ok && !l.mustWait(it) {
+			f := l.followers[it.Router]
+			out = append(out, Delivery{Router: it.Router, Incarnation: f.incarnation, Grant: l.grant(f, it, uid)})
+			continue
+		}
+		l.queue.Push(it)
+	}
+	l.patient = kept
+	return out
+}
+
 // serve grants waiting asks while tickets are free.
 func (l *Ledger) serve(now time.Time) []Delivery {
-	var out []Delivery
+	out := l.servePatient(now)
 	for l.queue.Len() > 0 {
 		var uid uint64
 		it, ok := l.queue.Next(func(it fairqueue.Item) fairqueue.Verdict {
@@ -376,7 +433,7 @@
 			switch {
 			case free:
 				return fairqueue.Take
-			case len(it.Excluded) > 0 || l.settings.HomePatience > 0:
+			case len(it.Excluded) > 0:
 				return fairqueue.Skip
 			default:
 				return fairqueue.Stop
@@ -398,7 +455,7 @@
 func (l *Ledger) Tick(now time.Time) []Delivery {
 	l.dropGhosts(func(g ghost) bool { return !g.confirmed && now.Sub(g.since) >= l.settings.GhostFor })
 	var out []Delivery
-	for _, it := range l.queue.Remove(func(it fairqueue.Item) bool { return !it.Deadline.After(now) }) {
+	for _, it := range l.withdraw(func(it fairqueue.Item) bool { return !it.Deadline.After(now) }) {
 		f, known := l.followers[it.Router]
 		if !known {
 			continue
@@ -423,6 +480,15 @@
 	l.ghosts = kept
 }
 
+// Heard returns when a follower last sent an exchange. An exchange shows that its
+// router is alive sooner than heartbeats do, which come by way of others.
+func (l *Ledger) Heard(router uint32) time.Time {
+	if f, ok := l.followers[router]; ok {
+		return f.heard
+	}
+	return time.Time{}
+}
+
 // Depart removes a router that went silent or restarted, or, with moved, one
 // that follows another owner.
 func (l *Ledger) Depart(now time.Time, router uint32, moved bool) []Delivery {
@@ -445,7 +511,7 @@
 		})
 	}
 	delete(l.followers, router)
-	l.queue.Remove(func(it fairqueue.Item) bool { return it.Router == router })
+	l.withdraw(func(it fairqueue.Item) bool { return it.Router == router })
 }
 
 // WantsReports reports whether the targets' own counts are needed: for ghosts,
@@ -477,35 +543,44 @@
 
 // Bound returns the highest count that a grant may bring a target to. It is never
 // so low that no target has room for one more request: with few requests open,
-// the margin alone would hold the pool at its present load for ever.
+// the margin alone would hold the pool at its present load for ever, and so would
+// a mean over targets that are suspended.
 func (l *Ledger) Bound(now time.Time) int {
-	active, open := l.mean(now)
-	if active == 0 {
+	m := l.mean(now)
+	if m.usable == 0 {
 		return 0
 	}
-	low := max(open-l.settings.MeanMargin, 0)
-	bound := int(math.Ceil(l.pool.Spec.BoundMultiple * float64(low+1) / float64(active)))
-	return max(bound, (open+active)/active)
+	low := max(m.open-l.settings.MeanMargin, 0)
+	bound := int(math.Ceil(l.pool.Spec.BoundMultiple * float64(low+1) / float64(m.targets)))
+	return max(bound, (m.open+m.usable)/m.usable)
+}
+
+// mean is the lower estimate of a pool's mean load, as its parts.
+type mean struct {
+	targets int // that are not leaving
+	usable  int // of these, not suspended
+	open    int // requests at them
 }
 
-// mean returns the number of targets that take new work and the lower estimate
-// of the requests open at them. A suspended target is left out: counted in, it
-// would lower the bound of the others until they had no room for its load.
-func (l *Ledger) mean(now time.Time) (active, open int) {
+func (l *Ledger) mean(now time.Time) mean {
+	var m mean
 	for i := range l.pool.Targets {
-		t := l.target(l.pool.Targets[i].UID)
-		if l.pool.Targets[i].Leaving || t.until.After(now) {
+		if l.pool.Targets[i].Leaving {
 			continue
 		}
-		active++
-		open += t.open
+		t := l.target(l.pool.Targets[i].UID)
+		m.targets++
+		m.open += t.open
+		if !t.until.After(now) {
+			m.usable++
+		}
 	}
 	for _, g := range l.ghosts {
 		if g.confirmed {
-			open++
+			m.open++
 		}
 	}
-	return active, open
+	return m
 }
 
 // Open returns the count that the ledger holds against a target.
--- a/internal/core/ledger/memory.go
+++ b/internal/core/ledger/memory.go
@@ -5,33 +5,41 @@
 	"time"
 )
 
-// memory remembers the target that each chat ran on last. Two generations
-// approximate least-recently-used order at the cost of two plain maps.
+// history is where a chat ran last and before that, most recent first. The target
+// before still holds all but the chat's latest turns.
+type history [2]uint64
+
+// memory remembers where chats ran. Two generations approximate
+// least-recently-used order at the cost of two plain maps.
 type memory struct {
 	size         int
-	young, older map[uint64]uint64
+	young, older map[uint64]history
 }
 
 func newMemory(size int) memory {
-	return memory{size: size, young: make(map[uint64]uint64), older: make(map[uint64]uint64)}
+	return memory{size: size, young: make(map[uint64]history), older: make(map[uint64]history)}
 }
 
-func (m *memory) get(chat uint64) (uint64, bool) {
-	if uid, ok := m.young[chat]; ok {
-		return uid, true
+func (m *memory) get(chat uint64) (history, bool) {
+	if h, ok := m.young[chat]; ok {
+		return h, true
 	}
-	uid, ok := m.older[chat]
-	return uid, ok
+	h, ok := m.older[chat]
+	return h, ok
 }
 
 func (m *memory) put(chat, uid uint64) {
 	if m.size == 0 || chat == 0 {
 		return
 	}
+	h, _ := m.get(chat)
+	if h[0] != uid {
+		h = history{uid, h[0]}
+	}
 	if len(m.young) >= m.size {
-		m.older, m.young = m.young, make(map[uint64]uint64)
+		m.older, m.young = m.young, make(map[uint64]history)
 	}
-	m.young[chat] = uid
+	m.young[chat] = h
 }
 
 // rate is an exponentially weighted rate of events.
--- a/internal/core/ledger/target.go
+++ b/internal/core/ledger/target.go
@@ -68,21 +68,25 @@
 	return min(allowed, bound)
 }
 
-// place chooses the target for an ask: the one that the chat ran on last, then
-// rendezvous order, then the least loaded; always below the bound.
+// place chooses the target for an ask, always below the bound: for a returning
+// chat the targets that it ran on, most recent first, and for any other the
+// least loaded. Sending chats without a cache to their rendezvous target would
+// gain nothing and fill it up for those that have one there.
 func (l *Ledger) place(now time.Time, it fairqueue.Item) (uint64, bool) {
 	limit := l.limit(now, it.Priority)
-	home, remembered := l.memory.get(it.Chat)
-	if remembered && l.fits(now, home, limit, it) {
-		return home, true
-	}
-	l.pool.Rank(it.Chat, &l.top, candidates)
-	if !remembered && l.top.Len > 0 {
-		home = l.pool.Targets[l.top.Index[0]].UID
+	past, returning := l.memory.get(it.Chat)
+	if returning {
+		for _, uid := range past {
+			if l.fits(now, uid, limit, it) {
+				return uid, true
+			}
+		}
+		return l.leastLoaded(now, limit, it)
 	}
-	if l.waitsForHome(now, it, home) {
-		return 0, l.fits(now, home, limit, it)
+	if l.settings.Memory > 0 {
+		return l.leastLoaded(now, limit, it)
 	}
+	l.pool.Rank(it.Chat, &l.top, candidates)
 	for i := range l.top.Len {
 		uid := l.pool.Targets[l.top.Index[i]].UID
 		if l.fits(now, uid, limit, it) {
@@ -92,13 +96,26 @@
 	return l.leastLoaded(now, limit, it)
 }
 
-// waitsForHome reports whether an ask still waits for the target that has its
-// chat's cache: a short wait costs less than building a long prefix again.
-func (l *Ledger) waitsForHome(now time.Time, it fairqueue.Item, home uint64) bool {
-	if l.settings.HomePatience == 0 || now.Sub(it.Arrived) >= l.settings.HomePatience {
+// isPatient reports whether an ask should wait for a target that holds its chat's
+// cache: a short wait costs less than building a long prefix again. Urgent asks
+// never wait for one.
+func (l *Ledger) isPatient(now time.Time, it fairqueue.Item) bool {
+	if it.Priority == fairqueue.Urgent || now.Sub(it.Arrived) >= l.settings.HomePatience {
 		return false
 	}
-	return l.usable(now, home, it)
+	past, returning := l.memory.get(it.Chat)
+	if !returning {
+		return false
+	}
+	limit := l.limit(now, it.Priority)
+	usable := false
+	for _, uid := range past {
+		if l.fits(now, uid, limit, it) {
+			return false
+		}
+		usable = usable || l.usable(now, uid, it)
+	}
+	return usable
 }
 
 func (l *Ledger) leastLoaded(now time.Time, limit int, it fairqueue.Item) (uint64, bool) {
@@ -121,11 +138,21 @@
 		return bound
 	}
 	share := limit * min(len(l.followers), l.settings.FleetSize) / max(l.settings.FleetSize, 1)
-	share = max(share, 1)
-	if p != fairqueue.Urgent && share > 1 {
-		share -= max(1, int(urgentReserve*float64(share)))
+	return min(bound, max(1, share-reserved(share, p)))
+}
+
+// reserved is how many places of a target a class must leave to higher classes.
+// It keeps room at every target for urgent requests, and during a surge of bulk
+// work also for chats that return to the target with their cache.
+func reserved(share int, p fairqueue.Priority) int {
+	switch p {
+	case fairqueue.Urgent:
+		return 0
+	case fairqueue.Normal:
+		return int(math.Ceil(normalReserve * float64(share)))
+	default:
+		return int(math.Ceil(bulkReserve * float64(share)))
 	}
-	return min(bound, share)
 }
 
 // count is the upper estimate of a target's open requests. During a rebuild the
--- a/internal/core/member/member.go
+++ b/internal/core/member/member.go
@@ -26,12 +26,13 @@
 	ids          []uint32
 	peers        map[uint32]*peer
 	suspectAfter time.Duration
+	started      time.Time
 	rand         *rand.Rand
 }
 
 // New returns the view of router self over the listed ids.
-func New(self uint32, incarnation uint64, ids []uint32, suspectAfter time.Duration, rnd *rand.Rand) *State {
-	s := &State{self: self, peers: make(map[uint32]*peer), suspectAfter: suspectAfter, rand: rnd}
+func New(now time.Time, self uint32, incarnation uint64, ids []uint32, suspectAfter time.Duration, rnd *rand.Rand) *State {
+	s := &State{started: now, self: self, peers: make(map[uint32]*peer), suspectAfter: suspectAfter, rand: rnd}
 	s.ids = append(s.ids, ids...)
 	sort.Slice(s.ids, func(i, j int) bool { return s.ids[i] < s.ids[j] })
 	for _, id := range s.ids {
@@ -111,13 +112,23 @@
 	return ok
 }
 
-// Alive reports whether a router's heartbeat advanced lately. The router itself is alive.
+// Alive reports whether a router's heartbeat advanced lately. The router itself is
+// alive, and for a while after a start so is everyone: a router that took itself
+// for the only one would count the load of every pool on its own and grant past
+// the bound until it hears from the others.
 func (s *State) Alive(now time.Time, id uint32) bool {
 	if id == s.self {
 		return true
 	}
 	p, ok := s.peers[id]
-	return ok && p.counter > 0 && now.Sub(p.advanced) <= s.suspectAfter
+	if !ok {
+		return false
+	}
+	since := p.advanced
+	if p.counter == 0 {
+		since = s.started
+	}
+	return now.Sub(since) <= s.suspectAfter
 }
 
 // Live returns the routers that are alive and not leaving, in order. This router
--- a/internal/core/router/core.go
+++ b/internal/core/router/core.go
@@ -38,8 +38,8 @@
 func DefaultSettings(self uint32, routers []uint32) Settings {
 	return Settings{
 		Self: self, Incarnation: 1, Routers: routers, Seed: uint64(self),
-		GossipInterval: 500 * time.Millisecond, GossipFanout: 1,
-		PollInterval: 2 * time.Second, SuspectAfter: 2 * time.Second, FreshFor: 5 * time.Second,
+		GossipInterval: time.Second, GossipFanout: 1,
+		PollInterval: 2 * time.Second, SuspectAfter: 5 * time.Second, FreshFor: 5 * time.Second,
 		Ledger: ledger.DefaultSettings(len(routers)),
 	}
 }
@@ -93,7 +93,7 @@
 		rand:        rnd,
 		config:      config.New(),
 		table:       routing.Build(0, nil),
-		members:     member.New(s.Self, s.Incarnation, s.Routers, s.SuspectAfter, rnd),
+		members:     member.New(now, s.Self, s.Incarnation, s.Routers, s.SuspectAfter, rnd),
 		ledgers:     make(map[string]*ledger.Ledger),
 		clients:     make(map[string]*ticket.Client),
 		requests:    make(map[uint64]*request),
@@ -212,7 +212,7 @@
 	for _, name := range c.ledgerNames() {
 		l := c.ledgers[name]
 		for _, id := range c.settings.Routers {
-			if !c.members.Alive(now, id) {
+			if !c.members.Alive(now, id) && now.Sub(l.Heard(id)) > c.settings.SuspectAfter {
 				c.deliver(now, name, l.Depart(now, id, false))
 			}
 		}
--- a/internal/daemon/router.go
+++ b/internal/daemon/router.go
@@ -111,7 +111,7 @@
 		wrap    func(net.Listener) net.Listener
 	}{
 		{r.callers, r.settings.Listen.Callers, nil},
-		{r.peers, r.settings.Listen.Peers, r.bytes.Listen},
+		{r.peers, r.settings.Listen.Peers, func(l net.Listener) net.Listener { return peer.Listen(r.bytes.Listen(l)) }},
 		{r.admin, r.settings.Listen.Admin, nil},
 	} {
 		l, err := listen(one.address)
--- /dev/null
+++ b/internal/experiment/clock.go
@@ -0,0 +1,72 @@
+// Package experiment compares routing policies on the same traffic: small fakes
+// of engines and network, a simulated clock, a fixed seed. The policies named
+// hemlockdyke run the router core of the daemon unchanged.
+package experiment
+
+import (
+	"container/heap"
+	"time"
+)
+
+// event is something that happens at a time. The sequence number keeps events of
+// the same time in the order in which they were scheduled.
+type event struct {
+	at       time.Time
+	sequence int
+	do       func()
+}
+
+type eventQueue []event
+
+func (q eventQueue) Len() int { return len(q) }
+func (q eventQueue) Less(i, j int) bool {
+	if !q[i].at.Equal(q[j].at) {
+		return q[i].at.Before(q[j].at)
+	}
+	return q[i].sequence < q[j].sequence
+}
+func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *eventQueue) Push(x any)   { *q = append(*q, x.(event)) }
+func (q *eventQueue) Pop() any {
+	old := *q
+	last := old[len(old)-1]
+	*q = old[:len(old)-1]
+	return last
+}
+
+// Clock runs events in the order of simulated time.
+type Clock struct {
+	now      time.Time
+	sequence int
+	queue    eventQueue
+}
+
+// epoch is an arbitrary start of simulated time.
+var epoch = time.Unix(1_000_000_000, 0)
+
+// NewClock returns a Clock at the epoch.
+func NewClock() *Clock { return &Clock{now: epoch} }
+
+// Now returns the simulated time.
+func (c *Clock) Now() time.Time { return c.now }
+
+// Elapsed returns the simulated time since the epoch.
+func (c *Clock) Elapsed() time.Duration { return c.now.Sub(epoch) }
+
+// After schedules do after d.
+func (c *Clock) After(d time.Duration, do func()) {
+	c.sequence++
+	heap.Push(&c.queue, event{at: c.now.Add(d), sequence: c.sequence, do: do})
+}
+
+// Run runs events until the queue is empty or the elapsed time exceeds end.
+func (c *Clock) Run(end time.Duration) {
+	for len(c.queue) > 0 {
+		e := heap.Pop(&c.queue).(event)
+		if e.at.Sub(epoch) > end {
+			return
+		}
+		c.now = e.at
+		e.do()
+	}
+}
--- /dev/null
+++ b/internal/experiment/measure.go
@@ -0,0 +1,141 @@
+package experiment
+
+import (
+	"sort"
+	"time"
+
+	"github.com/hemlockdyke/hemlockdyke/internal/core/fairqueue"
+)
+
+// measure sees the whole fleet, which no router does.
+type measure struct {
+	sim        *simulation
+	open       map[uint64]int // granted and not ended, by engine
+	total      int
+	grants     int
+	violations int
+	overshoot  int // the most by which a grant exceeded the bound
+	offered    int
+	shed       int
+	failed     int
+	late       int // new work at an engine long after it began to leave
+	reusable   int
+	reused     int
+	skews      []float64
+	urgent     []float64 // first token, ms
+	calm       []float64 // the same outside the surge
+	normal     []float64 // first token of normal requests, ms
+	control    float64   // bytes on the wire
+}
+
+func newMeasure(s *simulation) *measure {
+	return &measure{sim: s, open: make(map[uint64]int)}
+}
+
+// granted counts a grant and compares it with the bound at this instant. The
+// mean is over the engines that take new work.
+func (m *measure) granted(uid uint64) {
+	m.grants++
+	m.open[uid]++
+	active, open := 0, 0
+	for _, e := range m.sim.listed {
+		if e.leaving || !m.sim.engines[e.uid].up {
+			continue
+		}
+		active++
+		open += m.open[e.uid]
+	}
+	if over := m.open[uid] - bound(open, active); over > 0 && m.sim.engines[uid].up {
+		m.violations++
+		m.overshoot = max(m.overshoot, over)
+	}
+}
+
+func (m *measure) ended(uid uint64) { m.open[uid]-- }
+
+func (m *measure) prompt(r *request, reused int) {
+	m.reusable += r.chat.built
+	m.reused += reused
+}
+
+func (m *measure) firstToken(r *request) {
+	ms := float64(m.sim.clock.Now().Sub(r.arrived).Microseconds()) / 1000
+	switch r.priority {
+	case fairqueue.Normal:
+		m.normal = append(m.normal, ms)
+		return
+	case fairqueue.Bulk:
+		return
+	}
+	inSurge := m.sim.clock.Elapsed() >= m.sim.scenario.SurgeFrom && m.sim.clock.Elapsed() <= m.sim.scenario.SurgeTo+surgeTail
+	if inSurge {
+		m.urgent = append(m.urgent, ms)
+	} else {
+		m.calm = append(m.calm, ms)
+	}
+}
+
+// surgeTail is how long the backlog of a surge is still counted as surge.
+const surgeTail = 10 * time.Second
+
+const sampleEvery = 100 * time.Millisecond
+
+// sample records the skew of the engines that take new work.
+func (m *measure) sample() {
+	m.sim.clock.After(sampleEvery, func() {
+		total, highest, active := 0, 0, 0
+		for _, e := range m.sim.listed {
+			if e.leaving || !m.sim.engines[e.uid].up {
+				continue
+			}
+			active++
+			total += m.open[e.uid]
+			highest = max(highest, m.open[e.uid])
+		}
+		if mean := float64(total) / float64(active); mean >= 2 {
+			m.skews = append(m.skews, float64(highest)/mean)
+		}
+		m.sample()
+	})
+}
+
+// quantile returns the value below which the share q of values lies.
+func quantile(values []float64, q float64) float64 {
+	if len(values) == 0 {
+		return 0
+	}
+	sorted := append([]float64(nil), values...)
+	sort.Float64s(sorted)
+	return sorted[min(int(q*float64(len(sorted))), len(sorted)-1)]
+}
+
+// Result is one line of an experiment.
+type Result struct {
+	Scenario, Policy string
+	Seed             uint64
+	Reuse            float64
+	SkewP99, SkewMax float64
+	Violations       int
+	Overshoot        int
+	Grants           int
+	ControlBytes     float64 // per router and second
+	UrgentP99        float64 // ms, during the surge
+	CalmP99          float64 // ms, outside it
+	FirstP95         float64 // ms, normal requests
+	Shed             int
+	Failed           int
+	Offered          int
+}
+
+func (m *measure) result(policyName string, seed uint64) Result {
+	seconds := m.sim.scenario.Duration.Seconds()
+	return Result{
+		Scenario: m.sim.scenario.Name, Policy: policyName, Seed: seed,
+		Reuse:   float64(m.reused) / float64(max(m.reusable, 1)),
+		SkewP99: quantile(m.skews, 0.99), SkewMax: quantile(m.skews, 1),
+		Violations: m.violations, Overshoot: m.overshoot, Grants: m.grants,
+		ControlBytes: m.control / seconds / float64(m.sim.scenario.Routers),
+		UrgentP99:    quantile(m.urgent, 0.99), CalmP99: quantile(m.calm, 0.99),
+		FirstP95: quantile(m.normal, 0.95), Shed: m.shed, Failed: m.failed, Offered: m.offered,
+	}
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -85,7 +85,8 @@
 	GossipInterval Duration `yaml:"gossipInterval"`
 	// PollInterval is the mean time between reads of the configuration head.
 	PollInterval Duration `yaml:"pollInterval"`
-	// SuspectAfter is how long a silent router is still considered live.
+	// SuspectAfter is how long a silent router is still considered live. Heartbeats
+	// come by way of others: at 9 routers they are up to four gossip intervals old.
 	SuspectAfter Duration `yaml:"suspectAfter"`
 	// FreshFor is how long a router serves without the table service and without
 	// a majority of the listed routers.
@@ -113,9 +114,9 @@
 			MaxQueued:       1000,
 		},
 		Control: Control{
-			GossipInterval: Duration(500 * time.Millisecond),
+			GossipInterval: Duration(time.Second),
 			PollInterval:   Duration(2 * time.Second),
-			SuspectAfter:   Duration(2 * time.Second),
+			SuspectAfter:   Duration(5 * time.Second),
 			FreshFor:       Duration(5 * time.Second),
 		},
 		Shutdown: Shutdown{
@@ -148,7 +149,7 @@
 	c.span("limits.streamSilence", r.Limits.StreamSilence, 10*time.Millisecond, 10*time.Minute)
 	c.span("control.gossipInterval", r.Control.GossipInterval, 10*time.Millisecond, time.Minute)
 	c.span("control.pollInterval", r.Control.PollInterval, 10*time.Millisecond, time.Minute)
-	c.span("control.suspectAfter", r.Control.SuspectAfter, 2*r.Control.GossipInterval.Std(), 5*time.Minute)
+	c.span("control.suspectAfter", r.Control.SuspectAfter, 4*r.Control.GossipInterval.Std(), 5*time.Minute)
 	c.span("control.freshFor", r.Control.FreshFor, r.Control.PollInterval.Std(), 5*time.Minute)
 	c.span("shutdown.balancerLag", r.Shutdown.BalancerLag, 0, time.Minute)
 	c.span("shutdown.grace", r.Shutdown.Grace, 0, time.Hour)
