Share the fake network between experiments and tests

Cause: property tests of the fleet need the same clock and network of cores that the experiments had to themselves; a second copy would drift. Change: internal/fakenet with kill, pause, restart, loss and cuts; the experiment uses it. Ghosts: a report soon after a grant settles nothing, since the granted request may not have arrived and would take a real ghost's place in the count.

--- a/internal/core/ledger/ledger.go
+++ b/internal/core/ledger/ledger.go
@@ -33,9 +33,12 @@
 	// higher than the true one for a round trip, and a grant in that time can be
 	// one request over the bound.
 	MeanMargin int
-	// GhostFor is how long tickets of a departed router still count against
-	// their targets.
+	// GhostFor is how long tickets of a departed router still count against their
+	// targets while no report confirms them.
 	GhostFor time.Duration
+	// MovedGhostFor is the same for tickets of a router that follows another
+	// owner, and the longest that a confirmed ghost is kept.
+	MovedGhostFor time.Duration
 	// RebuildFor bounds how long a new owner waits for inventories during which
 	// it also counts the targets' own reports.
 	RebuildFor time.Duration
@@ -55,9 +58,11 @@
 		FleetSize:  fleetSize,
 		MeanMargin: 2,
 		GhostFor:   5 * time.Second,
-		RebuildFor: 3 * time.Second,
-		MaxQueued:  10000,
-		Memory:     100_000,
+
+		MovedGhostFor: time.Minute,
+		RebuildFor:    3 * time.Second,
+		MaxQueued:     10000,
+		Memory:        100_000,
 
 		HomePatience: 300 * time.Millisecond,
 	}
@@ -307,7 +312,7 @@
 			return nil
 		}
 		if uid, ok := l.place(now, it); ok {
-			return l.grant(f, it, uid)
+			return l.grant(now, f, it, uid)
 		}
 	}
 	if refusal := l.shed(it); refusal != nil {
@@ -332,10 +337,11 @@
 	return limit > 0 && l.teamOpen[team] >= limit
 }
 
-func (l *Ledger) grant(f *follower, it fairqueue.Item, uid uint64) *peerv1.Grant {
+func (l *Ledger) grant(now time.Time, f *follower, it fairqueue.Item, uid uint64) *peerv1.Grant {
 	l.open(f, it.ID, ticket{target: uid, team: it.Team})
 	t := l.target(uid)
 	t.granted++
+	t.lastGrant = now
 	l.memory.put(it.Chat, uid)
 	return &peerv1.Grant{Id: it.ID, Target: uid}
 }
@@ -410,7 +416,7 @@
 		}
 		if uid, ok := l.place(now, it); ok && !l.mustWait(it) {
 			f := l.followers[it.Router]
-			out = append(out, Delivery{Router: it.Router, Incarnation: f.incarnation, Grant: l.grant(f, it, uid)})
+			out = append(out, Delivery{Router: it.Router, Incarnation: f.incarnation, Grant: l.grant(now, f, it, uid)})
 			continue
 		}
 		l.queue.Push(it)
@@ -446,14 +452,14 @@
 		if !known {
 			continue
 		}
-		out = append(out, Delivery{Router: it.Router, Incarnation: f.incarnation, Grant: l.grant(f, it, uid)})
+		out = append(out, Delivery{Router: it.Router, Incarnation: f.incarnation, Grant: l.grant(now, f, it, uid)})
 	}
 	return out
 }
 
 // Tick expires ghosts and asks whose deadline has come, and grants what it can.
 func (l *Ledger) Tick(now time.Time) []Delivery {
-	l.dropGhosts(func(g ghost) bool { return !g.confirmed && now.Sub(g.since) >= l.settings.GhostFor })
+	l.dropGhosts(func(g ghost) bool { return now.Sub(g.since) >= l.ghostLife(g) })
 	var out []Delivery
 	for _, it := range l.withdraw(func(it fairqueue.Item) bool { return !it.Deadline.After(now) }) {
 		f, known := l.followers[it.Router]
@@ -467,6 +473,13 @@
 	return append(out, l.serve(now)...)
 }
 
+func (l *Ledger) ghostLife(g ghost) time.Duration {
+	if g.moved || g.confirmed {
+		return l.settings.MovedGhostFor
+	}
+	return l.settings.GhostFor
+}
+
 // dropGhosts removes the ghosts for which gone is true.
 func (l *Ledger) dropGhosts(gone func(ghost) bool) {
 	kept := l.ghosts[:0]
@@ -520,23 +533,31 @@
 	return len(l.ghosts) > 0 || l.rebuilding(now)
 }
 
+// reportSettles is how long after a grant a target's report may still miss it.
+const reportSettles = 300 * time.Millisecond
+
 // Report takes in a target's own count of open requests, taken at a time. It
 // settles the target's older ghosts: as many as the report shows beyond the
-// tickets are real and count in full, the others are gone.
+// tickets are real and count in full, the others are gone. A report soon after a
+// grant settles nothing: the granted request may not have arrived, and would be
+// missing from the count in a real ghost's place.
 func (l *Ledger) Report(uid uint64, open int, taken time.Time) []Delivery {
 	t := l.target(uid)
 	t.reported = open
+	if taken.Sub(t.lastGrant) < reportSettles {
+		return nil
+	}
+	settles := func(g ghost) bool { return g.target == uid && !g.moved && g.since.Before(taken) }
 	extra := open - t.open
 	l.dropGhosts(func(g ghost) bool {
-		if g.target != uid || g.moved || g.since.After(taken) {
+		if !settles(g) {
 			return false
 		}
 		extra--
 		return extra < 0
 	})
 	for i := range l.ghosts {
-		g := &l.ghosts[i]
-		g.confirmed = g.confirmed || (g.target == uid && !g.moved && !g.since.After(taken))
+		l.ghosts[i].confirmed = l.ghosts[i].confirmed || settles(l.ghosts[i])
 	}
 	return l.serve(taken)
 }
--- a/internal/core/ledger/target.go
+++ b/internal/core/ledger/target.go
@@ -14,6 +14,8 @@
 	reported int // the target's own count, lagging
 	granted  int // grants by this owner since it started
 
+	lastGrant time.Time
+
 	failures  int // in a row
 	flaps     int // suspensions since the last long run of successes
 	until     time.Time
--- a/internal/experiment/fleet.go
+++ b/internal/experiment/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -12,6 +13,7 @@
 	"github.com/hemlockdyke/hemlockdyke/internal/core/resource"
 	core "github.com/hemlockdyke/hemlockdyke/internal/core/router"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/ticket"
+	"github.com/hemlockdyke/hemlockdyke/internal/fakenet"
 )
 
 // callBytes is what one peer call costs on the wire beyond its two messages:
@@ -21,18 +23,18 @@
 
 const poolName = "drafting"
 
+// firstTargetUID keeps target UIDs apart from those of teams.
+const firstTargetUID = 1000
+
 // fleet runs one router core per simulated router.
 type fleet struct {
 	sim      *simulation
-	cores    []*core.Core
+	net      *fakenet.Net
 	requests map[askKey]*request
-	granted  map[askKey]uint64 // target of grants seen at their owner
+	granted  map[askKey]bool // grants seen at their owner
 	nextID   uint64
 	revision uint64
 	specs    map[string]string // last spec of each resource, by name
-	calls    map[callKey]func(core.Respond)
-	callers  map[callKey]int
-	tweak    func(*core.Settings)
 }
 
 type askKey struct {
@@ -40,15 +42,14 @@
 	id     uint64
 }
 
-type callKey struct {
-	router int
-	call   core.Call
-}
-
 func newFleet(s *simulation, seed uint64, tweak func(*core.Settings)) *fleet {
 	f := &fleet{
-		sim: s, requests: make(map[askKey]*request), granted: make(map[askKey]uint64),
-		specs: make(map[string]string), calls: make(map[callKey]func(core.Respond)), callers: make(map[callKey]int), tweak: tweak,
+		sim: s, net: fakenet.New(s.clock, s.delay), requests: make(map[askKey]*request),
+		granted: make(map[askKey]bool), specs: make(map[string]string),
+	}
+	f.net.Hooks = fakenet.Hooks{
+		Grant: f.onGrant, Refuse: f.onRefuse, Send: f.onSend, Respond: f.onRespond,
+		Probe: f.onProbe, ReadStore: f.onReadStore,
 	}
 	ids := make([]uint32, s.scenario.Routers)
 	for i := range ids {
@@ -58,20 +59,18 @@
 		settings := core.DefaultSettings(ids[i], ids)
 		settings.Seed = seed
 		tweak(&settings)
-		f.cores = append(f.cores, core.New(s.clock.Now(), settings))
-	}
-	for i := range f.cores {
-		f.tick(i)
-		f.step(i, core.StoreRead{})
+		f.net.Add(core.New(s.clock.Now(), settings), core.TickInterval)
+		f.net.Step(i, core.StoreRead{})
 	}
 	return f
 }
 
-func (f *fleet) tick(router int) {
-	f.sim.clock.After(core.TickInterval, func() {
-		f.step(router, core.Tick{})
-		f.tick(router)
-	})
+// delay is the one-way delay between two places.
+func (s *simulation) delay(a, b int) time.Duration {
+	if a%s.scenario.DataCentres == b%s.scenario.DataCentres {
+		return s.scenario.Local
+	}
+	return s.scenario.OneWay
 }
 
 // configure accepts the engines as a new revision and pushes it to every router.
@@ -82,16 +81,16 @@
 		Protocol: resource.ProtocolModel, MaxPerTarget: f.sim.scenario.Slots,
 	})
 	for i := range f.sim.scenario.Teams {
-		f.add(&change, resource.KindTeam, teamName(i), uint64(10+i), resource.TeamSpec{Weight: 1})
+		f.add(&change, resource.KindTeam, fmt.Sprintf("team-%d", i), uint64(10+i), resource.TeamSpec{Weight: 1})
 	}
 	for _, e := range engines {
-		f.add(&change, resource.KindTarget, e.name, 1000+e.uid, resource.TargetSpec{
+		f.add(&change, resource.KindTarget, e.name, firstTargetUID+e.uid, resource.TargetSpec{
 			Pool: poolName, Address: "127.0.0.1:1", Leaving: e.leaving,
 		})
 	}
 	push := &peerv1.PushRequest{Protocol: ticket.Protocol, Changes: core.ToWire([]resource.Change{change})}
-	for i := range f.cores {
-		f.deliverCall(0, i, push, func(core.Respond) {})
+	for i := range f.net.Nodes() {
+		f.net.Deliver(0, i, push, func(core.Respond) {})
 	}
 }
 
@@ -111,88 +110,43 @@
 
 func (f *fleet) ask(r *request, excluded []uint64, retry bool) {
 	f.nextID++
-	id := f.nextID
-	f.requests[askKey{r.router, id}] = r
-	f.step(r.router, core.Arrived{
-		ID: id, Pool: poolName, Team: r.team, Chat: rendezvous.Mix(uint64(r.chat.id), 1),
+	f.requests[askKey{r.router, f.nextID}] = r
+	f.net.Step(r.router, core.Arrived{
+		ID: f.nextID, Pool: poolName, Team: r.team, Chat: rendezvous.Mix(uint64(r.chat.id), 1),
 		Priority: r.priority, Deadline: r.deadline, Excluded: excluded, Retry: retry,
 	})
 }
 
-func (f *fleet) step(router int, ev core.Event) {
-	// The core reuses its slice of actions, and an action may lead to a step.
-	actions := append([]core.Action(nil), f.cores[router].Step(f.sim.clock.Now(), ev)...)
-	for _, a := range actions {
-		f.act(router, a)
-	}
+// onReadStore: the store is up and holds nothing that the pushes do not bring.
+func (f *fleet) onReadStore(router int, _ core.ReadStore) {
+	f.sim.clock.After(f.sim.scenario.OneWay, func() { f.net.Step(router, core.StoreRead{}) })
 }
 
-func (f *fleet) act(router int, a core.Action) {
-	switch a := a.(type) {
-	case core.Grant:
-		f.onGrant(router, a)
-	case core.Refuse:
-		f.onRefuse(router, a)
-	case core.Send:
-		f.onSend(router, a)
-	case core.Respond:
-		if resp, ok := a.Message.(*peerv1.ExchangeResponse); ok && resp != nil {
-			f.countGrants(f.callers[callKey{router, a.Call}], resp.GetGrants())
-		}
-		f.calls[callKey{router, a.Call}](a)
-		delete(f.calls, callKey{router, a.Call})
-		delete(f.callers, callKey{router, a.Call})
-	case core.ReadStore:
-		// The store is up and holds nothing that the pushes do not bring.
-		f.sim.clock.After(f.sim.scenario.OneWay, func() { f.step(router, core.StoreRead{}) })
-	case core.Probe:
-		uid := a.Target.UID
-		open := len(f.sim.engines[uid-1000].open)
-		f.sim.clock.After(f.delay(router, int(uid)), func() {
-			f.sim.measure.control += reportBytes
-			f.step(router, core.Reported{Pool: poolName, Target: uid, Open: open})
-		})
-	}
-}
-
-// delay is the one-way delay between two places.
-func (f *fleet) delay(a, b int) time.Duration {
-	if a%f.sim.scenario.DataCentres == b%f.sim.scenario.DataCentres {
-		return f.sim.scenario.Local
-	}
-	return f.sim.scenario.OneWay
+func (f *fleet) onProbe(router int, a core.Probe) {
+	open := len(f.sim.engines[a.Target.UID-firstTargetUID].open)
+	f.sim.measure.control += reportBytes
+	f.sim.clock.After(f.sim.scenario.OneWay, func() {
+		f.net.Step(router, core.Reported{Pool: poolName, Target: a.Target.UID, Open: open})
+	})
 }
 
-func (f *fleet) onSend(router int, a core.Send) {
+func (f *fleet) onSend(_ int, a core.Send) {
 	if m, ok := a.Message.(*peerv1.DeliverRequest); ok {
 		f.countGrants(int(a.To)-1, m.GetGrants())
 	}
 	f.sim.measure.control += callBytes + float64(proto.Size(a.Message))
-	f.deliverCall(router, int(a.To)-1, a.Message, func(r core.Respond) {
-		f.sim.measure.control += float64(proto.Size(r.Message))
-		f.sim.clock.After(f.delay(router, int(a.To)-1), func() {
-			out := core.CallOut{To: a.To, Request: a.Message}
-			if r.Err == nil {
-				out.Reply = r.Message
-			}
-			f.step(router, out)
-		})
-	})
 }
 
-// deliverCall hands a message to a router after the network's delay.
-func (f *fleet) deliverCall(from, to int, m proto.Message, respond func(core.Respond)) {
-	f.sim.clock.After(f.delay(from, to), func() {
-		f.sim.nextID++
-		call := core.Call(f.sim.nextID)
-		f.calls[callKey{to, call}] = respond
-		f.callers[callKey{to, call}] = from
-		f.step(to, core.CallIn{Call: call, Message: m})
-	})
+func (f *fleet) onRespond(_, caller int, a core.Respond) {
+	if a.Err != nil {
+		return
+	}
+	if resp, ok := a.Message.(*peerv1.ExchangeResponse); ok {
+		f.countGrants(caller, resp.GetGrants())
+	}
+	f.sim.measure.control += float64(proto.Size(a.Message))
 }
 
-func teamName(i int) string { return "team-" + string(rune('0'+i)) }
-
 func (f *fleet) onRefuse(router int, a core.Refuse) {
 	key := askKey{router, a.ID}
 	r := f.requests[key]
@@ -209,29 +163,29 @@
 	key := askKey{router, a.ID}
 	f.countGrants(router, []*peerv1.Grant{{Id: a.ID, Target: a.Target.UID}})
 	r := f.requests[key]
-	f.sim.engines[a.Target.UID-1000].submit(r, func(ok bool) { f.ended(key, r, a.Target.UID, ok) })
+	f.sim.engines[a.Target.UID-firstTargetUID].submit(r, func(ok bool) { f.ended(key, r, a.Target.UID, ok) })
 }
 
 // countGrants counts grants once, at the earliest place where they are seen.
 func (f *fleet) countGrants(router int, grants []*peerv1.Grant) {
 	for _, g := range grants {
 		key := askKey{router, g.GetId()}
-		if _, seen := f.granted[key]; seen || g.GetTarget() == 0 {
+		if f.granted[key] || g.GetTarget() == 0 {
 			continue
 		}
-		f.granted[key] = g.GetTarget()
-		f.sim.measure.granted(g.GetTarget() - 1000)
+		f.granted[key] = true
+		f.sim.measure.granted(g.GetTarget() - firstTargetUID)
 	}
 }
 
 func (f *fleet) ended(key askKey, r *request, uid uint64, ok bool) {
-	f.sim.measure.ended(uid - 1000)
+	f.sim.measure.ended(uid - firstTargetUID)
 	delete(f.requests, key)
 	outcome := peerv1.Outcome_OUTCOME_DONE
 	if !ok {
 		outcome = peerv1.Outcome_OUTCOME_FAILED
 	}
-	f.step(key.router, core.Ended{ID: key.id, Outcome: outcome})
+	f.net.Step(key.router, core.Ended{ID: key.id, Outcome: outcome})
 	if ok {
 		f.sim.finished(r)
 		return
--- a/internal/experiment/simulation.go
+++ b/internal/experiment/simulation.go
@@ -9,6 +9,7 @@
 
 	"github.com/hemlockdyke/hemlockdyke/internal/core/fairqueue"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/resource"
+	"github.com/hemlockdyke/hemlockdyke/internal/fakenet"
 )
 
 // chat is a returning chat.
@@ -38,7 +39,7 @@
 
 type simulation struct {
 	scenario Scenario
-	clock    *Clock
+	clock    *fakenet.Clock
 	rand     *rand.Rand
 	engines  map[uint64]*engine
 	listed   []engineState
@@ -51,7 +52,7 @@
 
 func newSimulation(s Scenario, seed uint64) *simulation {
 	sim := &simulation{
-		scenario: s, clock: NewClock(), rand: rand.New(rand.NewPCG(seed, 1)),
+		scenario: s, clock: fakenet.NewClock(), rand: rand.New(rand.NewPCG(seed, 1)),
 		engines: make(map[uint64]*engine),
 	}
 	sim.measure = newMeasure(sim)
--- a/internal/experiment/clock.go
+++ b/internal/fakenet/clock.go
@@ -1,7 +1,7 @@
-// Package experiment compares routing policies on the same traffic: small fakes
-// of engines and network, a simulated clock, a fixed seed. The policies named
-// hemlockdyke run the router core of the daemon unchanged.
-package experiment
+// Package fakenet runs many router cores in one process, on a simulated clock and a
+// small fake of the network that delays, loses and cuts, and can kill, pause and
+// restart routers. Tests and experiments share it.
+package fakenet
 
 import (
 	"container/heap"
--- /dev/null
+++ b/internal/fakenet/fakenet.go
@@ -0,0 +1,231 @@
+package fakenet
+
+import (
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	core "github.com/hemlockdyke/hemlockdyke/internal/core/router"
+)
+
+// callTimeout is when a call whose request or reply was lost counts as failed.
+const callTimeout = time.Second
+
+// Hooks are called for the actions that leave the control plane. Nil ones are skipped.
+type Hooks struct {
+	Grant     func(node int, a core.Grant)
+	Refuse    func(node int, a core.Refuse)
+	Probe     func(node int, a core.Probe)
+	ReadStore func(node int, a core.ReadStore)
+	Publish   func(node int, a core.Publish)
+	Ready     func(node int, a core.Ready)
+	// Respond sees each reply as it leaves a node, with the node that called.
+	Respond func(node, caller int, a core.Respond)
+	// Send sees each call as it leaves a node.
+	Send func(node int, a core.Send)
+}
+
+// Outside is the number of a caller that is not a router.
+const Outside = -1
+
+// Node is one router.
+type Node struct {
+	Core   *core.Core
+	down   bool
+	paused bool
+	held   []core.Event // events that wait for a paused node
+	epoch  int          // counts restarts; replies to an earlier process are lost
+	calls  map[core.Call]call
+}
+
+type call struct {
+	from    int
+	epoch   int // of the caller
+	respond func(core.Respond)
+}
+
+// Net is a network of routers. Router numbers are the node's index plus one.
+type Net struct {
+	Clock *Clock
+	Hooks Hooks
+	// Delay returns the one-way delay between two nodes.
+	Delay func(a, b int) time.Duration
+	// Lost decides whether a message from a to b is lost on its way.
+	Lost  func(a, b int) bool
+	nodes []*Node
+	calls core.Call
+}
+
+// New returns a network without nodes, in which nothing is lost.
+func New(clock *Clock, delay func(a, b int) time.Duration) *Net {
+	return &Net{Clock: clock, Delay: delay, Lost: func(int, int) bool { return false }}
+}
+
+// Add adds a node and starts its ticks. The phase spreads the ticks of nodes.
+func (n *Net) Add(c *core.Core, phase time.Duration) int {
+	n.nodes = append(n.nodes, &Node{Core: c, calls: make(map[core.Call]call)})
+	i := len(n.nodes) - 1
+	n.Clock.After(phase, func() { n.tick(i, n.nodes[i].epoch) })
+	return i
+}
+
+// Nodes returns the number of nodes.
+func (n *Net) Nodes() int { return len(n.nodes) }
+
+// Core returns a node's core.
+func (n *Net) Core(node int) *core.Core { return n.nodes[node].Core }
+
+// Up reports whether a node's process runs; a paused one does.
+func (n *Net) Up(node int) bool { return !n.nodes[node].down }
+
+// Paused reports whether a node is paused.
+func (n *Net) Paused(node int) bool { return n.nodes[node].paused }
+
+func (n *Net) tick(node, epoch int) {
+	if n.nodes[node].epoch != epoch || n.nodes[node].down {
+		return
+	}
+	if !n.nodes[node].paused {
+		n.Step(node, core.Tick{})
+	}
+	n.Clock.After(core.TickInterval, func() { n.tick(node, epoch) })
+}
+
+// Kill ends a node's process. Its calls and replies are lost.
+func (n *Net) Kill(node int) {
+	n.nodes[node].down = true
+	n.nodes[node].paused = false
+	n.nodes[node].held = nil
+	n.nodes[node].epoch++
+}
+
+// Restart starts a node's next process.
+func (n *Net) Restart(node int, c *core.Core) {
+	nd := n.nodes[node]
+	nd.Core, nd.down, nd.calls = c, false, make(map[core.Call]call)
+	nd.epoch++
+	n.tick(node, nd.epoch)
+}
+
+// Pause stops a node without its noticing; events wait for it.
+func (n *Net) Pause(node int) { n.nodes[node].paused = true }
+
+// Resume lets a paused node go on with what waited for it.
+func (n *Net) Resume(node int) {
+	nd := n.nodes[node]
+	nd.paused = false
+	held := nd.held
+	nd.held = nil
+	for _, ev := range held {
+		n.Step(node, ev)
+	}
+}
+
+// Step hands an event to a node and carries out the actions that follow.
+func (n *Net) Step(node int, ev core.Event) {
+	nd := n.nodes[node]
+	if nd.down {
+		return
+	}
+	if nd.paused {
+		nd.held = append(nd.held, ev)
+		return
+	}
+	// The core reuses its slice of actions, and an action may lead to a step.
+	for _, a := range append([]core.Action(nil), nd.Core.Step(n.Clock.Now(), ev)...) {
+		n.act(node, a)
+	}
+}
+
+func (n *Net) act(node int, a core.Action) {
+	h := n.Hooks
+	switch a := a.(type) {
+	case core.Grant:
+		run(h.Grant, node, a)
+	case core.Refuse:
+		run(h.Refuse, node, a)
+	case core.Probe:
+		run(h.Probe, node, a)
+	case core.ReadStore:
+		run(h.ReadStore, node, a)
+	case core.Publish:
+		run(h.Publish, node, a)
+	case core.Ready:
+		run(h.Ready, node, a)
+	case core.Respond:
+		n.respond(node, a)
+	case core.Send:
+		run(h.Send, node, a)
+		n.send(node, a)
+	}
+}
+
+func run[A any](hook func(int, A), node int, a A) {
+	if hook != nil {
+		hook(node, a)
+	}
+}
+
+func (n *Net) respond(node int, a core.Respond) {
+	c, ok := n.nodes[node].calls[a.Call]
+	if !ok {
+		return
+	}
+	delete(n.nodes[node].calls, a.Call)
+	if n.Hooks.Respond != nil {
+		n.Hooks.Respond(node, c.from, a)
+	}
+	c.respond(a)
+}
+
+// send carries a call to its node and the reply back. A call that gets no reply
+// fails after the timeout; one to a dead process fails at once.
+func (n *Net) send(from int, a core.Send) {
+	epoch := n.nodes[from].epoch
+	answered := false
+	done := func(reply proto.Message) {
+		if answered || n.nodes[from].epoch != epoch {
+			return
+		}
+		answered = true
+		n.Step(from, core.CallOut{To: a.To, Request: a.Message, Reply: reply})
+	}
+	to := int(a.To) - 1
+	if n.nodes[to].down {
+		n.Clock.After(2*n.Delay(from, to), func() { done(nil) })
+		return
+	}
+	n.Clock.After(callTimeout, func() { done(nil) })
+	n.Deliver(from, to, a.Message, func(r core.Respond) {
+		if r.Err != nil {
+			done(nil)
+			return
+		}
+		done(r.Message)
+	})
+}
+
+// Deliver carries one message to a node and its reply to respond, with the
+// network's delays and losses. from may be Outside.
+func (n *Net) Deliver(from, to int, m proto.Message, respond func(core.Respond)) {
+	if n.Lost(from, to) {
+		return
+	}
+	n.Clock.After(n.Delay(from, to), func() {
+		nd := n.nodes[to]
+		if nd.down {
+			return
+		}
+		n.calls++
+		id := n.calls
+		epoch := nd.epoch
+		nd.calls[id] = call{from: from, epoch: epoch, respond: func(r core.Respond) {
+			if nd.epoch != epoch || n.Lost(to, from) {
+				return
+			}
+			n.Clock.After(n.Delay(to, from), func() { respond(r) })
+		}}
+		// The message is copied, as the wire would: the sender may change its own.
+		n.Step(to, core.CallIn{Call: id, Message: proto.Clone(m)})
+	})
+}
