--- a/internal/app/router/control.go
+++ b/internal/app/router/control.go
@@ -34,6 +34,7 @@
 
 // decision is the core's answer to a request that asked for a target.
 type decision struct {
+	at     time.Time
 	grant  *core.Grant
 	refuse *core.Refuse
 }
@@ -163,6 +164,7 @@
 }
 
 func (c *Control) decide(id uint64, d decision) {
+	d.at = c.now()
 	if ch, ok := c.waiting[id]; ok {
 		ch <- d
 		delete(c.waiting, id)
--- a/internal/app/router/traffic.go
+++ b/internal/app/router/traffic.go
@@ -51,6 +51,10 @@
 	MayHaveRun bool
 }
 
+// grantLife is how long a grant may lie between its decision and its use. An older
+// one shows that this process was paused: the target may be gone since.
+const grantLife = time.Second
+
 // maxAttempts bounds how many targets one request is tried at.
 const maxAttempts = 4
 
@@ -152,6 +156,11 @@
 		r.result.RetryAfter = d.refuse.RetryAfter
 		return attempt.Refused{Code: d.refuse.Code}
 	}
+	if r.traffic.now().Sub(d.at) > grantLife {
+		r.endAttempt(attempt.Action{Kind: attempt.Ask})
+		r.ask()
+		return nil
+	}
 	r.result.Target = d.grant.Target.Name
 	r.req.Pool = d.grant.Pool
 	return attempt.Granted{Target: d.grant.Target.UID}
--- a/internal/core/ledger/ledger.go
+++ b/internal/core/ledger/ledger.go
@@ -502,6 +502,13 @@
 	return time.Time{}
 }
 
+// HeardAfter reports whether a follower has sent an exchange after a sequence
+// number, so that what it said before is out of date.
+func (l *Ledger) HeardAfter(router uint32, sequence uint64) bool {
+	f, ok := l.followers[router]
+	return ok && f.sequence > sequence
+}
+
 // Depart removes a router that went silent or restarted, or, with moved, one
 // that follows another owner.
 func (l *Ledger) Depart(now time.Time, router uint32, moved bool) []Delivery {
--- a/internal/core/router/core.go
+++ b/internal/core/router/core.go
@@ -208,6 +208,7 @@
 		c.nextPoll = now.Add(c.jittered(c.settings.PollInterval))
 		c.emit(ReadStore{After: c.config.Revision()})
 	}
+	c.expire(now)
 	c.followOwners(now)
 	for _, name := range c.ledgerNames() {
 		l := c.ledgers[name]
@@ -252,3 +253,18 @@
 		}})
 	}
 }
+
+// HeldAt returns the requests that this router, as an owner, counts against each
+// target of a pool.
+func (c *Core) HeldAt(pool string) map[uint64]int {
+	out := make(map[uint64]int)
+	l, ok := c.ledgers[pool]
+	p, known := c.table.Pool(pool)
+	if !ok || !known {
+		return out
+	}
+	for _, t := range p.Targets {
+		out[t.UID] = l.Open(t.UID)
+	}
+	return out
+}
--- a/internal/core/router/peers.go
+++ b/internal/core/router/peers.go
@@ -23,7 +23,7 @@
 	case *peerv1.ExchangeRequest:
 		return c.handleExchange(now, m)
 	case *peerv1.DeliverRequest:
-		return c.handleDeliver(m)
+		return c.handleDeliver(now, m)
 	case *peerv1.GossipRequest:
 		return c.handleGossip(now, m)
 	case *peerv1.PushRequest:
@@ -39,7 +39,7 @@
 		return nil, code.New(code.UnknownRouter, "router %d is not listed", m.GetRouter())
 	}
 	if m.GetUnfollow() {
-		if l, ok := c.ledgers[m.GetPool()]; ok {
+		if l, ok := c.ledgers[m.GetPool()]; ok && !l.HeardAfter(m.GetRouter(), m.GetSequence()) {
 			c.deliver(now, m.GetPool(), l.Depart(now, m.GetRouter(), true))
 		}
 		return &peerv1.ExchangeResponse{}, nil
@@ -57,11 +57,11 @@
 }
 
 // handleDeliver refuses grants meant for an earlier process of this router.
-func (c *Core) handleDeliver(m *peerv1.DeliverRequest) (proto.Message, error) {
+func (c *Core) handleDeliver(now time.Time, m *peerv1.DeliverRequest) (proto.Message, error) {
 	if m.GetIncarnation() != c.settings.Incarnation {
 		return nil, code.New(code.OldIncarnation, "grants are for incarnation %d", m.GetIncarnation())
 	}
-	c.granted(m.GetPool(), c.client(m.GetPool()).Delivered(m.GetOwner(), m.GetGrants()))
+	c.granted(now, m.GetPool(), c.client(m.GetPool()).Delivered(m.GetOwner(), m.GetGrants()))
 	return &peerv1.DeliverResponse{}, nil
 }
 
@@ -90,8 +90,12 @@
 func (c *Core) callOut(now time.Time, ev CallOut) {
 	switch req := ev.Request.(type) {
 	case *peerv1.ExchangeRequest:
-		if resp, ok := ev.Reply.(*peerv1.ExchangeResponse); ok && resp != nil && !req.GetUnfollow() {
-			c.granted(req.GetPool(), c.client(req.GetPool()).Replied(ev.To, resp))
+		if req.GetUnfollow() {
+			c.repeatUnfollow(now, ev)
+			return
+		}
+		if resp, ok := ev.Reply.(*peerv1.ExchangeResponse); ok && resp != nil {
+			c.granted(now, req.GetPool(), c.client(req.GetPool()).Replied(ev.To, resp))
 		}
 	case *peerv1.DeliverRequest:
 		if ev.Reply == nil {
@@ -109,6 +113,16 @@
 	}
 }
 
+// repeatUnfollow tells an old owner again that this router has left it. If the
+// message were lost for good, the old owner would count the router's last tickets
+// for as long as both live.
+func (c *Core) repeatUnfollow(now time.Time, ev CallOut) {
+	req, ok := ev.Request.(*peerv1.ExchangeRequest)
+	if ok && ev.Reply == nil && c.client(req.GetPool()).Owner() != ev.To && c.members.Alive(now, ev.To) {
+		c.emit(Send{To: ev.To, Message: req})
+	}
+}
+
 // redeliver sends late grants again while their router is the same process and
 // alive. Until they arrive the router's request waits although its ticket is
 // counted.
--- a/internal/core/router/requests.go
+++ b/internal/core/router/requests.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -75,6 +76,22 @@
 	c.client(r.pool).Release(ev.ID, ev.Outcome)
 }
 
+// expire refuses requests that still wait at their deadline. The owner does so
+// too, but an ask or its refusal may be under way for long, or no owner answers.
+func (c *Core) expire(now time.Time) {
+	var late []uint64
+	for id, r := range c.requests {
+		if r.granted == 0 && !r.arrived.Deadline.After(now) {
+			late = append(late, id)
+		}
+	}
+	slices.Sort(late)
+	for _, id := range late {
+		c.ended(Ended{ID: id, Outcome: peerv1.Outcome_OUTCOME_UNUSED})
+		c.emit(Refuse{ID: id, Code: code.DeadlineTooShort, RetryAfter: c.jittered(retryLater)})
+	}
+}
+
 func (c *Core) reported(now time.Time, ev Reported) {
 	if l, ok := c.ledgers[ev.Pool]; ok {
 		c.deliver(now, ev.Pool, l.Report(ev.Target, ev.Open, now))
@@ -135,7 +152,7 @@
 	default:
 		c.emit(Send{To: old, Message: &peerv1.ExchangeRequest{
 			Protocol: ticket.Protocol, Pool: pool, Router: c.settings.Self,
-			Incarnation: c.settings.Incarnation, Unfollow: true,
+			Incarnation: c.settings.Incarnation, Sequence: c.client(pool).Sequence(), Unfollow: true,
 		}})
 	}
 }
@@ -174,7 +191,7 @@
 	if err != nil {
 		return false
 	}
-	c.granted(pool, c.clients[pool].Replied(c.settings.Self, resp))
+	c.granted(now, pool, c.clients[pool].Replied(c.settings.Self, resp))
 	c.deliver(now, pool, deliveries)
 	return true
 }
@@ -192,10 +209,19 @@
 	return l, true
 }
 
+// giveBack refuses a request although it was granted a target: this router may
+// have been paused since it last heard of the configuration, and the target may
+// have been drained and handed over meanwhile.
+func (c *Core) giveBack(pool string, r *request) {
+	delete(c.requests, r.arrived.ID)
+	c.client(pool).Release(r.arrived.ID, peerv1.Outcome_OUTCOME_UNUSED)
+	c.emit(Refuse{ID: r.arrived.ID, Code: code.StaleConfig, RetryAfter: c.jittered(retryLater)})
+}
+
 // granted turns the owner's answers into actions. A grant for a target that this
 // router knows to be leaving or gone is given back: the owner may have an older
 // configuration.
-func (c *Core) granted(pool string, grants []*peerv1.Grant) {
+func (c *Core) granted(now time.Time, pool string, grants []*peerv1.Grant) {
 	for _, g := range grants {
 		r, ok := c.requests[g.GetId()]
 		if !ok {
@@ -209,6 +235,10 @@
 			})
 			continue
 		}
+		if !c.fresh(now) {
+			c.giveBack(pool, r)
+			continue
+		}
 		p, target, usable := c.usable(pool, g.GetTarget())
 		if !usable {
 			c.askAgain(pool, r, g.GetTarget())
@@ -256,7 +286,7 @@
 	var order []uint32
 	for _, d := range deliveries {
 		if d.Router == c.settings.Self {
-			c.granted(pool, c.client(pool).Delivered(c.settings.Self, []*peerv1.Grant{d.Grant}))
+			c.granted(now, pool, c.client(pool).Delivered(c.settings.Self, []*peerv1.Grant{d.Grant}))
 			continue
 		}
 		m, ok := byRouter[d.Router]
--- a/internal/core/ticket/ticket.go
+++ b/internal/core/ticket/ticket.go
@@ -62,6 +62,9 @@
 // Owner returns the router that this client follows, 0 if none.
 func (c *Client) Owner() uint32 { return c.owner }
 
+// Sequence returns the number of the last exchange built.
+func (c *Client) Sequence() uint64 { return c.sequence }
+
 // Open returns the number of tickets held.
 func (c *Client) Open() int { return len(c.open) }
 
--- a/internal/fakenet/clock.go
+++ b/internal/fakenet/clock.go
@@ -59,14 +59,13 @@
 	heap.Push(&c.queue, event{at: c.now.Add(d), sequence: c.sequence, do: do})
 }
 
-// Run runs events until the queue is empty or the elapsed time exceeds end.
+// Run runs the events up to an elapsed time and then stands at that time.
 func (c *Clock) Run(end time.Duration) {
-	for len(c.queue) > 0 {
+	until := epoch.Add(end)
+	for len(c.queue) > 0 && !c.queue[0].at.After(until) {
 		e := heap.Pop(&c.queue).(event)
-		if e.at.Sub(epoch) > end {
-			return
-		}
 		c.now = e.at
 		e.do()
 	}
+	c.now = until
 }
