Spread of configuration measured at 9 to 340 routers; one measuring fault mended

Cause: how fast a change is in force everywhere, and at what cost, had no figures. Change: hemlockdyke-bench spread; a controller pushes to at most 12 routers, which pass it on; silent followers are looked for among a ledger's followers instead of all listed routers at each tick.

Cause: the bench counted a grant that was on its way when its router gave the request up, for ever.

--- a/cmd/hemlockdyke-bench/main.go
+++ b/cmd/hemlockdyke-bench/main.go
@@ -12,6 +12,7 @@
 
 	"github.com/alecthomas/kingpin/v2"
 
+	"github.com/hemlockdyke/hemlockdyke/internal/app/controller"
 	"github.com/hemlockdyke/hemlockdyke/internal/experiment"
 	"github.com/hemlockdyke/hemlockdyke/internal/load"
 )
@@ -38,11 +39,16 @@
 	onlyPolicy := exp.Flag("policy", "Run only policies whose names start with this.").String()
 	seeds := exp.Flag("seeds", "Number of seeds.").Default("5").Uint64()
 
+	spread := app.Command("spread", "Measure how fast a change is in force everywhere, and at what cost.")
+	spreadSeeds := spread.Flag("seeds", "Number of seeds.").Default("3").Uint64()
+
 	switch kingpin.MustParse(app.Parse(os.Args[1:])) {
 	case cmd.FullCommand():
 		app.FatalIfError(runLoad(s, *limit), "load")
 	case exp.FullCommand():
 		runExperiment(*only, *onlyPolicy, *seeds)
+	case spread.FullCommand():
+		runSpread(*spreadSeeds)
 	}
 }
 
@@ -88,3 +94,19 @@
 	}
 	return nil
 }
+
+// runSpread prints a line per fleet size, state of the store and seed.
+func runSpread(seeds uint64) {
+	for _, routers := range []int{9, 40, 120, 340} {
+		for _, down := range []bool{false, true} {
+			for _, loss := range []float64{0, 0.05} {
+				for seed := range seeds {
+					experiment.RunSpread(experiment.SpreadSettings{
+						Routers: routers, Changes: 40, Interval: 8 * time.Second, PushTo: controller.PushTo,
+						StoreDown: down, Loss: loss, Seed: seed + 1,
+					}).Print(os.Stdout)
+				}
+			}
+		}
+	}
+}
--- a/internal/app/controller/controller.go
+++ b/internal/app/controller/controller.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"math"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -53,6 +54,10 @@
 // answer. What was not reached by then is reached by gossip and polls.
 const pushWait = time.Second
 
+// PushTo is how many routers the accepting controller pushes a change to. They
+// pass it on, so that one VM's traffic doesn't grow with the fleet.
+const PushTo = 12
+
 // Apply accepts a change and pushes it to every router. The push comes before
 // the answer: a change that a majority already has survives an outage of the
 // table service, since every router that stays ready hears from a majority.
@@ -66,14 +71,26 @@
 		return Accepted{Operation: op, InForce: c.InForce(ctx, op.Revision)}, nil
 	}
 	push := &peerv1.PushRequest{Protocol: ticket.Protocol, Changes: core.ToWire([]resource.Change{*change})}
-	revisions := c.all(ctx, push, func(m proto.Message) uint64 { return m.(*peerv1.PushResponse).GetRevision() })
+	revisions := c.call(ctx, c.some(PushTo), push, func(m proto.Message) uint64 { return m.(*peerv1.PushResponse).GetRevision() })
+	if len(c.routers) > PushTo {
+		return Accepted{Operation: op, InForce: c.InForce(ctx, op.Revision)}, nil
+	}
 	return Accepted{Operation: op, InForce: c.compare(op.Revision, revisions)}, nil
 }
 
+// some returns up to n routers, chosen at random.
+func (c *Controller) some(n int) []uint32 {
+	out := make([]uint32, 0, n)
+	for _, i := range rand.Perm(len(c.routers))[:min(n, len(c.routers))] {
+		out = append(out, c.routers[i])
+	}
+	return out
+}
+
 // InForce asks every router for its revision.
 func (c *Controller) InForce(ctx context.Context, revision uint64) InForce {
 	ask := &peerv1.PullRequest{Protocol: ticket.Protocol, AfterRevision: math.MaxUint64}
-	revisions := c.all(ctx, ask, func(m proto.Message) uint64 { return m.(*peerv1.PullResponse).GetHead() })
+	revisions := c.call(ctx, c.routers, ask, func(m proto.Message) uint64 { return m.(*peerv1.PullResponse).GetHead() })
 	return c.compare(revision, revisions)
 }
 
@@ -89,14 +106,14 @@
 	return out
 }
 
-// all calls every router and returns the revisions of those that answered in time.
-func (c *Controller) all(ctx context.Context, m proto.Message, revision func(proto.Message) uint64) map[uint32]uint64 {
+// call calls routers and returns the revisions of those that answered in time.
+func (c *Controller) call(ctx context.Context, routers []uint32, m proto.Message, revision func(proto.Message) uint64) map[uint32]uint64 {
 	ctx, cancel := context.WithTimeout(ctx, pushWait)
 	defer cancel()
 	var mu sync.Mutex
 	var wg sync.WaitGroup
 	out := make(map[uint32]uint64)
-	for _, id := range c.routers {
+	for _, id := range routers {
 		wg.Go(func() {
 			reply, err := c.peers.Call(ctx, id, m)
 			if err != nil {
--- a/internal/core/ledger/ledger.go
+++ b/internal/core/ledger/ledger.go
@@ -14,6 +14,7 @@
 import (
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	peerv1 "github.com/hemlockdyke/hemlockdyke/gen/hemlockdyke/peer/v1"
@@ -493,13 +494,18 @@
 	l.ghosts = kept
 }
 
-// Heard returns when a follower last sent an exchange. An exchange shows that its
-// router is alive sooner than heartbeats do, which come by way of others.
-func (l *Ledger) Heard(router uint32) time.Time {
-	if f, ok := l.followers[router]; ok {
-		return f.heard
+// Silent returns the followers that have sent no exchange since a time, in order.
+// An exchange shows that its router is alive sooner than heartbeats do, which
+// come by way of others.
+func (l *Ledger) Silent(since time.Time) []uint32 {
+	var out []uint32
+	for id, f := range l.followers {
+		if f.heard.Before(since) {
+			out = append(out, id)
+		}
 	}
-	return time.Time{}
+	slices.Sort(out)
+	return out
 }
 
 // HeardAfter reports whether a follower has sent an exchange after a sequence
--- a/internal/core/router/core.go
+++ b/internal/core/router/core.go
@@ -211,13 +211,8 @@
 	c.expire(now)
 	c.followOwners(now)
 	for _, name := range c.ledgerNames() {
-		l := c.ledgers[name]
-		for _, id := range c.settings.Routers {
-			if !c.members.Alive(now, id) && now.Sub(l.Heard(id)) > c.settings.SuspectAfter {
-				c.deliver(now, name, l.Depart(now, id, false))
-			}
-		}
-		c.deliver(now, name, l.Tick(now))
+		c.dropSilent(now, name)
+		c.deliver(now, name, c.ledgers[name].Tick(now))
 	}
 	if !now.Before(c.nextProbe) {
 		c.nextProbe = now.Add(c.jittered(probeInterval))
@@ -226,6 +221,16 @@
 	c.pullIfBehind(now)
 }
 
+// dropSilent removes the followers of a ledger that have gone silent.
+func (c *Core) dropSilent(now time.Time, pool string) {
+	l := c.ledgers[pool]
+	for _, id := range l.Silent(now.Add(-c.settings.SuspectAfter)) {
+		if !c.members.Alive(now, id) {
+			c.deliver(now, pool, l.Depart(now, id, false))
+		}
+	}
+}
+
 // probeInterval is the mean time between two looks at the targets' own counts,
 // while a ledger needs them.
 const probeInterval = 500 * time.Millisecond
--- a/internal/core/router/requests.go
+++ b/internal/core/router/requests.go
@@ -111,8 +111,12 @@
 // the pool. Routers whose views differ follow different owners for a while; the
 // ledger's rules keep the bound meanwhile.
 func (c *Core) followOwners(now time.Time) {
+	pools := c.table.Pools()
+	if len(pools) == 0 {
+		return
+	}
 	live := c.ownersInReach(now)
-	for _, name := range c.table.Pools() {
+	for _, name := range pools {
 		owner, ok := rendezvous.First(rendezvous.Hash(name), live)
 		if !ok {
 			owner = c.settings.Self
--- a/internal/experiment/fleet.go
+++ b/internal/experiment/fleet.go
@@ -31,7 +31,7 @@
 	sim      *simulation
 	net      *fakenet.Net
 	requests map[askKey]*request
-	granted  map[askKey]bool // grants seen at their owner
+	granted  map[askKey]uint64 // engine of each grant seen at its owner; 0 after a refusal
 	nextID   uint64
 	revision uint64
 	specs    map[string]string // last spec of each resource, by name
@@ -45,7 +45,7 @@
 func newFleet(s *simulation, seed uint64, tweak func(*core.Settings)) *fleet {
 	f := &fleet{
 		sim: s, net: fakenet.New(s.clock, s.delay), requests: make(map[askKey]*request),
-		granted: make(map[askKey]bool), specs: make(map[string]string),
+		granted: make(map[askKey]uint64), specs: make(map[string]string),
 	}
 	f.net.Hooks = fakenet.Hooks{
 		Grant: f.onGrant, Refuse: f.onRefuse, Send: f.onSend, Respond: f.onRespond,
@@ -151,6 +151,11 @@
 	key := askKey{router, a.ID}
 	r := f.requests[key]
 	delete(f.requests, key)
+	if uid := f.granted[key]; uid != 0 {
+		// The grant was on its way when the router gave the request up.
+		f.sim.measure.ended(uid - firstTargetUID)
+	}
+	f.granted[key] = 0
 	if a.Code == code.RetryBudget || a.Code == code.NoTarget {
 		f.sim.measure.failed++
 	} else {
@@ -170,10 +175,10 @@
 func (f *fleet) countGrants(router int, grants []*peerv1.Grant) {
 	for _, g := range grants {
 		key := askKey{router, g.GetId()}
-		if f.granted[key] || g.GetTarget() == 0 {
+		if _, seen := f.granted[key]; seen || g.GetTarget() == 0 {
 			continue
 		}
-		f.granted[key] = true
+		f.granted[key] = g.GetTarget()
 		f.sim.measure.granted(g.GetTarget() - firstTargetUID)
 	}
 }
