--- a/internal/core/attempt/attempt.go
+++ b/internal/core/attempt/attempt.go
@@ -196,14 +196,21 @@
 	return Action{}
 }
 
-// notSent: the target can't have seen the request, so any request may go elsewhere.
+// notSent: the target can't have seen the request, so any request may go
+// elsewhere. If a byte was written all the same, the event is not believed.
 func (m *Machine) notSent() Action {
+	if m.state != Dispatched {
+		return m.broken(m.brokenCode())
+	}
 	return m.again(code.NoTarget, true)
 }
 
 // turnedAway: the target's promise takes this attempt back before the point of
 // no return. Earlier attempts keep their effect.
 func (m *Machine) turnedAway() Action {
+	if m.state == Answering {
+		return m.broken(m.brokenCode())
+	}
 	m.current = false
 	return m.again(code.TargetRefused, false)
 }
