Tests of acceptance, callers, settings and codes; a small pool waited for nobody

Cause: what callers and operators see was not tested.

Found: in a pool of two engines that each failed a request once, the retry waited until its deadline (504 after 5 s), since both were excluded. Ruled out: the retry budget and the bound. When every target is excluded, any will do again. Refusals that no queue explains had no Retry-After; they now say one second.

--- a/internal/adapter/callerhttp/callerhttp.go
+++ b/internal/adapter/callerhttp/callerhttp.go
@@ -34,7 +34,7 @@
 
 // Observer is told how each request ended.
 type Observer interface {
-	Observe(pool, team string, result router.Result)
+	Observe(req router.Request, result router.Result)
 }
 
 // Server serves callers. It is safe for concurrent use.
@@ -292,12 +292,15 @@
 }
 
 func (s *Server) done(req router.Request, result router.Result) {
-	s.observer.Observe(req.Pool.Name, req.Team, result)
+	s.observer.Observe(req, result)
 	s.log.Debug().Str("request", req.ID).Uint64("chat", req.Chat).Str("team", req.Team).
 		Str("pool", req.Pool.Name).Str("target", result.Target).Int("code", int(result.Code)).
 		Int("attempts", result.Attempts).Dur("total", result.Total).Msg("request ended")
 }
 
+// defaultRetryAfter is told to callers when nothing better is known.
+const defaultRetryAfter = time.Second
+
 // fail answers with a numbered code, at once.
 func (s *Server) fail(w http.ResponseWriter, id string, err error, retryAfter time.Duration) {
 	var coded *code.Error
@@ -307,11 +310,15 @@
 	if id != "" {
 		w.Header().Set(wire.HeaderRequest, id)
 	}
+	status := coded.Code.Lookup().Status
+	if retryAfter == 0 && status == http.StatusServiceUnavailable {
+		retryAfter = defaultRetryAfter
+	}
 	if retryAfter > 0 {
 		w.Header().Set("Retry-After", strconv.Itoa(int(math.Ceil(retryAfter.Seconds()))))
 	}
 	w.Header().Set("Content-Type", "application/json")
-	w.WriteHeader(coded.Code.Lookup().Status)
+	w.WriteHeader(status)
 	_ = json.NewEncoder(w).Encode(errorBody(coded))
 }
 
--- /dev/null
+++ b/internal/adapter/callerhttp/suite_test.go
@@ -0,0 +1,9 @@
+package callerhttp_test
+
+import (
+	"testing"
+
+	"github.com/hemlockdyke/hemlockdyke/internal/testkit"
+)
+
+func TestCallerHTTP(t *testing.T) { testkit.Run(t, "callers") }
--- a/internal/adapter/metrics/metrics.go
+++ b/internal/adapter/metrics/metrics.go
@@ -29,7 +29,8 @@
 func NewRequests() *Requests { return &Requests{registry: gometrics.NewRegistry()} }
 
 // Observe records how a request ended.
-func (m *Requests) Observe(pool, _ string, result router.Result) {
+func (m *Requests) Observe(req router.Request, result router.Result) {
+	pool := req.Pool.Name
 	m.counter("pool." + pool + ".code." + result.Code.Lookup().Name).Inc(1)
 	if result.Code == code.OK {
 		m.timer("pool." + pool + ".first_part").Update(result.FirstPart)
--- /dev/null
+++ b/internal/core/code/code_test.go
@@ -0,0 +1,59 @@
+package code_test
+
+import (
+	"fmt"
+	"os"
+	"regexp"
+	"sort"
+	"strings"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/hemlockdyke/hemlockdyke/internal/core/code"
+)
+
+// line is the row of a code in docs/ERRORS.md.
+func line(c code.Code, info code.Info) string {
+	status := "-"
+	if info.Status != 0 {
+		status = fmt.Sprint(info.Status)
+	}
+	return fmt.Sprintf("| %d | %s | %s | %s | %s |", int(c), info.Name, status, info.Ran, info.Remedy)
+}
+
+var _ = Describe("docs/ERRORS.md", func() {
+	It("lists exactly the codes of the table", func() {
+		data, err := os.ReadFile("../../../docs/ERRORS.md")
+		Expect(err).NotTo(HaveOccurred())
+		var want []string
+		for c, info := range code.All() {
+			want = append(want, line(c, info))
+		}
+		sort.Strings(want)
+		got := regexp.MustCompile(`(?m)^\| \d+ \|.*$`).FindAllString(string(data), -1)
+		sort.Strings(got)
+		Expect(got).To(Equal(want), strings.Join(want, "\n"))
+	})
+})
+
+var _ = Describe("codes", func() {
+	It("never call an unlisted outcome not run", func() {
+		Expect(code.Code(9999).Lookup().Ran).To(Equal(code.RanUnknown))
+	})
+
+	It("that refuse before dispatch all promise not run, and no later one does", func() {
+		for c, info := range code.All() {
+			switch int(c) / 1000 {
+			case 3:
+				Expect(info.Ran).To(Equal(code.RanYes), info.Name)
+			case 4:
+				Expect(info.Ran).To(Equal(code.RanUnknown), info.Name)
+			case 2:
+				if c != code.InProgress {
+					Expect(info.Ran).To(Equal(code.RanNo), info.Name)
+				}
+			}
+		}
+	})
+})
--- /dev/null
+++ b/internal/core/imports_test.go
@@ -0,0 +1,74 @@
+// Package core_test checks what the decision packages depend on.
+package core_test
+
+import (
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"io/fs"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+)
+
+// forbidden are imports that would bring I/O, locks, logs or global state into
+// the decisions: they could then no longer run many times over in one process
+// under a simulated clock.
+var forbidden = []string{"net", "net/http", "os", "sync", "sync/atomic", "io", "log", "context", "math/rand"}
+
+// TestImports also refuses calls that read the wall clock or wait.
+func TestImports(t *testing.T) {
+	err := filepath.WalkDir(".", func(path string, d fs.DirEntry, err error) error {
+		if err != nil || d.IsDir() || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+			return err
+		}
+		file, err := parser.ParseFile(token.NewFileSet(), path, nil, 0)
+		if err != nil {
+			return err
+		}
+		checkImports(t, path, file)
+		ast.Inspect(file, func(n ast.Node) bool {
+			checkCall(t, path, n)
+			return true
+		})
+		return nil
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+func checkImports(t *testing.T, path string, file *ast.File) {
+	t.Helper()
+	for _, imp := range file.Imports {
+		name, err := strconv.Unquote(imp.Path.Value)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, bad := range forbidden {
+			if name == bad {
+				t.Errorf("%s imports %s", path, name)
+			}
+		}
+		if strings.Contains(name, "/internal/") && !strings.Contains(name, "/internal/core/") {
+			t.Errorf("%s imports %s", path, name)
+		}
+	}
+}
+
+func checkCall(t *testing.T, path string, n ast.Node) {
+	t.Helper()
+	sel, ok := n.(*ast.SelectorExpr)
+	if !ok {
+		return
+	}
+	pkg, ok := sel.X.(*ast.Ident)
+	if !ok || pkg.Name != "time" {
+		return
+	}
+	switch sel.Sel.Name {
+	case "Now", "Sleep", "After", "AfterFunc", "NewTimer", "NewTicker", "Since", "Until":
+		t.Errorf("%s uses time.%s", path, sel.Sel.Name)
+	}
+}
--- a/internal/core/lease/lease_test.go
+++ b/internal/core/lease/lease_test.go
@@ -27,7 +27,6 @@
 type holder struct {
 	lease  *lease.Lease
 	action lease.Action
-	sent   time.Time
 }
 
 func (h *holder) read(now time.Time, s *stored) { h.action = h.lease.Observe(now, s.row, s.version) }
--- a/internal/core/ledger/ledger.go
+++ b/internal/core/ledger/ledger.go
@@ -304,6 +304,9 @@
 		Priority: clampPriority(a.GetPriority()), Chat: a.GetChat(), Excluded: a.GetExcluded(),
 		Arrived: now, Deadline: now.Add(time.Duration(a.GetDeadlineMillis()) * time.Millisecond),
 	}
+	if l.allExcluded(it.Excluded) {
+		it.Excluded = nil
+	}
 	if l.queue.Queued(router, a.GetId()) || l.waitsPatiently(router, a.GetId()) {
 		return nil
 	}
@@ -323,6 +326,21 @@
 	return nil
 }
 
+// allExcluded reports whether an ask excludes every target. In a small pool each
+// may have failed the request once; to wait for another would be to wait until
+// the deadline, so then any will do again.
+func (l *Ledger) allExcluded(excluded []uint64) bool {
+	if len(excluded) == 0 {
+		return false
+	}
+	for i := range l.pool.Targets {
+		if !l.pool.Targets[i].Leaving && !slices.Contains(excluded, l.pool.Targets[i].UID) {
+			return false
+		}
+	}
+	return true
+}
+
 func clampPriority(p uint32) fairqueue.Priority {
 	return fairqueue.Priority(min(p, uint32(fairqueue.Urgent)))
 }
--- a/internal/core/ledger/target.go
+++ b/internal/core/ledger/target.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/hemlockdyke/hemlockdyke/internal/core/fairqueue"
@@ -182,10 +183,5 @@
 	if !ok || l.pool.Targets[i].Leaving || l.target(uid).until.After(now) {
 		return false
 	}
-	for _, x := range it.Excluded {
-		if x == uid {
-			return false
-		}
-	}
-	return true
+	return !slices.Contains(it.Excluded, uid)
 }
--- a/internal/experiment/measure.go
+++ b/internal/experiment/measure.go
@@ -11,14 +11,12 @@
 type measure struct {
 	sim        *simulation
 	open       map[uint64]int // granted and not ended, by engine
-	total      int
 	grants     int
 	violations int
 	overshoot  int // the most by which a grant exceeded the bound
 	offered    int
 	shed       int
 	failed     int
-	late       int // new work at an engine long after it began to leave
 	reusable   int
 	reused     int
 	skews      []float64
