--- a/cmd/hemlockdyke-bench/main.go
+++ b/cmd/hemlockdyke-bench/main.go
@@ -42,11 +42,17 @@
 	spread := app.Command("spread", "Measure how fast a change is in force everywhere, and at what cost.")
 	spreadSeeds := spread.Flag("seeds", "Number of seeds.").Default("3").Uint64()
 
+	get := app.Command("get", "Print what a URL answers, waiting until it answers 200.")
+	getURL := get.Arg("url", "URL.").Required().String()
+	getWait := get.Flag("wait", "How long to wait.").Default("10s").Duration()
+
 	switch kingpin.MustParse(app.Parse(os.Args[1:])) {
 	case cmd.FullCommand():
 		app.FatalIfError(runLoad(s, *limit), "load")
 	case exp.FullCommand():
 		runExperiment(*only, *onlyPolicy, *seeds)
+	case get.FullCommand():
+		app.FatalIfError(load.Get(os.Stdout, *getURL, *getWait), "get")
 	case spread.FullCommand():
 		runSpread(*spreadSeeds)
 	}
--- a/gen/hemlockdyke/peer/v1/peerv1connect/peer.connect.go
+++ b/gen/hemlockdyke/peer/v1/peerv1connect/peer.connect.go
@@ -44,6 +44,8 @@
 	PeerServiceGossipProcedure = "/hemlockdyke.peer.v1.PeerService/Gossip"
 	// PeerServicePushProcedure is the fully-qualified name of the PeerService's Push RPC.
 	PeerServicePushProcedure = "/hemlockdyke.peer.v1.PeerService/Push"
+	// PeerServiceBurnProcedure is the fully-qualified name of the PeerService's Burn RPC.
+	PeerServiceBurnProcedure = "/hemlockdyke.peer.v1.PeerService/Burn"
 	// PeerServicePullProcedure is the fully-qualified name of the PeerService's Pull RPC.
 	PeerServicePullProcedure = "/hemlockdyke.peer.v1.PeerService/Pull"
 )
@@ -58,6 +60,8 @@
 	Gossip(context.Context, *connect.Request[v1.GossipRequest]) (*connect.Response[v1.GossipResponse], error)
 	// Push delivers accepted configuration changes.
 	Push(context.Context, *connect.Request[v1.PushRequest]) (*connect.Response[v1.PushResponse], error)
+	// Burn returns the router's service-level counts.
+	Burn(context.Context, *connect.Request[v1.BurnRequest]) (*connect.Response[v1.BurnResponse], error)
 	// Pull returns the changes after a revision, or a snapshot if they are gone.
 	Pull(context.Context, *connect.Request[v1.PullRequest]) (*connect.Response[v1.PullResponse], error)
 }
@@ -97,6 +101,12 @@
 			connect.WithSchema(peerServiceMethods.ByName("Push")),
 			connect.WithClientOptions(opts...),
 		),
+		burn: connect.NewClient[v1.BurnRequest, v1.BurnResponse](
+			httpClient,
+			baseURL+PeerServiceBurnProcedure,
+			connect.WithSchema(peerServiceMethods.ByName("Burn")),
+			connect.WithClientOptions(opts...),
+		),
 		pull: connect.NewClient[v1.PullRequest, v1.PullResponse](
 			httpClient,
 			baseURL+PeerServicePullProcedure,
@@ -112,6 +122,7 @@
 	deliver  *connect.Client[v1.DeliverRequest, v1.DeliverResponse]
 	gossip   *connect.Client[v1.GossipRequest, v1.GossipResponse]
 	push     *connect.Client[v1.PushRequest, v1.PushResponse]
+	burn     *connect.Client[v1.BurnRequest, v1.BurnResponse]
 	pull     *connect.Client[v1.PullRequest, v1.PullResponse]
 }
 
@@ -135,6 +146,11 @@
 	return c.push.CallUnary(ctx, req)
 }
 
+// Burn calls hemlockdyke.peer.v1.PeerService.Burn.
+func (c *peerServiceClient) Burn(ctx context.Context, req *connect.Request[v1.BurnRequest]) (*connect.Response[v1.BurnResponse], error) {
+	return c.burn.CallUnary(ctx, req)
+}
+
 // Pull calls hemlockdyke.peer.v1.PeerService.Pull.
 func (c *peerServiceClient) Pull(ctx context.Context, req *connect.Request[v1.PullRequest]) (*connect.Response[v1.PullResponse], error) {
 	return c.pull.CallUnary(ctx, req)
@@ -150,6 +166,8 @@
 	Gossip(context.Context, *connect.Request[v1.GossipRequest]) (*connect.Response[v1.GossipResponse], error)
 	// Push delivers accepted configuration changes.
 	Push(context.Context, *connect.Request[v1.PushRequest]) (*connect.Response[v1.PushResponse], error)
+	// Burn returns the router's service-level counts.
+	Burn(context.Context, *connect.Request[v1.BurnRequest]) (*connect.Response[v1.BurnResponse], error)
 	// Pull returns the changes after a revision, or a snapshot if they are gone.
 	Pull(context.Context, *connect.Request[v1.PullRequest]) (*connect.Response[v1.PullResponse], error)
 }
@@ -185,6 +203,12 @@
 		connect.WithSchema(peerServiceMethods.ByName("Push")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerServiceBurnHandler := connect.NewUnaryHandler(
+		PeerServiceBurnProcedure,
+		svc.Burn,
+		connect.WithSchema(peerServiceMethods.ByName("Burn")),
+		connect.WithHandlerOptions(opts...),
+	)
 	peerServicePullHandler := connect.NewUnaryHandler(
 		PeerServicePullProcedure,
 		svc.Pull,
@@ -201,6 +225,8 @@
 			peerServiceGossipHandler.ServeHTTP(w, r)
 		case PeerServicePushProcedure:
 			peerServicePushHandler.ServeHTTP(w, r)
+		case PeerServiceBurnProcedure:
+			peerServiceBurnHandler.ServeHTTP(w, r)
 		case PeerServicePullProcedure:
 			peerServicePullHandler.ServeHTTP(w, r)
 		default:
@@ -228,6 +254,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("hemlockdyke.peer.v1.PeerService.Push is not implemented"))
 }
 
+func (UnimplementedPeerServiceHandler) Burn(context.Context, *connect.Request[v1.BurnRequest]) (*connect.Response[v1.BurnResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("hemlockdyke.peer.v1.PeerService.Burn is not implemented"))
+}
+
 func (UnimplementedPeerServiceHandler) Pull(context.Context, *connect.Request[v1.PullRequest]) (*connect.Response[v1.PullResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("hemlockdyke.peer.v1.PeerService.Pull is not implemented"))
 }
--- a/internal/adapter/operatorhttp/operatorhttp.go
+++ b/internal/adapter/operatorhttp/operatorhttp.go
@@ -83,6 +83,7 @@
 	r.HandleFunc("/v1/resources/{kind}", s.list).Methods(http.MethodGet)
 	r.HandleFunc("/v1/resources/{kind}/{name}", s.describe).Methods(http.MethodGet)
 	r.HandleFunc("/v1/watch", s.watch).Methods(http.MethodGet)
+	r.HandleFunc("/v1/burn", s.burn).Methods(http.MethodGet)
 	r.HandleFunc("/v1/explain", s.explain).Methods(http.MethodGet)
 	r.NotFoundHandler = http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		fail(w, code.New(code.NotFound, "no such path"))
@@ -223,6 +224,15 @@
 	}
 }
 
+func (s *Server) burn(w http.ResponseWriter, r *http.Request) {
+	report, err := s.controller.Burn(r.Context())
+	if err != nil {
+		fail(w, storeError(err))
+		return
+	}
+	reply(w, report)
+}
+
 func (s *Server) explain(w http.ResponseWriter, r *http.Request) {
 	conf, err := s.controller.Store().Load(r.Context())
 	if err != nil {
--- a/internal/adapter/peer/peer.go
+++ b/internal/adapter/peer/peer.go
@@ -81,6 +81,10 @@
 	return handle[peerv1.GossipRequest, peerv1.GossipResponse](ctx, s, req)
 }
 
+func (s *server) Burn(ctx context.Context, req *connect.Request[peerv1.BurnRequest]) (*connect.Response[peerv1.BurnResponse], error) {
+	return handle[peerv1.BurnRequest, peerv1.BurnResponse](ctx, s, req)
+}
+
 func (s *server) Push(ctx context.Context, req *connect.Request[peerv1.PushRequest]) (*connect.Response[peerv1.PushResponse], error) {
 	return handle[peerv1.PushRequest, peerv1.PushResponse](ctx, s, req)
 }
@@ -141,6 +145,8 @@
 		return call(ctx, client.Gossip, m)
 	case *peerv1.PushRequest:
 		return call(ctx, client.Push, m)
+	case *peerv1.BurnRequest:
+		return call(ctx, client.Burn, m)
 	case *peerv1.PullRequest:
 		return call(ctx, client.Pull, m)
 	}
--- a/internal/app/configstore/configstore.go
+++ b/internal/app/configstore/configstore.go
@@ -304,10 +304,7 @@
 	return txn, err
 }
 
-// commit applies the transaction. A lost reply is settled by sending the same
-// transaction again: its condition on the head lets it take effect once only, so
-// a conflict means that either the first one did, which the operation row shows,
-// or another operator's change came between and ours never can.
+// commit applies the transaction and settles a lost reply.
 func (s *Store) commit(ctx context.Context, name string, txn port.Txn) error {
 	err := s.table.Commit(ctx, txn)
 	if errors.Is(err, port.ErrOutcomeUnknown) {
@@ -328,8 +325,16 @@
 // settleTries bounds how often a transaction without a reply is sent again.
 const settleTries = 3
 
+// settle finds out what became of a transaction whose reply was lost. If the
+// operation row is there, it took effect. If it is not, it may still arrive, so
+// the same transaction is sent again: its condition on the head lets it take
+// effect once only, and a conflict without an operation row means that another
+// operator's change came between and this one never can.
 func (s *Store) settle(ctx context.Context, name string, txn port.Txn) error {
 	for range settleTries {
+		if _, err := s.Operation(ctx, name); err == nil {
+			return nil
+		}
 		err := s.table.Commit(ctx, txn)
 		if err == nil {
 			return nil
--- a/internal/app/controller/controller.go
+++ b/internal/app/controller/controller.go
@@ -108,11 +108,20 @@
 
 // call calls routers and returns the revisions of those that answered in time.
 func (c *Controller) call(ctx context.Context, routers []uint32, m proto.Message, revision func(proto.Message) uint64) map[uint32]uint64 {
+	out := make(map[uint32]uint64)
+	for id, reply := range c.replies(ctx, routers, m) {
+		out[id] = revision(reply)
+	}
+	return out
+}
+
+// replies calls routers and returns the replies that came in time.
+func (c *Controller) replies(ctx context.Context, routers []uint32, m proto.Message) map[uint32]proto.Message {
 	ctx, cancel := context.WithTimeout(ctx, pushWait)
 	defer cancel()
 	var mu sync.Mutex
 	var wg sync.WaitGroup
-	out := make(map[uint32]uint64)
+	out := make(map[uint32]proto.Message)
 	for _, id := range routers {
 		wg.Go(func() {
 			reply, err := c.peers.Call(ctx, id, m)
@@ -122,7 +131,7 @@
 			}
 			mu.Lock()
 			defer mu.Unlock()
-			out[id] = revision(reply)
+			out[id] = reply
 		})
 	}
 	wg.Wait()
--- /dev/null
+++ b/internal/app/router/burn.go
@@ -0,0 +1,77 @@
+package router
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/rs/zerolog"
+	"google.golang.org/protobuf/proto"
+
+	peerv1 "github.com/hemlockdyke/hemlockdyke/gen/hemlockdyke/peer/v1"
+	"github.com/hemlockdyke/hemlockdyke/internal/core/burn"
+	"github.com/hemlockdyke/hemlockdyke/internal/core/code"
+)
+
+// maxBurnSeries bounds the number of team and pool pairs of one router.
+const maxBurnSeries = 2000
+
+// Burn measures the service level of a router's requests. It is safe for
+// concurrent use.
+type Burn struct {
+	mu      sync.Mutex
+	tracker *burn.Tracker
+	control *Control
+	self    uint32
+	log     zerolog.Logger
+	now     func() time.Time
+}
+
+// NewBurn returns an empty Burn.
+func NewBurn(control *Control, self uint32, log zerolog.Logger, now func() time.Time) *Burn {
+	return &Burn{tracker: burn.NewTracker(maxBurnSeries), control: control, self: self, log: log, now: now}
+}
+
+// Observe counts how a request ended. One whose caller left says nothing of the
+// service.
+func (b *Burn) Observe(req Request, result Result) {
+	if result.Code == code.CallerGone {
+		return
+	}
+	good := result.Code == code.OK
+	team, ok := b.control.Table().Team(req.Team)
+	if expected := time.Duration(team.Spec.FirstTokenMillis) * time.Millisecond; ok && expected > 0 {
+		good = good && result.FirstPart <= expected
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.tracker.Observe(b.now(), burn.Key{Pool: req.Pool.Name, Team: req.Team}, good, result.FirstPart)
+}
+
+// Handle answers requests for the counts and passes all other messages on.
+func (b *Burn) Handle(ctx context.Context, m proto.Message) (proto.Message, error) {
+	if _, ok := m.(*peerv1.BurnRequest); !ok {
+		return b.control.Handle(ctx, m)
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	resp := &peerv1.BurnResponse{Router: b.self}
+	for _, s := range b.tracker.Samples(b.now()) {
+		resp.Series = append(resp.Series, b.toWire(s))
+	}
+	return resp, nil
+}
+
+func (b *Burn) toWire(s burn.Sample) *peerv1.BurnSeries {
+	encoded, err := s.Histogram.Encode(hdrhistogram.V2CompressedEncodingCookieBase)
+	if err != nil {
+		b.log.Warn().Err(err).Msg("histogram not encoded")
+	}
+	out := &peerv1.BurnSeries{Pool: s.Key.Pool, Team: s.Key.Team, Histogram: encoded}
+	for _, c := range s.Counts {
+		out.Good = append(out.Good, c.Good)
+		out.Bad = append(out.Bad, c.Bad)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/cli/burn.go
@@ -0,0 +1,115 @@
+package cli
+
+import (
+	"bytes"
+	"fmt"
+	"html/template"
+	"io"
+	"os"
+
+	"github.com/cockroachdb/errors"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+
+	"github.com/hemlockdyke/hemlockdyke/internal/app/controller"
+	"github.com/hemlockdyke/hemlockdyke/internal/core/code"
+)
+
+func (a *App) burn(page string) error {
+	report, err := a.client.Burn()
+	if err != nil {
+		return err
+	}
+	if page != "" {
+		if err := writePage(page, report); err != nil {
+			return err
+		}
+	}
+	return a.print(report, func(w io.Writer) { printBurn(w, report) })
+}
+
+func printBurn(w io.Writer, report controller.BurnReport) {
+	fmt.Fprintf(w, "from %d of %d routers\n", report.Routers, report.Listed)
+	fmt.Fprintln(w, "POOL\tTEAM\tOBJECTIVE\tWINDOW\tGOOD\tBAD\tBURN\tP50\tP95\tP99")
+	for _, l := range report.Lines {
+		for _, win := range l.Windows {
+			fmt.Fprintf(w, "%s\t%s\t%g%%\t%s\t%d\t%d\t%.2f\t%dms\t%dms\t%dms\n", l.Pool, l.Team, l.ObjectivePercent,
+				win.Window, win.Good, win.Bad, win.Rate, l.FirstTokenP50, l.FirstTokenP95, l.FirstTokenP99)
+		}
+	}
+}
+
+// pageTemplate is the page of the burn report. Names are escaped by the template.
+var pageTemplate = template.Must(template.New("burn").Parse(`<!doctype html>
+<meta charset="utf-8">
+<title>Service-level burn</title>
+<style>body{font-family:sans-serif;margin:2em}td,th{padding:.2em .8em;text-align:right}td.hot{background:#fcc}</style>
+<h1>Service-level burn</h1>
+<p>From {{.Report.Routers}} of {{.Report.Listed}} routers. A burn of 1 uses the error budget up exactly over its period.</p>
+<table>
+<tr><th>pool<th>team<th>objective<th>window<th>good<th>bad<th>burn<th>p50<th>p95<th>p99</tr>
+{{range $l := .Report.Lines}}{{range .Windows}}<tr><td>{{$l.Pool}}<td>{{$l.Team}}<td>{{$l.ObjectivePercent}}%<td>{{.Window}}<td>{{.Good}}<td>{{.Bad}}<td{{if gt .Rate 1.0}} class="hot"{{end}}>{{printf "%.2f" .Rate}}<td>{{$l.FirstTokenP50}} ms<td>{{$l.FirstTokenP95}} ms<td>{{$l.FirstTokenP99}} ms</tr>
+{{end}}{{end}}</table>
+{{range .Plots}}<div>{{.}}</div>
+{{end}}`))
+
+func writePage(path string, report controller.BurnReport) error {
+	var plots []template.HTML
+	if len(report.Lines) > 0 {
+		for _, p := range []struct {
+			title string
+			value func(controller.BurnRow) float64
+		}{
+			{"Burn rate, short window", func(l controller.BurnRow) float64 { return l.Windows[0].Rate }},
+			{"First token, 95th percentile, ms", func(l controller.BurnRow) float64 { return float64(l.FirstTokenP95) }},
+		} {
+			svg, err := bars(p.title, report.Lines, p.value)
+			if err != nil {
+				return err
+			}
+			plots = append(plots, svg)
+		}
+	}
+	var out bytes.Buffer
+	err := pageTemplate.Execute(&out, struct {
+		Report controller.BurnReport
+		Plots  []template.HTML
+	}{report, plots})
+	if err != nil {
+		return errors.Wrap(err, "write page")
+	}
+	if err := os.WriteFile(path, out.Bytes(), 0o644); err != nil {
+		return code.New(code.BadUsage, "%s", err)
+	}
+	return nil
+}
+
+// bars draws one bar per pool and team as an SVG image.
+func bars(title string, lines []controller.BurnRow, value func(controller.BurnRow) float64) (template.HTML, error) {
+	p := plot.New()
+	p.Title.Text = title
+	var values plotter.Values
+	var names []string
+	for _, l := range lines {
+		values = append(values, value(l))
+		names = append(names, l.Pool+"/"+l.Team)
+	}
+	chart, err := plotter.NewBarChart(values, vg.Points(20))
+	if err != nil {
+		return "", errors.Wrap(err, "draw bars")
+	}
+	p.Add(chart)
+	p.NominalX(names...)
+	p.Y.Min = 0
+	w, err := p.WriterTo(vg.Points(float64(200+70*len(lines))), vg.Points(260), "svg")
+	if err != nil {
+		return "", errors.Wrap(err, "draw plot")
+	}
+	var out bytes.Buffer
+	if _, err := w.WriteTo(&out); err != nil {
+		return "", errors.Wrap(err, "draw plot")
+	}
+	// The library escapes text in its SVG output.
+	return template.HTML(out.String()), nil
+}
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -100,20 +100,25 @@
 	op := app.Command("operation", "Show the outcome of an operation.")
 	opName := op.Arg("name", "Name.").Required().String()
 
+	report := app.Command("report", "Reports.")
+	burnReport := report.Command("burn", "How fast teams use up their error budgets.")
+	page := burnReport.Flag("html", "Also write a page with plots to this file.").String()
+
 	explain := app.Command("explain", "Say why a chat goes where it goes.")
 	pool := explain.Flag("pool", "Pool.").Required().String()
 	team := explain.Flag("team", "Team.").Required().String()
 	chat := explain.Flag("chat", "Chat.").Required().String()
 
 	return map[string]func() error{
-		apply.FullCommand():    func() error { return a.apply(*file, *operation) },
-		get.FullCommand():      func() error { return a.get(*getKind, *getName) },
-		describe.FullCommand(): func() error { return a.describe(*describeKind, *describeName) },
-		remove.FullCommand():   func() error { return a.remove(*removeKind, *removeName) },
-		drain.FullCommand():    func() error { return a.drain(*drainTarget) },
-		watch.FullCommand():    func() error { return a.watch(*after, *count) },
-		op.FullCommand():       func() error { return a.operation(*opName) },
-		explain.FullCommand():  func() error { return a.explain(*pool, *team, *chat) },
+		apply.FullCommand():      func() error { return a.apply(*file, *operation) },
+		get.FullCommand():        func() error { return a.get(*getKind, *getName) },
+		describe.FullCommand():   func() error { return a.describe(*describeKind, *describeName) },
+		remove.FullCommand():     func() error { return a.remove(*removeKind, *removeName) },
+		drain.FullCommand():      func() error { return a.drain(*drainTarget) },
+		watch.FullCommand():      func() error { return a.watch(*after, *count) },
+		op.FullCommand():         func() error { return a.operation(*opName) },
+		burnReport.FullCommand(): func() error { return a.burn(*page) },
+		explain.FullCommand():    func() error { return a.explain(*pool, *team, *chat) },
 	}
 }
 
--- a/internal/cli/client.go
+++ b/internal/cli/client.go
@@ -74,6 +74,13 @@
 	return out, err
 }
 
+// Burn returns the service-level burn of the fleet.
+func (c *Client) Burn() (controller.BurnReport, error) {
+	var out controller.BurnReport
+	err := c.call(http.MethodGet, "/v1/burn", nil, &out)
+	return out, err
+}
+
 // Explain says why a chat goes where it goes.
 func (c *Client) Explain(pool, team, chat string) (operatorhttp.Explanation, error) {
 	var out operatorhttp.Explanation
--- /dev/null
+++ b/internal/core/burn/burn.go
@@ -0,0 +1,153 @@
+// Package burn measures how fast teams use up their error budgets, over several
+// windows, from counts and histograms that routers can merge.
+package burn
+
+import (
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// Windows are the spans over which burn rates are given, shortest first. A high
+// rate over the short one shows a fire, over the long one that it is no blip.
+func Windows() []time.Duration {
+	return []time.Duration{5 * time.Minute, time.Hour}
+}
+
+// slots is the number of buckets that make up a window.
+const slots = 30
+
+// The histogram holds first-token times from 1 ms to 2 minutes to two digits.
+const (
+	lowest  = 1
+	highest = 120_000
+	digits  = 2
+)
+
+// Key names a series.
+type Key struct {
+	Pool string
+	Team string
+}
+
+type bucket struct {
+	number    int64 // of the slot since the epoch; tells an old bucket
+	good, bad uint64
+}
+
+type window struct {
+	slot    time.Duration
+	buckets [slots]bucket
+}
+
+func (w *window) add(now time.Time, good bool) {
+	number := now.UnixNano() / int64(w.slot)
+	b := &w.buckets[number%slots]
+	if b.number != number {
+		*b = bucket{number: number}
+	}
+	if good {
+		b.good++
+	} else {
+		b.bad++
+	}
+}
+
+func (w *window) sum(now time.Time) (good, bad uint64) {
+	oldest := now.UnixNano()/int64(w.slot) - slots
+	for _, b := range w.buckets {
+		if b.number > oldest {
+			good += b.good
+			bad += b.bad
+		}
+	}
+	return good, bad
+}
+
+// series is the state of one key.
+type series struct {
+	windows   []window
+	histogram *hdrhistogram.Histogram
+}
+
+// Tracker counts the requests of one router. It is not safe for concurrent use.
+type Tracker struct {
+	max    int
+	series map[Key]*series
+}
+
+// Other collects the requests of teams beyond the largest number of series.
+const Other = "(other teams)"
+
+// NewTracker returns an empty Tracker of at most max series: at 31,000 teams one
+// series for each would outgrow the memory of a small VM.
+func NewTracker(max int) *Tracker {
+	return &Tracker{max: max, series: make(map[Key]*series)}
+}
+
+// Observe counts one request. firstToken is 0 if it had none.
+func (t *Tracker) Observe(now time.Time, key Key, good bool, firstToken time.Duration) {
+	s := t.get(key)
+	for i := range s.windows {
+		s.windows[i].add(now, good)
+	}
+	if firstToken > 0 {
+		ms := min(max(firstToken.Milliseconds(), lowest), highest)
+		_ = s.histogram.RecordValue(ms) // in range by the line above
+	}
+}
+
+func (t *Tracker) get(key Key) *series {
+	if s, ok := t.series[key]; ok {
+		return s
+	}
+	if len(t.series) >= t.max {
+		key.Team = Other
+		if s, ok := t.series[key]; ok {
+			return s
+		}
+	}
+	s := &series{histogram: hdrhistogram.New(lowest, highest, digits)}
+	for _, w := range Windows() {
+		s.windows = append(s.windows, window{slot: w / slots})
+	}
+	t.series[key] = s
+	return s
+}
+
+// Count is the requests of one window.
+type Count struct {
+	Good uint64 `json:"good"`
+	Bad  uint64 `json:"bad"`
+}
+
+// Sample is the state of one series at one time.
+type Sample struct {
+	Key       Key
+	Counts    []Count // by window
+	Histogram *hdrhistogram.Histogram
+}
+
+// Samples returns every series.
+func (t *Tracker) Samples(now time.Time) []Sample {
+	out := make([]Sample, 0, len(t.series))
+	for key, s := range t.series {
+		sample := Sample{Key: key, Histogram: s.histogram}
+		for i := range s.windows {
+			good, bad := s.windows[i].sum(now)
+			sample.Counts = append(sample.Counts, Count{Good: good, Bad: bad})
+		}
+		out = append(out, sample)
+	}
+	return out
+}
+
+// Rate returns how many times faster than allowed the error budget of an
+// objective, in percent, is used up. 1 uses it up exactly over its period.
+func Rate(c Count, objectivePercent float64) float64 {
+	total := c.Good + c.Bad
+	if total == 0 || objectivePercent <= 0 || objectivePercent >= 100 {
+		return 0
+	}
+	return float64(c.Bad) / float64(total) / (1 - objectivePercent/100)
+}
--- a/internal/core/router/requests.go
+++ b/internal/core/router/requests.go
@@ -33,9 +33,10 @@
 }
 
 // check refuses what can't or must not go on. Retries are checked against their
-// budgets here; new work also against this router's own state.
+// budgets here; new work also against this router's own state. A router that is
+// stopping still serves: the balancer keeps sending for a while.
 func (c *Core) check(ev Arrived) (code.Code, bool) {
-	if !ev.Retry && c.readySent && !c.ready.Ready {
+	if !ev.Retry && c.readySent && !c.ready.Ready && c.ready.Reason != code.ShuttingDown {
 		return c.ready.Reason, true
 	}
 	if _, ok := c.table.Pool(ev.Pool); !ok {
--- a/internal/daemon/router.go
+++ b/internal/daemon/router.go
@@ -59,16 +59,17 @@
 	)
 	targets := target.New(target.DefaultSettings())
 	r.traffic = router.NewTraffic(r.control, targets, log, time.Now, s.Limits.StreamSilence.Std())
+	burn := router.NewBurn(r.control, s.ID, log, time.Now)
 	claims := router.NewClaims(store, r.control, s.ID, incarnation, log, time.Now)
 	caller := callerhttp.New(callerhttp.Settings{
 		MaxBodyBytes: s.Limits.MaxBodyBytes, DefaultDeadline: s.Limits.DefaultDeadline.Std(),
-	}, r.control, r.traffic, claims, r.requests, log, time.Now)
+	}, r.control, r.traffic, claims, observers{r.requests, burn}, log, time.Now)
 	r.callers = &http.Server{
 		Handler: caller.Handler(), MaxHeaderBytes: s.Limits.MaxHeaderBytes,
 		ReadTimeout: s.Limits.ReadTimeout.Std(), ReadHeaderTimeout: s.Limits.ReadTimeout.Std(),
 	}
 	peerMux := http.NewServeMux()
-	peerMux.Handle(peer.NewHandler(r.control))
+	peerMux.Handle(peer.NewHandler(burn))
 	r.peers = &http.Server{Handler: peerMux, Protocols: peer.Protocols()}
 	r.admin = &http.Server{Handler: r.adminHandler()}
 	if err := r.listen(); err != nil {
@@ -80,6 +81,16 @@
 	return r, nil
 }
 
+// observers tells several observers of each request.
+type observers []callerhttp.Observer
+
+// Observe tells every observer how a request ended.
+func (o observers) Observe(req router.Request, result router.Result) {
+	for _, one := range o {
+		one.Observe(req, result)
+	}
+}
+
 func coreSettings(s settings.Router, incarnation uint64) core.Settings {
 	ids := make([]uint32, len(s.Peers))
 	for i, p := range s.Peers {
@@ -152,6 +163,9 @@
 func (r *Router) Shutdown(ctx context.Context) {
 	r.log.Info().Msg("shutdown begins")
 	r.control.Leave()
+	// Callers' idle connections end one by one with their next answer. Closed all
+	// at once, some would be closed while a request is on its way to them.
+	r.callers.SetKeepAlivesEnabled(false)
 	sleep(ctx, r.settings.Shutdown.BalancerLag.Std())
 	graceful, cancel := context.WithTimeout(ctx, r.settings.Shutdown.Grace.Std())
 	defer cancel()
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -9,7 +9,9 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
+	"net/url"
 	"strings"
 	"sync"
 	"time"
@@ -46,6 +48,7 @@
 	Unknown   int `json:"unknown"`   // service calls answered as outcome unknown
 	Services  int `json:"services"`  // service calls answered
 	Repeated  int `json:"repeated"`  // tries beyond the first, by the caller
+	Broken    int `json:"broken"`    // of these, after a connection broke under a request
 	Reusable  int `json:"reusable"`  // prompt tokens that chats had built before
 	Cached    int `json:"cached"`    // of these, served from cache
 	OverBound int `json:"overBound"` // samples in which an engine was above the bound
@@ -182,12 +185,28 @@
 			d.count(func(r *Report) { r.Unknown++ })
 			return
 		}
-		d.count(func(r *Report) { r.Repeated++ })
+		d.count(func(r *Report) {
+			r.Repeated++
+			if broke(err) {
+				r.Broken++
+			}
+		})
 		pause(ctx, time.Duration(n+1)*100*time.Millisecond)
 	}
 	d.count(func(r *Report) { r.Lost++ })
 }
 
+// broke reports whether a request was cut off: its connection broke or its stream
+// ended without an end marker. A connection that is refused never carried one.
+func broke(err error) bool {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return false
+	}
+	var transport *url.Error
+	return errors.As(err, &transport) || errors.Is(err, wire.ErrCut)
+}
+
 func (d *driver) complete(ctx context.Context, router, team, chat, prompt string, tokens int, body []byte) error {
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, router+"/v1/chat/completions", bytes.NewReader(body))
 	if err != nil {
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -53,11 +53,12 @@
   for _ in $(seq 200); do "$@" >/dev/null 2>&1 && return 0; sleep 0.05; done
   echo "gave up waiting for $what" >&2; tail -n 3 "$work"/*.log >&2; return 1
 }
-wait_for "a controller" curl -fs http://127.0.0.1:7401/livez
+get() { "$bin/hemlockdyke-bench" get "$@"; }
+get http://127.0.0.1:7401/livez >/dev/null
 
 echo "== apply"
 ctl apply -f examples/demo.yaml
-for i in 1 2 3; do wait_for "router $i" curl -fs "http://127.0.0.1:710$i/readyz"; done
+for i in 1 2 3; do get "http://127.0.0.1:710$i/readyz" >/dev/null; done
 
 echo "== load, with a router killed and an engine drained under way"
 load() {
@@ -88,7 +89,9 @@
 ctl describe plannedchange "$drain"
 
 echo "== routers"
-for i in 1 3; do curl -fs "http://127.0.0.1:730$i/status"; done
+for i in 1 3; do get "http://127.0.0.1:730$i/status"; done
 ctl describe pool drafting
+echo "== service-level burn"
+ctl report burn
 if [ "$outcome" -ne 0 ]; then echo "demo failed: see the report above" >&2; fi
 exit "$outcome"
