Ghosts are settled at once after a router dies

Cause: after a kill, pools stood nearly still for a second or more: the dead router's tickets became ghosts that held places, and a target's report settled nothing within 300 ms of a grant, which in a busy pool is always. Ruled out: the fair queue (the backlog was the bound's) and patience (300 ms). Change: a report is compared with the tickets that are old enough to be in it, and targets are asked as soon as a router is dropped instead of up to half a second later.

--- a/internal/core/ledger/ledger.go
+++ b/internal/core/ledger/ledger.go
@@ -360,7 +360,7 @@
 	l.open(f, it.ID, ticket{target: uid, team: it.Team})
 	t := l.target(uid)
 	t.granted++
-	t.lastGrant = now
+	t.recent = append(t.recent[t.staleGrants(now):], now)
 	l.memory.put(it.Chat, uid)
 	return &peerv1.Grant{Id: it.ID, Target: uid}
 }
@@ -569,17 +569,14 @@
 
 // Report takes in a target's own count of open requests, taken at a time. It
 // settles the target's older ghosts: as many as the report shows beyond the
-// tickets are real and count in full, the others are gone. A report soon after a
-// grant settles nothing: the granted request may not have arrived, and would be
-// missing from the count in a real ghost's place.
+// tickets are real and count in full, the others are gone. Tickets granted a
+// moment ago may not have arrived at the target; taken for counted, they would
+// fill a real ghost's place, so they are left out.
 func (l *Ledger) Report(uid uint64, open int, taken time.Time) []Delivery {
 	t := l.target(uid)
 	t.reported = open
-	if taken.Sub(t.lastGrant) < reportSettles {
-		return nil
-	}
 	settles := func(g ghost) bool { return g.target == uid && !g.moved && g.since.Before(taken) }
-	extra := open - t.open
+	extra := open - (t.open - t.grantedSince(taken.Add(-reportSettles)))
 	l.dropGhosts(func(g ghost) bool {
 		if !settles(g) {
 			return false
--- a/internal/core/ledger/target.go
+++ b/internal/core/ledger/target.go
@@ -15,7 +15,7 @@
 	reported int // the target's own count, lagging
 	granted  int // grants by this owner since it started
 
-	lastGrant time.Time
+	recent []time.Time // grants of the last moments, oldest first
 
 	failures  int // in a row
 	flaps     int // suspensions since the last long run of successes
@@ -26,6 +26,20 @@
 
 func (t *target) held() int { return t.open + t.ghosts }
 
+// staleGrants returns how many of the recent grants are no longer recent.
+func (t *target) staleGrants(now time.Time) int {
+	return len(t.recent) - t.grantedSince(now.Add(-reportSettles))
+}
+
+// grantedSince counts the recent grants after a time.
+func (t *target) grantedSince(since time.Time) int {
+	n := 0
+	for i := len(t.recent) - 1; i >= 0 && t.recent[i].After(since); i-- {
+		n++
+	}
+	return n
+}
+
 // suspendAfter failures in a row a target gets no new work for a while.
 const suspendAfter = 3
 
--- a/internal/core/router/core.go
+++ b/internal/core/router/core.go
@@ -227,6 +227,7 @@
 	for _, id := range l.Silent(now.Add(-c.settings.SuspectAfter)) {
 		if !c.members.Alive(now, id) {
 			c.deliver(now, pool, l.Depart(now, id, false))
+			c.nextProbe = now // its ghosts hold places until the targets report
 		}
 	}
 }
--- a/internal/core/router/peers.go
+++ b/internal/core/router/peers.go
@@ -81,6 +81,7 @@
 		for _, name := range c.ledgerNames() {
 			if c.ledgers[name].Incarnation(id) < c.members.Incarnation(id) {
 				c.deliver(now, name, c.ledgers[name].Depart(now, id, false))
+				c.nextProbe = now
 			}
 		}
 	}
