A new owner learns from its followers; failed messages are paced

Cause: two new scenarios, "takeover" (the pool's owner is killed every 25 s) and "outage" (half the engines away for two minutes), showed what a kill costs.

They now wait 250 ms with jitter. - Exchanges that fail at once are tried again after 50 ms, so that a dead owner is left in 0.1 s instead of 0.5 s. - Suspensions of failing targets end at 15 s instead of a minute.

--- a/internal/core/ledger/ledger.go
+++ b/internal/core/ledger/ledger.go
@@ -211,6 +211,10 @@
 	if req.GetHasInventory() {
 		l.reconcile(f, req)
 	}
+	for _, p := range req.GetPlacements() {
+		at := now.Add(-time.Duration(p.GetAgeSeconds()) * time.Second)
+		l.memory.put(p.GetChat(), visit{target: p.GetTarget(), at: at})
+	}
 	for _, r := range req.GetReleases() {
 		l.release(now, req.GetRouter(), f, r)
 	}
@@ -361,7 +365,7 @@
 	t := l.target(uid)
 	t.granted++
 	t.recent = append(t.recent[t.staleGrants(now):], now)
-	l.memory.put(it.Chat, uid)
+	l.memory.put(it.Chat, visit{target: uid, at: now})
 	return &peerv1.Grant{Id: it.ID, Target: uid}
 }
 
--- a/internal/core/ledger/memory.go
+++ b/internal/core/ledger/memory.go
@@ -5,9 +5,35 @@
 	"time"
 )
 
+// visit is a chat's stay at a target.
+type visit struct {
+	target uint64
+	at     time.Time
+}
+
 // history is where a chat ran last and before that, most recent first. The target
 // before still holds all but the chat's latest turns.
-type history [2]uint64
+type history [2]visit
+
+// add puts a visit into its place by time.
+func (h history) add(v visit) history {
+	switch {
+	case v.target == h[0].target:
+		h[0].at = later(v.at, h[0].at)
+	case v.at.After(h[0].at):
+		h[1], h[0] = h[0], v
+	case v.target != h[1].target && v.at.After(h[1].at):
+		h[1] = v
+	}
+	return h
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
 
 // memory remembers where chats ran. Two generations approximate
 // least-recently-used order at the cost of two plain maps.
@@ -28,18 +54,15 @@
 	return h, ok
 }
 
-func (m *memory) put(chat, uid uint64) {
+func (m *memory) put(chat uint64, v visit) {
 	if m.size == 0 || chat == 0 {
 		return
 	}
 	h, _ := m.get(chat)
-	if h[0] != uid {
-		h = history{uid, h[0]}
-	}
 	if len(m.young) >= m.size {
 		m.older, m.young = m.young, make(map[uint64]history)
 	}
-	m.young[chat] = h
+	m.young[chat] = h.add(v)
 }
 
 // rate is an exponentially weighted rate of events.
--- a/internal/core/ledger/target.go
+++ b/internal/core/ledger/target.go
@@ -47,7 +47,7 @@
 // chat that moves back to it too early.
 const (
 	suspendBase = time.Second
-	suspendMax  = time.Minute
+	suspendMax  = 15 * time.Second
 	// forgiveAfter successes in a row the flaps are forgotten.
 	forgiveAfter = 200
 )
@@ -93,9 +93,9 @@
 	limit := l.limit(now, it.Priority)
 	past, returning := l.memory.get(it.Chat)
 	if returning {
-		for _, uid := range past {
-			if l.fits(now, uid, limit, it) {
-				return uid, true
+		for _, v := range past {
+			if l.fits(now, v.target, limit, it) {
+				return v.target, true
 			}
 		}
 		return l.leastLoaded(now, limit, it)
@@ -126,11 +126,11 @@
 	}
 	limit := l.limit(now, it.Priority)
 	usable := false
-	for _, uid := range past {
-		if l.fits(now, uid, limit, it) {
+	for _, v := range past {
+		if l.fits(now, v.target, limit, it) {
 			return false
 		}
-		usable = usable || l.usable(now, uid, it)
+		usable = usable || l.usable(now, v.target, it)
 	}
 	return usable
 }
--- a/internal/core/router/core.go
+++ b/internal/core/router/core.go
@@ -82,9 +82,16 @@
 	ready      Ready
 	readySent  bool
 
+	repeats []repeated
 	actions []Action
 }
 
+// repeated is a failed message that is to be sent again.
+type repeated struct {
+	due  time.Time
+	send Send
+}
+
 // New returns a Core that has no configuration yet.
 func New(now time.Time, s Settings) *Core {
 	rnd := rand.New(rand.NewPCG(s.Seed, uint64(s.Self)))
@@ -209,6 +216,7 @@
 		c.emit(ReadStore{After: c.config.Revision()})
 	}
 	c.expire(now)
+	c.sendRepeats(now)
 	c.followOwners(now)
 	for _, name := range c.ledgerNames() {
 		c.dropSilent(now, name)
--- a/internal/core/router/peers.go
+++ b/internal/core/router/peers.go
@@ -61,7 +61,7 @@
 	if m.GetIncarnation() != c.settings.Incarnation {
 		return nil, code.New(code.OldIncarnation, "grants are for incarnation %d", m.GetIncarnation())
 	}
-	c.granted(now, m.GetPool(), c.client(m.GetPool()).Delivered(m.GetOwner(), m.GetGrants()))
+	c.granted(now, m.GetPool(), c.client(m.GetPool()).Delivered(now, m.GetOwner(), m.GetGrants()))
 	return &peerv1.DeliverResponse{}, nil
 }
 
@@ -96,7 +96,9 @@
 			return
 		}
 		if resp, ok := ev.Reply.(*peerv1.ExchangeResponse); ok && resp != nil {
-			c.granted(now, req.GetPool(), c.client(req.GetPool()).Replied(ev.To, resp))
+			c.granted(now, req.GetPool(), c.client(req.GetPool()).Replied(now, ev.To, resp))
+		} else {
+			c.client(req.GetPool()).Unanswered(now, ev.To, req.GetSequence())
 		}
 	case *peerv1.DeliverRequest:
 		if ev.Reply == nil {
@@ -120,7 +122,7 @@
 func (c *Core) repeatUnfollow(now time.Time, ev CallOut) {
 	req, ok := ev.Request.(*peerv1.ExchangeRequest)
 	if ok && ev.Reply == nil && c.client(req.GetPool()).Owner() != ev.To && c.members.Alive(now, ev.To) {
-		c.emit(Send{To: ev.To, Message: req})
+		c.repeat(now, Send{To: ev.To, Message: req})
 	}
 }
 
@@ -130,6 +132,30 @@
 func (c *Core) redeliver(now time.Time, to uint32, req *peerv1.DeliverRequest) {
 	l, ok := c.ledgers[req.GetPool()]
 	if ok && l.Incarnation(to) == req.GetIncarnation() && c.members.Alive(now, to) {
-		c.emit(Send{To: to, Message: req})
+		c.repeat(now, Send{To: to, Message: req})
 	}
 }
+
+// repeatPause is the pause before a failed message is sent again.
+const repeatPause = 250 * time.Millisecond
+
+// repeat sends a message again after a pause. Without one, a dead peer that
+// refuses connections would be called thousands of times until it is suspected.
+func (c *Core) repeat(now time.Time, s Send) {
+	c.repeats = append(c.repeats, repeated{due: now.Add(c.jittered(repeatPause)), send: s})
+}
+
+// sendRepeats sends the messages that are due again, unless nobody needs them
+// any more.
+func (c *Core) sendRepeats(now time.Time) {
+	kept := c.repeats[:0]
+	for _, r := range c.repeats {
+		switch {
+		case r.due.After(now):
+			kept = append(kept, r)
+		case c.members.Alive(now, r.send.To):
+			c.emit(r.send)
+		}
+	}
+	c.repeats = kept
+}
--- a/internal/core/router/requests.go
+++ b/internal/core/router/requests.go
@@ -196,7 +196,7 @@
 	if err != nil {
 		return false
 	}
-	c.granted(now, pool, c.clients[pool].Replied(c.settings.Self, resp))
+	c.granted(now, pool, c.clients[pool].Replied(now, c.settings.Self, resp))
 	c.deliver(now, pool, deliveries)
 	return true
 }
@@ -291,7 +291,7 @@
 	var order []uint32
 	for _, d := range deliveries {
 		if d.Router == c.settings.Self {
-			c.granted(now, pool, c.client(pool).Delivered(c.settings.Self, []*peerv1.Grant{d.Grant}))
+			c.granted(now, pool, c.client(pool).Delivered(now, c.settings.Self, []*peerv1.Grant{d.Grant}))
 			continue
 		}
 		m, ok := byRouter[d.Router]
--- a/internal/core/ticket/ticket.go
+++ b/internal/core/ticket/ticket.go
@@ -19,6 +19,8 @@
 const (
 	retransmitAfter = 250 * time.Millisecond
 	failAfter       = 2
+	// failedPause is the pause after a send that failed instead of going unanswered.
+	failedPause = 50 * time.Millisecond
 )
 
 type openTicket struct {
@@ -46,6 +48,8 @@
 	open     map[uint64]openTicket
 	releases []*peerv1.Release
 	deadline map[uint64]time.Time
+
+	placements placements
 }
 
 // New returns a Client without an owner.
@@ -56,6 +60,8 @@
 		unsent:   make(map[uint64]bool),
 		open:     make(map[uint64]openTicket),
 		deadline: make(map[uint64]time.Time),
+
+		placements: newPlacements(),
 	}
 }
 
@@ -88,6 +94,7 @@
 	c.inFlight = nil
 	c.unreplied = 0
 	c.releases = nil
+	c.placements.resend()
 	for id := range c.asks {
 		c.unsent[id] = true
 	}
@@ -135,7 +142,7 @@
 		c.sentAt = now
 		return c.inFlight
 	}
-	if c.known && len(c.unsent) == 0 && len(c.releases) == 0 {
+	if c.known && len(c.unsent) == 0 && len(c.releases) == 0 && !c.placements.pending() {
 		return nil
 	}
 	c.inFlight = c.build(now)
@@ -147,7 +154,7 @@
 	c.sequence++
 	req := &peerv1.ExchangeRequest{
 		Protocol: Protocol, Pool: c.pool, Router: c.self, Incarnation: c.incarnation,
-		Sequence: c.sequence, Releases: c.releases,
+		Sequence: c.sequence, Releases: c.releases, Placements: c.placements.next(now),
 	}
 	c.releases = nil
 	for _, id := range sortedKeys(c.unsent) {
@@ -178,9 +185,17 @@
 	return keys
 }
 
+// Unanswered takes the news that a call to the owner failed. A refused connection
+// fails at once, so the next try need not wait for the whole retransmit time.
+func (c *Client) Unanswered(now time.Time, from uint32, sequence uint64) {
+	if from == c.owner && c.inFlight != nil && c.inFlight.GetSequence() == sequence {
+		c.sentAt = now.Add(failedPause - retransmitAfter)
+	}
+}
+
 // Replied takes in the owner's reply and returns its grants. A reply to anything
 // but the exchange under way is late and changes nothing.
-func (c *Client) Replied(from uint32, resp *peerv1.ExchangeResponse) []*peerv1.Grant {
+func (c *Client) Replied(now time.Time, from uint32, resp *peerv1.ExchangeResponse) []*peerv1.Grant {
 	if from != c.owner || c.inFlight == nil || resp.GetSequence() != c.inFlight.GetSequence() {
 		return nil
 	}
@@ -192,20 +207,20 @@
 		return nil
 	}
 	c.known = c.known || hadInventory
-	return c.take(resp.GetGrants())
+	return c.take(now, resp.GetGrants())
 }
 
 // Delivered takes in grants of asks that had to wait at the owner.
-func (c *Client) Delivered(from uint32, grants []*peerv1.Grant) []*peerv1.Grant {
+func (c *Client) Delivered(now time.Time, from uint32, grants []*peerv1.Grant) []*peerv1.Grant {
 	if from != c.owner {
 		return nil
 	}
-	return c.take(grants)
+	return c.take(now, grants)
 }
 
 // take records grants. One whose ask is gone was withdrawn meanwhile: its ticket
 // goes back, or the owner would count it for ever.
-func (c *Client) take(grants []*peerv1.Grant) []*peerv1.Grant {
+func (c *Client) take(now time.Time, grants []*peerv1.Grant) []*peerv1.Grant {
 	var out []*peerv1.Grant
 	for _, g := range grants {
 		a, ok := c.asks[g.GetId()]
@@ -218,6 +233,7 @@
 		c.drop(g.GetId())
 		if g.GetTarget() != 0 {
 			c.open[g.GetId()] = openTicket{target: g.GetTarget(), team: a.GetTeam()}
+			c.placements.put(a.GetChat(), g.GetTarget(), now)
 		}
 		out = append(out, g)
 	}
--- a/internal/core/ticket/ticket_test.go
+++ b/internal/core/ticket/ticket_test.go
@@ -17,7 +17,7 @@
 	c := ticket.New("p", 9, 1)
 	c.Follow(owner)
 	req := c.Next(now)
-	c.Replied(owner, &peerv1.ExchangeResponse{Sequence: req.GetSequence()})
+	c.Replied(now, owner, &peerv1.ExchangeResponse{Sequence: req.GetSequence()})
 	return c
 }
 
@@ -33,7 +33,7 @@
 		ask(c, 1)
 		req := c.Next(now)
 		c.Release(1, peerv1.Outcome_OUTCOME_UNUSED)
-		got := c.Replied(1, &peerv1.ExchangeResponse{Sequence: req.GetSequence(), Grants: grant(1, 100)})
+		got := c.Replied(now, 1, &peerv1.ExchangeResponse{Sequence: req.GetSequence(), Grants: grant(1, 100)})
 		Expect(got).To(BeEmpty())
 		ids := []uint64{}
 		for _, r := range c.Next(now).GetReleases() {
@@ -50,8 +50,8 @@
 		ask(c, 1)
 		req := c.Next(now)
 		c.Follow(2)
-		Expect(c.Replied(1, &peerv1.ExchangeResponse{Sequence: req.GetSequence(), Grants: grant(1, 100)})).To(BeEmpty())
-		Expect(c.Delivered(1, grant(1, 100))).To(BeEmpty())
+		Expect(c.Replied(now, 1, &peerv1.ExchangeResponse{Sequence: req.GetSequence(), Grants: grant(1, 100)})).To(BeEmpty())
+		Expect(c.Delivered(now, 1, grant(1, 100))).To(BeEmpty())
 		Expect(c.Waiting()).To(Equal(1))
 	})
 
@@ -61,7 +61,7 @@
 		c := following(1)
 		ask(c, 1)
 		req := c.Next(now)
-		c.Replied(1, &peerv1.ExchangeResponse{Sequence: req.GetSequence(), Grants: grant(1, 100)})
+		c.Replied(now, 1, &peerv1.ExchangeResponse{Sequence: req.GetSequence(), Grants: grant(1, 100)})
 		ask(c, 2)
 		c.Next(now)
 		c.Follow(2)
@@ -99,7 +99,7 @@
 		ask(c, 2)
 		ask(c, 3)
 		Expect(c.Next(now)).To(BeNil())
-		c.Replied(1, &peerv1.ExchangeResponse{Sequence: req.GetSequence(), Grants: grant(1, 100)})
+		c.Replied(now, 1, &peerv1.ExchangeResponse{Sequence: req.GetSequence(), Grants: grant(1, 100)})
 		Expect(c.Next(now).GetAsks()).To(HaveLen(2))
 	})
 })
--- a/internal/experiment/engine.go
+++ b/internal/experiment/engine.go
@@ -95,6 +95,26 @@
 	r.done(true)
 }
 
+// cancel drops a request whose connection has closed.
+func (e *engine) cancel(r *request) {
+	if !e.open[r] {
+		return
+	}
+	delete(e.open, r)
+	for i, waiting := range e.queue {
+		if waiting == r {
+			e.queue = append(e.queue[:i], e.queue[i+1:]...)
+			return
+		}
+	}
+	e.run--
+	if len(e.queue) > 0 {
+		next := e.queue[0]
+		e.queue = e.queue[1:]
+		e.start(next)
+	}
+}
+
 // crash fails every open request and forgets the cache.
 func (e *engine) crash() {
 	open := e.sim.inOrder(e.open)
--- a/internal/experiment/fleet.go
+++ b/internal/experiment/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"sort"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -35,6 +36,9 @@
 	nextID   uint64
 	revision uint64
 	specs    map[string]string // last spec of each resource, by name
+	placed   map[askKey]uint64 // engine of each request that runs
+	changes  []resource.Change
+	newCore  func(i int) *core.Core
 }
 
 type askKey struct {
@@ -46,6 +50,7 @@
 	f := &fleet{
 		sim: s, net: fakenet.New(s.clock, s.delay), requests: make(map[askKey]*request),
 		granted: make(map[askKey]uint64), specs: make(map[string]string),
+		placed: make(map[askKey]uint64),
 	}
 	f.net.Hooks = fakenet.Hooks{
 		Grant: f.onGrant, Refuse: f.onRefuse, Send: f.onSend, Respond: f.onRespond,
@@ -55,16 +60,66 @@
 	for i := range ids {
 		ids[i] = uint32(i + 1)
 	}
-	for i := range ids {
+	starts := uint64(0)
+	f.newCore = func(i int) *core.Core {
+		starts++
 		settings := core.DefaultSettings(ids[i], ids)
-		settings.Seed = seed
+		settings.Seed, settings.Incarnation = seed, starts
 		tweak(&settings)
-		f.net.Add(core.New(s.clock.Now(), settings), core.TickInterval)
+		return core.New(s.clock.Now(), settings)
+	}
+	for i := range ids {
+		f.net.Add(f.newCore(i), core.TickInterval)
 		f.net.Step(i, core.StoreRead{})
 	}
+	if s.scenario.KillOwnerEvery > 0 {
+		f.killOwners()
+	}
 	return f
 }
 
+// restartAfter is how long a killed router stays away.
+const restartAfter = 8 * time.Second
+
+// killOwners kills the pool's owner again and again and restarts it.
+func (f *fleet) killOwners() {
+	f.sim.clock.After(f.sim.scenario.KillOwnerEvery, func() {
+		ids := make([]uint32, f.net.Nodes())
+		for i := range ids {
+			ids[i] = uint32(i + 1)
+		}
+		owner, _ := rendezvous.First(rendezvous.Hash(poolName), ids)
+		f.kill(int(owner) - 1)
+		f.sim.clock.After(restartAfter, func() { f.net.Restart(int(owner)-1, f.newCore(int(owner)-1)) })
+		f.killOwners()
+	})
+}
+
+// kill ends a router; the callers of its requests ask again through others.
+func (f *fleet) kill(router int) {
+	f.net.Kill(router)
+	var keys []askKey
+	for key := range f.requests {
+		if key.router == router {
+			keys = append(keys, key)
+		}
+	}
+	sort.Slice(keys, func(i, j int) bool { return keys[i].id < keys[j].id })
+	for _, key := range keys {
+		r := f.requests[key]
+		if uid := f.granted[key]; uid != 0 {
+			f.sim.measure.ended(uid - firstTargetUID)
+		}
+		if uid, ok := f.placed[key]; ok {
+			f.sim.engines[uid].cancel(r)
+		}
+		f.granted[key] = 0
+		delete(f.requests, key)
+		delete(f.placed, key)
+		f.arrive(r)
+	}
+}
+
 // delay is the one-way delay between two places.
 func (s *simulation) delay(a, b int) time.Duration {
 	if a%s.scenario.DataCentres == b%s.scenario.DataCentres {
@@ -88,6 +143,7 @@
 			Pool: poolName, Address: "127.0.0.1:1", Leaving: e.leaving,
 		})
 	}
+	f.changes = append(f.changes, change)
 	push := &peerv1.PushRequest{Protocol: ticket.Protocol, Changes: core.ToWire([]resource.Change{change})}
 	for i := range f.net.Nodes() {
 		f.net.Deliver(0, i, push, func(core.Respond) {})
@@ -106,7 +162,14 @@
 	})
 }
 
-func (f *fleet) arrive(r *request) { f.ask(r, nil, false) }
+// arrive hands a request to its router, or to the next one that is up, as the
+// balancer would.
+func (f *fleet) arrive(r *request) {
+	for !f.net.Up(r.router) {
+		r.router = (r.router + 1) % f.net.Nodes()
+	}
+	f.ask(r, nil, false)
+}
 
 func (f *fleet) ask(r *request, excluded []uint64, retry bool) {
 	f.nextID++
@@ -117,9 +180,13 @@
 	})
 }
 
-// onReadStore: the store is up and holds nothing that the pushes do not bring.
-func (f *fleet) onReadStore(router int, _ core.ReadStore) {
-	f.sim.clock.After(f.sim.scenario.OneWay, func() { f.net.Step(router, core.StoreRead{}) })
+// onReadStore answers from the accepted changes.
+func (f *fleet) onReadStore(router int, a core.ReadStore) {
+	read := core.StoreRead{}
+	if a.After < uint64(len(f.changes)) {
+		read.Changes = f.changes[a.After:]
+	}
+	f.sim.clock.After(f.sim.scenario.OneWay, func() { f.net.Step(router, read) })
 }
 
 func (f *fleet) onProbe(router int, a core.Probe) {
@@ -168,6 +235,7 @@
 	key := askKey{router, a.ID}
 	f.countGrants(router, []*peerv1.Grant{{Id: a.ID, Target: a.Target.UID}})
 	r := f.requests[key]
+	f.placed[key] = a.Target.UID - firstTargetUID
 	f.sim.engines[a.Target.UID-firstTargetUID].submit(r, func(ok bool) { f.ended(key, r, a.Target.UID, ok) })
 }
 
@@ -184,6 +252,10 @@
 }
 
 func (f *fleet) ended(key askKey, r *request, uid uint64, ok bool) {
+	if f.requests[key] != r {
+		return // its router was killed
+	}
+	delete(f.placed, key)
 	f.sim.measure.ended(uid - firstTargetUID)
 	delete(f.requests, key)
 	outcome := peerv1.Outcome_OUTCOME_DONE
--- a/internal/experiment/scenario.go
+++ b/internal/experiment/scenario.go
@@ -29,8 +29,12 @@
 	SurgeRate          float64
 	SurgeFrom, SurgeTo time.Duration
 	// Churn lets engines join, leave and flap.
-	Churn    bool
-	Duration time.Duration
+	Churn bool
+	// Outage takes half of the engines away from OutageFrom to OutageTo.
+	OutageFrom, OutageTo time.Duration
+	// KillOwnerEvery kills the router that owns the pool and restarts it later.
+	KillOwnerEvery time.Duration
+	Duration       time.Duration
 }
 
 // Scenarios returns the named scenarios.
@@ -48,7 +52,12 @@
 	perth.Rate, perth.UrgentShare, perth.SurgeRate = 22, 0.1, 40
 	churn := amman
 	churn.Name, churn.Churn = "churn", true
-	all := []Scenario{amman, perth, churn}
+	outage := amman
+	outage.Name, outage.SurgeRate = "outage", 0
+	outage.OutageFrom, outage.OutageTo, outage.Duration = 30*time.Second, 150*time.Second, 200*time.Second
+	takeover := amman
+	takeover.Name, takeover.SurgeRate, takeover.KillOwnerEvery = "takeover", 0, 25*time.Second
+	all := []Scenario{amman, perth, churn, outage, takeover}
 	for i := range all {
 		all[i].CacheTokens = all[i].cacheForTwoThirds()
 	}
--- a/internal/experiment/simulation.go
+++ b/internal/experiment/simulation.go
@@ -95,6 +95,9 @@
 	if s.scenario.Churn {
 		s.churn()
 	}
+	if s.scenario.OutageTo > 0 {
+		s.outage()
+	}
 	s.measure.sample()
 	s.clock.Run(s.scenario.Duration)
 }
@@ -170,6 +173,15 @@
 	r.chat.busy = false
 }
 
+// outage takes every second engine away for a while.
+func (s *simulation) outage() {
+	for uid := uint64(1); uid <= uint64(s.scenario.Engines); uid += 2 {
+		e := s.engines[uid]
+		s.clock.After(s.scenario.OutageFrom, e.crash)
+		s.clock.After(s.scenario.OutageTo, func() { e.up = true })
+	}
+}
+
 // churn changes the engines: two join, two leave, one flaps.
 func (s *simulation) churn() {
 	change := func(at time.Duration, do func()) {
