A wider margin, and half the time for a grant among many targets

A grant and its release with their messages took 10.6 us among 373 targets, most of it map look-ups for the mean. Targets are now held in the pool's order as well: 5.0 us; 12 targets 1.34 us before, 0.98 us after.

--- a/internal/core/ledger/ledger.go
+++ b/internal/core/ledger/ledger.go
@@ -57,7 +57,7 @@
 func DefaultSettings(fleetSize int) Settings {
 	return Settings{
 		FleetSize:  fleetSize,
-		MeanMargin: 2,
+		MeanMargin: 4,
 		GhostFor:   5 * time.Second,
 
 		MovedGhostFor: time.Minute,
@@ -126,6 +126,7 @@
 	teams     Teams
 	rand      *rand.Rand
 	targets   map[uint64]*target
+	ordered   []*target // as pool.Targets; spares the map on the way of each ask
 	followers map[uint32]*follower
 	ghosts    []ghost
 	teamOpen  map[uint64]int
@@ -150,10 +151,10 @@
 		memory:    newMemory(s.Memory),
 		created:   now,
 	}
-	l.pool = pool
 	for _, t := range pool.Targets {
 		l.targets[t.UID] = &target{ramped: true}
 	}
+	l.SetPool(pool, teams)
 	return l
 }
 
@@ -163,10 +164,12 @@
 func (l *Ledger) SetPool(pool *routing.Pool, teams Teams) {
 	l.pool = pool
 	l.teams = teams
-	for _, t := range pool.Targets {
+	l.ordered = make([]*target, len(pool.Targets))
+	for i, t := range pool.Targets {
 		if _, ok := l.targets[t.UID]; !ok {
 			l.targets[t.UID] = &target{}
 		}
+		l.ordered[i] = l.targets[t.UID]
 	}
 }
 
@@ -617,11 +620,10 @@
 
 func (l *Ledger) mean(now time.Time) mean {
 	var m mean
-	for i := range l.pool.Targets {
+	for i, t := range l.ordered {
 		if l.pool.Targets[i].Leaving {
 			continue
 		}
-		t := l.target(l.pool.Targets[i].UID)
 		m.targets++
 		m.open += t.open
 		if !t.until.After(now) {
--- a/internal/core/ledger/target.go
+++ b/internal/core/ledger/target.go
@@ -138,10 +138,11 @@
 func (l *Ledger) leastLoaded(now time.Time, limit int, it fairqueue.Item) (uint64, bool) {
 	var best uint64
 	lowest := math.MaxInt
-	for i := range l.pool.Targets {
-		uid := l.pool.Targets[i].UID
-		if held := l.count(now, uid); held < lowest && l.fits(now, uid, limit, it) {
-			best, lowest = uid, held
+	rebuilding := l.rebuilding(now)
+	for i, t := range l.ordered {
+		count := t.count(rebuilding)
+		if count < lowest && l.takes(now, i, it) && count+1 <= t.allowance(limit) {
+			best, lowest = l.pool.Targets[i].UID, count
 		}
 	}
 	return best, lowest < math.MaxInt
@@ -172,12 +173,11 @@
 	}
 }
 
-// count is the upper estimate of a target's open requests. During a rebuild the
+// count is the upper estimate of the target's open requests. During a rebuild the
 // larger of the inventories and the target's own report counts, since
 // inventories of some routers are still missing.
-func (l *Ledger) count(now time.Time, uid uint64) int {
-	t := l.target(uid)
-	if l.rebuilding(now) {
+func (t *target) count(rebuilding bool) int {
+	if rebuilding {
 		return max(t.held(), t.reported+t.granted)
 	}
 	return t.held()
@@ -187,15 +187,26 @@
 	return len(l.followers) < l.settings.FleetSize && now.Sub(l.created) < l.settings.RebuildFor
 }
 
+// fits reports whether an ask may be granted a target below the limit.
 func (l *Ledger) fits(now time.Time, uid uint64, limit int, it fairqueue.Item) bool {
-	return l.usable(now, uid, it) && l.count(now, uid)+1 <= l.target(uid).allowance(limit)
+	i, ok := l.pool.Index(uid)
+	if !ok || !l.takes(now, int(i), it) {
+		return false
+	}
+	t := l.ordered[i]
+	return t.count(l.rebuilding(now))+1 <= t.allowance(limit)
 }
 
 // usable reports whether a target takes new work of an ask.
 func (l *Ledger) usable(now time.Time, uid uint64, it fairqueue.Item) bool {
 	i, ok := l.pool.Index(uid)
-	if !ok || l.pool.Targets[i].Leaving || l.target(uid).until.After(now) {
+	return ok && l.takes(now, int(i), it)
+}
+
+// takes is usable for the target at a position in the pool.
+func (l *Ledger) takes(now time.Time, i int, it fairqueue.Item) bool {
+	if l.pool.Targets[i].Leaving || l.ordered[i].until.After(now) {
 		return false
 	}
-	return !slices.Contains(it.Excluded, uid)
+	return !slices.Contains(it.Excluded, l.pool.Targets[i].UID)
 }
