--- a/internal/core/ledger/ledger.go
+++ b/internal/core/ledger/ledger.go
@@ -584,7 +584,7 @@
 // fill a real ghost's place, so they are left out.
 func (l *Ledger) Report(uid uint64, open int, taken time.Time) []Delivery {
 	t := l.target(uid)
-	t.reported = open
+	t.reported, t.granted = open, t.grantedSince(taken.Add(-reportSettles))
 	settles := func(g ghost) bool { return g.target == uid && !g.moved && g.since.Before(taken) }
 	extra := open - (t.open - t.grantedSince(taken.Add(-reportSettles)))
 	l.dropGhosts(func(g ghost) bool {
--- a/internal/core/ledger/target.go
+++ b/internal/core/ledger/target.go
@@ -13,7 +13,7 @@
 	open     int // tickets of followers
 	ghosts   int // tickets of departed routers
 	reported int // the target's own count, lagging
-	granted  int // grants by this owner since it started
+	granted  int // grants that the reported count may miss
 
 	recent []time.Time // grants of the last moments, oldest first
 
--- a/internal/core/router/core.go
+++ b/internal/core/router/core.go
@@ -137,6 +137,7 @@
 	case Leave:
 		c.leaving = true
 		c.members.Leave()
+		c.announce(now)
 	}
 	c.exchange(now)
 	c.updateReady(now)
@@ -184,6 +185,9 @@
 	if next != c.ready || !c.readySent {
 		c.ready, c.readySent = next, true
 		c.emit(next)
+		if next.Ready {
+			c.announce(now)
+		}
 	}
 }
 
@@ -264,9 +268,16 @@
 	}
 }
 
-func (c *Core) gossip(now time.Time) {
+func (c *Core) gossip(now time.Time) { c.gossipWith(now, c.settings.GossipFanout) }
+
+// announce tells every router at once that this one is ready or is leaving.
+// Spread by gossip the news takes seconds, in which some routers follow one owner
+// and some another, and each owner has only a share of the places.
+func (c *Core) announce(now time.Time) { c.gossipWith(now, c.members.Size()) }
+
+func (c *Core) gossipWith(now time.Time, partners int) {
 	c.members.Beat(now, c.config.Revision())
-	for _, to := range c.members.Partners(c.settings.GossipFanout) {
+	for _, to := range c.members.Partners(partners) {
 		c.emit(Send{To: to, Message: &peerv1.GossipRequest{
 			Protocol: ticket.Protocol, Router: c.settings.Self, Heartbeats: c.members.Heartbeats(),
 		}})
--- a/internal/core/router/requests.go
+++ b/internal/core/router/requests.go
@@ -213,6 +213,7 @@
 	s.ReleaseHold = c.settings.ReleaseHold
 	l := ledger.New(now, s, p, c.table, c.rand)
 	c.ledgers[pool] = l
+	c.nextProbe = now // the targets know what earlier owners granted
 	return l, true
 }
 
