The last unnoticed guard is noticed

Cause: the test of a holder that is paused while it looks at its target let the paused process go on in the middle of its own pause. Change: it stays paused for the whole time.

--- a/internal/app/controller/matrix_test.go
+++ b/internal/app/controller/matrix_test.go
@@ -301,7 +301,7 @@
 var _ = Describe("targets that ignore fencing numbers and expiry", func() {
 	// Symptom: a target does what an old holder ordered. Sequence: the holder is paused
 	// around its order, its lease runs out, the next holder orders, the first wakes.
-	overtaken := func(pause func(w *world, stall func())) {
+	overtaken := func(seconds int, pause func(w *world, stall func())) {
 		w := newWorld(false)
 		for n := 0; w.routers[1] < 2 && n < 60; n++ {
 			w.pass()
@@ -309,7 +309,7 @@
 		stalled := false
 		pause(w, func() {
 			stalled, w.down[0] = true, true
-			for range 6 {
+			for range seconds {
 				w.pass()
 			}
 			w.down[0] = false
@@ -325,18 +325,11 @@
 
 	// Cause: the next holder does not wait for orders that are still under way.
 	It("get no order of an old holder after one of the next, for pauses up to an order's life", func() {
-		overtaken(func(w *world, stall func()) { w.stall = stall })
+		overtaken(6, func(w *world, stall func()) { w.stall = stall })
 	})
 
 	// Cause: the lease is checked before the holder looks at the target, not after.
 	It("get no order of a holder that was paused while it looked at them", func() {
-		overtaken(func(w *world, stall func()) {
-			w.stallObserve = func() {
-				stall()
-				w.pass()
-				w.pass()
-				w.pass()
-			}
-		})
+		overtaken(12, func(w *world, stall func()) { w.stallObserve = stall })
 	})
 })
