--- a/internal/experiment/simulation.go
+++ b/internal/experiment/simulation.go
@@ -35,6 +35,7 @@
 	uid     uint64
 	name    string
 	leaving bool
+	added   time.Time // zero for those there from the start
 }
 
 type simulation struct {
@@ -57,7 +58,7 @@
 	}
 	sim.measure = newMeasure(sim)
 	for i := range s.Engines {
-		sim.addEngine(uint64(i + 1))
+		sim.addEngine(uint64(i+1), time.Time{})
 	}
 	for range s.Chats {
 		sim.chats = append(sim.chats, sim.newChat())
@@ -65,10 +66,10 @@
 	return sim
 }
 
-func (s *simulation) addEngine(uid uint64) {
+func (s *simulation) addEngine(uid uint64, at time.Time) {
 	name := fmt.Sprintf("engine-%d", uid)
 	s.engines[uid] = newEngine(s, name, uid)
-	s.listed = append(s.listed, engineState{uid: uid, name: name})
+	s.listed = append(s.listed, engineState{uid: uid, name: name, added: at})
 }
 
 func (s *simulation) newChat() *chat {
@@ -190,9 +191,9 @@
 			s.policy.configure(append([]engineState(nil), s.listed...))
 		})
 	}
-	change(20*time.Second, func() { s.addEngine(101) })
+	change(20*time.Second, func() { s.addEngine(101, s.clock.Now()) })
 	change(35*time.Second, func() { s.leave(3) })
-	change(50*time.Second, func() { s.addEngine(102) })
+	change(50*time.Second, func() { s.addEngine(102, s.clock.Now()) })
 	change(100*time.Second, func() { s.leave(7) })
 	for i := range 6 {
 		at := 40*time.Second + time.Duration(i)*8*time.Second
