--- a/cmd/hemlockdyke-controller/main.go
+++ b/cmd/hemlockdyke-controller/main.go
@@ -3,11 +3,7 @@
 package main
 
 import (
-	"context"
 	"os"
-	"os/signal"
-	"syscall"
-	"time"
 
 	"github.com/alecthomas/kingpin/v2"
 
@@ -16,9 +12,6 @@
 	"github.com/hemlockdyke/hemlockdyke/internal/settings"
 )
 
-// shutdownGrace bounds the wait for open operator requests.
-const shutdownGrace = 15 * time.Second
-
 func main() {
 	app := kingpin.New("hemlockdyke-controller", "Serves the resource API and carries out planned changes.")
 	path := app.Flag("settings", "Settings file.").Required().String()
@@ -34,15 +27,5 @@
 	log := logging.New(os.Stderr, s.Log.Level, "controller", s.ID)
 	controller, err := daemon.StartController(s, log)
 	app.FatalIfError(err, "start")
-
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
-	select {
-	case <-ctx.Done():
-	case err := <-controller.Failed():
-		log.Error().Err(err).Msg("listener failed")
-	}
-	graceful, cancel := context.WithTimeout(context.Background(), shutdownGrace)
-	defer cancel()
-	controller.Shutdown(graceful)
+	daemon.RunUntilStopped(controller, log)
 }
--- a/cmd/hemlockdyke-router/main.go
+++ b/cmd/hemlockdyke-router/main.go
@@ -2,10 +2,7 @@
 package main
 
 import (
-	"context"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/alecthomas/kingpin/v2"
@@ -30,13 +27,5 @@
 	log := logging.New(os.Stderr, s.Log.Level, "router", s.ID)
 	router, err := daemon.StartRouter(s, uint64(time.Now().UnixNano()), log)
 	app.FatalIfError(err, "start")
-
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
-	select {
-	case <-ctx.Done():
-	case err := <-router.Failed():
-		log.Error().Err(err).Msg("listener failed")
-	}
-	router.Shutdown(context.Background())
+	daemon.RunUntilStopped(router, log)
 }
--- a/internal/adapter/callerhttp/callerhttp.go
+++ b/internal/adapter/callerhttp/callerhttp.go
@@ -187,6 +187,11 @@
 	return h
 }
 
+// callerStall is how long a caller may take no bytes. One whose connection has
+// been forgotten by something in between would hold its place at a target for
+// ever: its writes neither fail nor end.
+const callerStall = 30 * time.Second
+
 func (s *Server) streamChat(w http.ResponseWriter, r *http.Request, req router.Request, model string) {
 	flusher := http.NewResponseController(w)
 	parts := 0
@@ -196,12 +201,15 @@
 			w.Header().Set(wire.HeaderRequest, req.ID)
 			w.WriteHeader(http.StatusOK)
 		}
+		_ = flusher.SetWriteDeadline(s.now().Add(callerStall))
 		if err := wire.WriteEvent(w, wire.NewChunk(req.ID, model, a.Text, parts)); err != nil {
 			return err
 		}
 		parts++
 		return flusher.Flush()
 	})
+	// The connection may carry further requests.
+	_ = flusher.SetWriteDeadline(time.Time{})
 	s.done(req, result)
 	switch {
 	case result.Code == code.OK:
--- a/internal/app/router/control.go
+++ b/internal/app/router/control.go
@@ -53,6 +53,9 @@
 // when it is full: dropping a release would leak a ticket.
 const inboxSize = 1024
 
+// readTimeout bounds one read of the configuration store.
+const readTimeout = 5 * time.Second
+
 // Control owns the core. Its methods are safe for concurrent use.
 type Control struct {
 	core   *core.Core
@@ -61,7 +64,6 @@
 	prober Prober
 	log    zerolog.Logger
 	now    func() time.Time
-	settle time.Duration // timeout of one store read
 
 	inbox   chan inbound
 	table   atomic.Pointer[routing.Table]
@@ -78,7 +80,7 @@
 // NewControl returns a Control that Run has still to start.
 func NewControl(c *core.Core, peers PeerCaller, config ConfigReader, prober Prober, log zerolog.Logger, now func() time.Time) *Control {
 	ctl := &Control{
-		core: c, peers: peers, config: config, prober: prober, log: log, now: now, settle: 5 * time.Second,
+		core: c, peers: peers, config: config, prober: prober, log: log, now: now,
 		inbox:   make(chan inbound, inboxSize),
 		stopped: make(chan struct{}),
 		waiting: make(map[uint64]chan decision),
@@ -191,7 +193,7 @@
 }
 
 func (c *Control) read(ctx context.Context, after uint64) {
-	ctx, cancel := context.WithTimeout(ctx, c.settle)
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 	changes, whole, err := c.config.Since(ctx, after)
 	ev := core.StoreRead{Err: err != nil, Changes: changes}
--- a/internal/app/router/traffic.go
+++ b/internal/app/router/traffic.go
@@ -184,7 +184,10 @@
 		if r.result.FirstPart == 0 {
 			r.result.FirstPart = r.traffic.now().Sub(r.began)
 		}
-		if err := forward(answer); err != nil {
+		err := forward(answer)
+		// The target was not listened to meanwhile: its silence counts from now.
+		r.progress.Reset(r.traffic.silence)
+		if err != nil {
 			r.act(ctx, r.machine.Step(attempt.CallerLeft{}), answer, forward)
 		}
 	case attempt.Ask:
--- a/internal/daemon/controller.go
+++ b/internal/daemon/controller.go
@@ -25,6 +25,8 @@
 	orderTimeout = time.Second
 	// maxOperatorHeader bounds the header of an operator's request.
 	maxOperatorHeader = 16 << 10
+	// shutdownGrace bounds the wait for open operator requests.
+	shutdownGrace = 15 * time.Second
 	// readTimeout bounds reading an operator's request.
 	readTimeout = 15 * time.Second
 )
@@ -80,6 +82,8 @@
 
 // Shutdown finishes open requests, then stops. Leases run out by themselves.
 func (c *Controller) Shutdown(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, shutdownGrace)
+	defer cancel()
 	_ = c.server.Shutdown(ctx)
 	c.stop()
 	c.log.Info().Msg("shutdown complete")
--- a/internal/experiment/measure.go
+++ b/internal/experiment/measure.go
@@ -1,10 +1,10 @@
 package experiment
 
 import (
-	"sort"
 	"time"
 
 	"github.com/hemlockdyke/hemlockdyke/internal/core/fairqueue"
+	"github.com/hemlockdyke/hemlockdyke/internal/stats"
 )
 
 // measure sees the whole fleet, which no router does.
@@ -104,16 +104,6 @@
 	})
 }
 
-// quantile returns the value below which the share q of values lies.
-func quantile(values []float64, q float64) float64 {
-	if len(values) == 0 {
-		return 0
-	}
-	sorted := append([]float64(nil), values...)
-	sort.Float64s(sorted)
-	return sorted[min(int(q*float64(len(sorted))), len(sorted)-1)]
-}
-
 // Result is one line of an experiment.
 type Result struct {
 	Scenario, Policy string
@@ -137,10 +127,10 @@
 	return Result{
 		Scenario: m.sim.scenario.Name, Policy: policyName, Seed: seed,
 		Reuse:   float64(m.reused) / float64(max(m.reusable, 1)),
-		SkewP99: quantile(m.skews, 0.99), SkewMax: quantile(m.skews, 1),
+		SkewP99: stats.Quantile(m.skews, 0.99), SkewMax: stats.Quantile(m.skews, 1),
 		Violations: m.violations, Overshoot: m.overshoot, Grants: m.grants,
 		ControlBytes: m.control / seconds / float64(m.sim.scenario.Routers),
-		UrgentP99:    quantile(m.urgent, 0.99), CalmP99: quantile(m.calm, 0.99),
-		FirstP95: quantile(m.normal, 0.95), Shed: m.shed, Failed: m.failed, Offered: m.offered,
+		UrgentP99:    stats.Quantile(m.urgent, 0.99), CalmP99: stats.Quantile(m.calm, 0.99),
+		FirstP95: stats.Quantile(m.normal, 0.95), Shed: m.shed, Failed: m.failed, Offered: m.offered,
 	}
 }
--- a/internal/experiment/spread.go
+++ b/internal/experiment/spread.go
@@ -13,6 +13,7 @@
 	core "github.com/hemlockdyke/hemlockdyke/internal/core/router"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/ticket"
 	"github.com/hemlockdyke/hemlockdyke/internal/fakenet"
+	"github.com/hemlockdyke/hemlockdyke/internal/stats"
 )
 
 // SpreadSettings describe an experiment with the spread of configuration.
@@ -142,9 +143,9 @@
 	per := func(v float64) float64 { return v / seconds / float64(sp.s.Routers) }
 	r := sp.result
 	r.SpreadSettings = sp.s
-	r.P50 = time.Duration(quantile(sp.times, 0.5))
-	r.P99 = time.Duration(quantile(sp.times, 0.99))
-	r.Max = time.Duration(quantile(sp.times, 1))
+	r.P50 = time.Duration(stats.Quantile(sp.times, 0.5))
+	r.P99 = time.Duration(stats.Quantile(sp.times, 0.99))
+	r.Max = time.Duration(stats.Quantile(sp.times, 1))
 	r.Gossip, r.Push, r.Pull = per(sp.bytes["gossip"]), per(sp.bytes["push"]), per(sp.bytes["pull"])
 	r.Messages = per(float64(sp.messages))
 	r.StoreReads = float64(sp.reads) / seconds
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -19,6 +19,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/hemlockdyke/hemlockdyke/internal/standin/engine"
+	"github.com/hemlockdyke/hemlockdyke/internal/stats"
 	"github.com/hemlockdyke/hemlockdyke/internal/wire"
 )
 
@@ -88,7 +89,7 @@
 		return d.report, err
 	}
 	d.report.Cached = after - before
-	d.report.FirstTokenP95 = percentile(d.first, 0.95)
+	d.report.FirstTokenP95 = stats.Quantile(d.first, 0.95)
 	return d.report, d.countDoubled(ctx)
 }
 
--- a/internal/load/sample.go
+++ b/internal/load/sample.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math"
-	"sort"
 	"time"
 
 	"github.com/hemlockdyke/hemlockdyke/internal/core/resource"
@@ -76,13 +75,3 @@
 	}
 	return total, nil
 }
-
-// percentile returns the value below which the share p of values lies.
-func percentile(values []float64, p float64) float64 {
-	if len(values) == 0 {
-		return 0
-	}
-	sorted := append([]float64(nil), values...)
-	sort.Float64s(sorted)
-	return sorted[min(int(p*float64(len(sorted))), len(sorted)-1)]
-}
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -15,6 +15,7 @@
 	"github.com/gorilla/mux"
 
 	"github.com/hemlockdyke/hemlockdyke/internal/core/rendezvous"
+	"github.com/hemlockdyke/hemlockdyke/internal/standin/fault"
 	"github.com/hemlockdyke/hemlockdyke/internal/wire"
 )
 
@@ -66,8 +67,8 @@
 // Server is one engine. It is safe for concurrent use.
 type Server struct {
 	settings Settings
+	faults   fault.Switch[Faults]
 	mu       sync.Mutex
-	faults   Faults
 	status   Status
 	cache    prefixCache
 	built    map[string]int // prompt tokens ever built for a chat, anywhere here
@@ -89,7 +90,7 @@
 	r.HandleFunc("/v1/chat/completions", s.complete).Methods(http.MethodPost)
 	r.HandleFunc("/status", s.getStatus).Methods(http.MethodGet)
 	r.HandleFunc("/orders", s.order).Methods(http.MethodPost)
-	r.HandleFunc("/faults", s.putFaults).Methods(http.MethodPut)
+	r.Handle("/faults", &s.faults).Methods(http.MethodPut)
 	return r
 }
 
@@ -128,12 +129,10 @@
 // takeFaults returns the faults for one request; a fault that strikes once is
 // switched off by it.
 func (s *Server) takeFaults() Faults {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	f := s.faults
-	s.faults.CutAfter = 0
-	s.faults.CrossOnce = false
-	return f
+	return s.faults.Take(func(f *Faults) {
+		f.CutAfter = 0
+		f.CrossOnce = false
+	})
 }
 
 func (s *Server) enter() {
@@ -212,18 +211,6 @@
 	_ = json.NewEncoder(w).Encode(s.status)
 }
 
-func (s *Server) putFaults(w http.ResponseWriter, r *http.Request) {
-	var f Faults
-	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
-	}
-	s.mu.Lock()
-	s.faults = f
-	s.mu.Unlock()
-	w.WriteHeader(http.StatusNoContent)
-}
-
 func (s *Server) order(w http.ResponseWriter, r *http.Request) {
 	var o Order
 	if err := json.NewDecoder(r.Body).Decode(&o); err != nil {
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -12,6 +12,7 @@
 
 	"github.com/gorilla/mux"
 
+	"github.com/hemlockdyke/hemlockdyke/internal/standin/fault"
 	"github.com/hemlockdyke/hemlockdyke/internal/wire"
 )
 
@@ -25,8 +26,8 @@
 
 // Server is the service; all its instances share the counts. It is safe for concurrent use.
 type Server struct {
+	faults fault.Switch[Faults]
 	mu     sync.Mutex
-	faults Faults
 	runs   map[string]int
 }
 
@@ -36,7 +37,7 @@
 // Handler returns the service's HTTP interface.
 func (s *Server) Handler() http.Handler {
 	r := mux.NewRouter()
-	r.HandleFunc("/faults", s.putFaults).Methods(http.MethodPut)
+	r.Handle("/faults", &s.faults).Methods(http.MethodPut)
 	r.HandleFunc("/runs", s.getRuns).Methods(http.MethodGet)
 	r.PathPrefix("/").HandlerFunc(s.run)
 	return r
@@ -47,9 +48,7 @@
 	if err != nil {
 		return
 	}
-	s.mu.Lock()
-	f := s.faults
-	s.mu.Unlock()
+	f := s.faults.Get()
 	if f.Refuse {
 		w.Header().Set(wire.HeaderNotRun, "true")
 		http.Error(w, "not run", http.StatusServiceUnavailable)
@@ -84,18 +83,6 @@
 	return s.runs[key]
 }
 
-func (s *Server) putFaults(w http.ResponseWriter, r *http.Request) {
-	var f Faults
-	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
-	}
-	s.mu.Lock()
-	s.faults = f
-	s.mu.Unlock()
-	w.WriteHeader(http.StatusNoContent)
-}
-
 func (s *Server) getRuns(w http.ResponseWriter, _ *http.Request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/standin/table/table.go
+++ b/internal/standin/table/table.go
@@ -14,6 +14,7 @@
 	"github.com/gorilla/mux"
 
 	"github.com/hemlockdyke/hemlockdyke/internal/port"
+	"github.com/hemlockdyke/hemlockdyke/internal/standin/fault"
 )
 
 // Faults are the faults in force.
@@ -40,9 +41,9 @@
 	mu      sync.Mutex
 	rows    map[string]port.Row
 	objects map[string][]byte
-	vms     []port.VM
+	vms     fault.Switch[[]port.VM]
 	version uint64
-	faults  Faults
+	faults  fault.Switch[Faults]
 	counts  Counts
 	second  time.Time
 	inSec   int
@@ -61,8 +62,8 @@
 	r.HandleFunc("/objects/{name:.+}", s.getObject).Methods(http.MethodGet)
 	r.HandleFunc("/objects/{name:.+}", s.putObject).Methods(http.MethodPut)
 	r.HandleFunc("/vms", s.getVMs).Methods(http.MethodGet)
-	r.HandleFunc("/vms", s.putVMs).Methods(http.MethodPut)
-	r.HandleFunc("/faults/platform", s.putFaults).Methods(http.MethodPut)
+	r.Handle("/vms", &s.vms).Methods(http.MethodPut)
+	r.Handle("/faults/platform", &s.faults).Methods(http.MethodPut)
 	r.HandleFunc("/counts/platform", s.getCounts).Methods(http.MethodGet)
 }
 
@@ -88,8 +89,8 @@
 
 // admit applies the faults common to all calls and reports whether to go on.
 func (s *Server) admit(w http.ResponseWriter, write bool) (Faults, bool) {
+	f := s.faults.Get()
 	s.mu.Lock()
-	f := s.faults
 	refused := f.Down || (write && s.overLimit(f))
 	switch {
 	case refused:
@@ -207,21 +208,7 @@
 	if _, ok := s.admit(w, false); !ok {
 		return
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	writeJSON(w, s.vms)
-}
-
-func (s *Server) putVMs(w http.ResponseWriter, r *http.Request) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	decodeInto(w, r, &s.vms)
-}
-
-func (s *Server) putFaults(w http.ResponseWriter, r *http.Request) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	decodeInto(w, r, &s.faults)
+	writeJSON(w, s.vms.Get())
 }
 
 func (s *Server) getCounts(w http.ResponseWriter, _ *http.Request) {
@@ -230,16 +217,6 @@
 	writeJSON(w, s.counts)
 }
 
-func decodeInto[T any](w http.ResponseWriter, r *http.Request, into *T) {
-	var v T
-	if err := json.NewDecoder(r.Body).Decode(&v); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
-	}
-	*into = v
-	w.WriteHeader(http.StatusNoContent)
-}
-
 func writeJSON(w http.ResponseWriter, v any) {
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(v)
