--- a/internal/app/router/traffic.go
+++ b/internal/app/router/traffic.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -13,6 +14,7 @@
 	"github.com/hemlockdyke/hemlockdyke/internal/core/attempt"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/code"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/fairqueue"
+	"github.com/hemlockdyke/hemlockdyke/internal/core/retry"
 	core "github.com/hemlockdyke/hemlockdyke/internal/core/router"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/routing"
 )
@@ -55,6 +57,12 @@
 // one shows that this process was paused: the target may be gone since.
 const grantLife = time.Second
 
+// The pauses before retries: full jitter up to the base, doubled each time.
+const (
+	backoffBase  = 25 * time.Millisecond
+	backoffLimit = 500 * time.Millisecond
+)
+
 // maxAttempts bounds how many targets one request is tried at.
 const maxAttempts = 4
 
@@ -85,6 +93,7 @@
 	id       uint64
 	asked    bool
 	retry    bool
+	pause    <-chan time.Time // ends the pause before the next ask; nil if there is none
 	decided  chan decision
 	answers  chan target.Answer
 	cancel   context.CancelFunc
@@ -136,6 +145,9 @@
 	case answer = <-r.answers:
 		event = answer.Event
 		r.progress.Reset(r.traffic.silence)
+	case <-r.pause:
+		r.pause = nil
+		r.ask()
 	case <-r.progress.C:
 		r.progress.Reset(r.traffic.silence)
 		event = r.onSilence()
@@ -193,7 +205,8 @@
 	case attempt.Ask:
 		r.endAttempt(a)
 		r.retry = true
-		r.ask()
+		pause := retry.Backoff(rand.Float64(), r.machine.Attempts()-1, backoffBase, backoffLimit)
+		r.pause = time.After(pause)
 	case attempt.Finish:
 		r.result.Code = a.Code
 		r.endAttempt(a)
--- a/internal/core/attempt/attempt.go
+++ b/internal/core/attempt/attempt.go
@@ -129,9 +129,6 @@
 // State returns where the request stands.
 func (m *Machine) State() State { return m.state }
 
-// Offset returns the number of parts forwarded.
-func (m *Machine) Offset() int { return m.offset }
-
 // Attempts returns the number of dispatches.
 func (m *Machine) Attempts() int { return m.attempt }
 
--- a/internal/core/retry/retry.go
+++ b/internal/core/retry/retry.go
@@ -2,10 +2,7 @@
 // targets can't multiply the load on those that are left.
 package retry
 
-import (
-	"math/rand/v2"
-	"time"
-)
+import "time"
 
 // Budget is a token bucket that requests fill and retries empty. It is not safe
 // for concurrent use.
@@ -32,9 +29,10 @@
 // Spend takes one retry.
 func (b *Budget) Spend() { b.tokens-- }
 
-// Backoff returns the pause before a retry with full jitter: uniform between 0
-// and the base doubled for each earlier retry, at most the limit.
-func Backoff(rnd *rand.Rand, retry int, base, limit time.Duration) time.Duration {
-	top := min(base<<min(retry, 20), limit)
-	return time.Duration(rnd.Float64() * float64(top))
+// Backoff returns the pause before a retry with full jitter: a share, drawn
+// uniformly from [0, 1), of the base doubled for each earlier retry, at most the
+// limit. Without jitter, requests that failed together would come back together.
+func Backoff(share float64, earlier int, base, limit time.Duration) time.Duration {
+	top := min(base<<min(earlier, 20), limit)
+	return time.Duration(share * float64(top))
 }
