--- a/internal/experiment/simulation.go
+++ b/internal/experiment/simulation.go
@@ -122,9 +122,9 @@
 		s.lookup()
 		return
 	}
-	i := s.rand.IntN(len(s.chats))
-	for s.chats[i].busy {
-		i = (i + 1) % len(s.chats)
+	i, idle := s.idleChat()
+	if !idle {
+		return // every chat waits for an answer
 	}
 	c := s.chats[i]
 	if c.turn >= s.scenario.LastTurn {
@@ -141,6 +141,17 @@
 	}, time.Minute)
 }
 
+// idleChat returns the first chat without an open request from a random place on.
+func (s *simulation) idleChat() (int, bool) {
+	first := s.rand.IntN(len(s.chats))
+	for n := range s.chats {
+		if i := (first + n) % len(s.chats); !s.chats[i].busy {
+			return i, true
+		}
+	}
+	return 0, false
+}
+
 // lookup is an urgent request with a short prompt of its own.
 func (s *simulation) lookup() {
 	s.nextChat++
