A stopping router closed idle connections all at once

Ruled out: the listener's backlog (the load now asks /readyz every 50 ms as a balancer does and sends to ready routers only; one of 12 runs on a busy machine still failed). Change: answers carry Connection: close while the router is stopping; idle connections stay until the balancer's lag is over. Another failed run of the first 12 was six test fleets that took the same ports. make test runs the separate processes last and alone.

--- a/Makefile
+++ b/Makefile
@@ -9,8 +9,10 @@
 demo: build
 	./scripts/demo.sh
 
+# The separate processes come last and alone: they wait for real time.
 test:
-	$(GO) test -race -count=1 ./...
+	$(GO) test -race -count=1 ./cmd/... ./internal/...
+	$(GO) test -race -count=1 ./e2e
 
 tools:
 	cd tools && $(GO) build -o ../.bin/ google.golang.org/protobuf/cmd/protoc-gen-go connectrpc.com/connect/cmd/protoc-gen-connect-go honnef.co/go/tools/cmd/staticcheck
--- a/e2e/e2e_test.go
+++ b/e2e/e2e_test.go
@@ -60,8 +60,10 @@
 		Expect(report.Whole).To(Equal(150))
 	})
 
-	// Symptom: a planned stop cuts requests off. Sequence: each router in turn gets
-	// SIGTERM under load and is started again.
+	// Symptom: a planned stop cuts requests off ("server closed idle connection").
+	// Sequence: each router in turn gets SIGTERM under load and is started again.
+	// Cause, seen once in four runs on a busy machine: idle connections were closed all
+	// at once when the stop began, some with a request on its way.
 	It("cut off no request when all are replaced one after another", func() {
 		f := newFleet(true)
 		wait := f.drive(40, 12)
--- a/internal/adapter/callerhttp/callerhttp.go
+++ b/internal/adapter/callerhttp/callerhttp.go
@@ -63,7 +63,20 @@
 	r.NotFoundHandler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		s.fail(w, requestID(r), code.New(code.NotFound, "no such path"), 0)
 	})
-	return r
+	return s.endConnections(r)
+}
+
+// endConnections lets callers' connections end one by one, each with its next
+// answer, while the router is stopping. The server could close the idle ones at
+// once, but then some are closed while a request is on its way to them, and the
+// caller can't know whether that request ran.
+func (s *Server) endConnections(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if s.control.Ready().Reason == code.ShuttingDown {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
 }
 
 func (s *Server) readyz(w http.ResponseWriter, _ *http.Request) {
--- a/internal/daemon/router.go
+++ b/internal/daemon/router.go
@@ -163,9 +163,6 @@
 func (r *Router) Shutdown(ctx context.Context) {
 	r.log.Info().Msg("shutdown begins")
 	r.control.Leave()
-	// Callers' idle connections end one by one with their next answer. Closed all
-	// at once, some would be closed while a request is on its way to them.
-	r.callers.SetKeepAlivesEnabled(false)
 	sleep(ctx, r.settings.Shutdown.BalancerLag.Std())
 	graceful, cancel := context.WithTimeout(ctx, r.settings.Shutdown.Grace.Std())
 	defer cancel()
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -41,19 +41,21 @@
 
 // Report is the outcome of a load.
 type Report struct {
-	Whole     int `json:"whole"`     // answers that were complete and the caller's own
-	Cut       int `json:"cut"`       // shown as whole but not complete
-	Crossed   int `json:"crossed"`   // another request's answer
-	Lost      int `json:"lost"`      // no answer after all tries
-	Doubled   int `json:"doubled"`   // service calls that ran more than once
-	Unknown   int `json:"unknown"`   // service calls answered as outcome unknown
-	Services  int `json:"services"`  // service calls answered
-	Repeated  int `json:"repeated"`  // tries beyond the first, by the caller
-	Broken    int `json:"broken"`    // of these, after a connection broke under a request
-	Reusable  int `json:"reusable"`  // prompt tokens that chats had built before
-	Cached    int `json:"cached"`    // of these, served from cache
-	OverBound int `json:"overBound"` // samples in which an engine was above the bound
-	Samples   int `json:"samples"`
+	Whole    int `json:"whole"`    // answers that were complete and the caller's own
+	Cut      int `json:"cut"`      // shown as whole but not complete
+	Crossed  int `json:"crossed"`  // another request's answer
+	Lost     int `json:"lost"`     // no answer after all tries
+	Doubled  int `json:"doubled"`  // service calls that ran more than once
+	Unknown  int `json:"unknown"`  // service calls answered as outcome unknown
+	Services int `json:"services"` // service calls answered
+	Repeated int `json:"repeated"` // tries beyond the first, by the caller
+	Broken   int `json:"broken"`   // of these, after a connection broke under a request
+	// BrokenBy holds the first errors of broken connections.
+	BrokenBy  []string `json:"brokenBy,omitempty"`
+	Reusable  int      `json:"reusable"`  // prompt tokens that chats had built before
+	Cached    int      `json:"cached"`    // of these, served from cache
+	OverBound int      `json:"overBound"` // samples in which an engine was above the bound
+	Samples   int      `json:"samples"`
 	// SkewMax is the largest sampled ratio of an engine's open requests to the mean.
 	SkewMax float64 `json:"skewMax"`
 	// FirstTokenP95 is the 95th percentile in milliseconds.
@@ -65,15 +67,16 @@
 
 type driver struct {
 	settings Settings
+	balancer *balancer
 	client   *http.Client
 	mu       sync.Mutex
 	report   Report
 	first    []float64
 }
 
-// Run drives the load to its end.
+// Run drives the load to its end, through routers that are ready.
 func Run(ctx context.Context, s Settings) (Report, error) {
-	d := &driver{settings: s, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: s.Parallel}}}
+	d := &driver{settings: s, balancer: newBalancer(s.Routers), client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: s.Parallel}}}
 	before, err := d.cached(ctx)
 	if err != nil {
 		return d.report, err
@@ -81,6 +84,7 @@
 	sampling, stop := context.WithCancel(ctx)
 	var sampler sync.WaitGroup
 	sampler.Go(func() { d.sample(sampling) })
+	sampler.Go(func() { d.balancer.watch(sampling) })
 	d.chats(ctx)
 	stop()
 	sampler.Wait()
@@ -145,6 +149,9 @@
 	f(&d.report)
 }
 
+// maxErrors bounds the errors that a report holds.
+const maxErrors = 5
+
 // maxTries is how often a caller asks, each time through another router.
 const maxTries = 6
 
@@ -171,7 +178,7 @@
 func (d *driver) try(ctx context.Context, rnd *rand.Rand, call func(router string) error, done func(*Report)) {
 	first := rnd.IntN(len(d.settings.Routers))
 	for n := range maxTries {
-		err := call(d.settings.Routers[(first+n)%len(d.settings.Routers)])
+		err := call(d.balancer.pick(first + n))
 		switch {
 		case err == nil:
 			d.count(done)
@@ -190,6 +197,9 @@
 			r.Repeated++
 			if broke(err) {
 				r.Broken++
+				if len(r.BrokenBy) < maxErrors {
+					r.BrokenBy = append(r.BrokenBy, err.Error())
+				}
 			}
 		})
 		pause(ctx, time.Duration(n+1)*100*time.Millisecond)
