--- a/cmd/hemlockdyke-bench/main.go
+++ b/cmd/hemlockdyke-bench/main.go
@@ -42,6 +42,7 @@
 
 	spread := app.Command("spread", "Measure how fast a change is in force everywhere, and at what cost.")
 	spreadSeeds := spread.Flag("seeds", "Number of seeds.").Default("3").Uint64()
+	spreadRouters := spread.Flag("routers", "Fleet size; may be repeated.").Default("9", "40", "120", "340").Ints()
 
 	get := app.Command("get", "Print what a URL answers, waiting until it answers 200.")
 	getURL := get.Arg("url", "URL.").Required().String()
@@ -59,7 +60,7 @@
 	case slopes.FullCommand():
 		app.FatalIfError(capacity.Run(os.Stdout), "capacity")
 	case spread.FullCommand():
-		runSpread(*spreadSeeds)
+		runSpread(*spreadRouters, *spreadSeeds)
 	}
 }
 
@@ -107,8 +108,8 @@
 }
 
 // runSpread prints a line per fleet size, state of the store and seed.
-func runSpread(seeds uint64) {
-	for _, routers := range []int{9, 40, 120, 340} {
+func runSpread(sizes []int, seeds uint64) {
+	for _, routers := range sizes {
 		for _, down := range []bool{false, true} {
 			for _, loss := range []float64{0, 0.05} {
 				for seed := range seeds {
