A change may name a resource once; changed targets are looked for once

Cause: read again as a newcomer: building a table from the whole looked through a pool for each of its targets, 4,100 times 4,100. They are now looked for together. Ruled out: skipping the search for an empty table only, a special case.

Found beside it: a change that names a target twice was accepted and made two targets of it.

--- a/internal/app/configstore/configstore.go
+++ b/internal/app/configstore/configstore.go
@@ -176,6 +176,9 @@
 // the operator's client. The same name again returns the first outcome. It
 // returns the operation and, if this call made it, the change.
 func (s *Store) Accept(ctx context.Context, name string, resources []resource.Resource) (resource.Operation, *resource.Change, error) {
+	if err := checkUnique(resources); err != nil {
+		return resource.Operation{}, nil, err
+	}
 	for range maxTries {
 		op, err := s.Operation(ctx, name)
 		if err == nil {
@@ -193,6 +196,19 @@
 	return resource.Operation{}, nil, code.New(code.Conflict, "the configuration kept changing; try again")
 }
 
+// checkUnique refuses a change that names a resource twice: which of the two
+// holds would depend on their order, and two targets would be made of one.
+func checkUnique(resources []resource.Resource) error {
+	seen := make(map[resource.Key]bool, len(resources))
+	for _, r := range resources {
+		if seen[r.Key()] {
+			return code.New(code.BadResource, "%s %q is named twice", r.Kind, r.Metadata.Name)
+		}
+		seen[r.Key()] = true
+	}
+	return nil
+}
+
 func codeOf(err error) code.Code {
 	var coded *code.Error
 	if errors.As(err, &coded) {
--- a/internal/app/configstore/configstore_test.go
+++ b/internal/app/configstore/configstore_test.go
@@ -79,6 +79,14 @@
 		Expect(codeOf(err)).To(Equal(code.Conflict))
 	})
 
+	// Symptom: a pool sends work to one engine as if it were two. Sequence: a file
+	// names a target twice. Cause: both become targets, with UIDs of their own.
+	It("refuses one that names a resource twice", func() {
+		s := newStore(faketable.New())
+		_, _, err := s.Accept(ctx, "op", []resource.Resource{team("a", 1, 0), team("a", 2, 0)})
+		Expect(codeOf(err)).To(Equal(code.BadResource))
+	})
+
 	It("makes no second change of a repeated operation", func() {
 		t := faketable.New()
 		s := newStore(t)
--- a/internal/core/routing/routing.go
+++ b/internal/core/routing/routing.go
@@ -111,6 +111,7 @@
 			t.putPool(r, own)
 		}
 	}
+	t.dropTargets(changed, own)
 	for _, r := range changed {
 		if r.Kind == resource.KindTarget {
 			t.putTarget(r, own)
@@ -165,7 +166,6 @@
 	if resource.Decode(r.Spec, &spec) != nil {
 		return
 	}
-	t.dropTarget(r.Metadata.UID, spec.Pool, own)
 	p := t.writable(spec.Pool, own)
 	if r.Deleted || p == nil {
 		return
@@ -180,24 +180,21 @@
 	})
 }
 
-// dropTarget removes a target from the pool that it is in, which a change may
-// just have made another one than its spec names.
-func (t *Table) dropTarget(uid uint64, likely string, own map[string]*Pool) {
-	drop := func(name string) bool {
-		old, ok := t.pools[name]
-		if !ok || !slices.ContainsFunc(old.Targets, func(x Target) bool { return x.UID == uid }) {
-			return false
+// dropTargets removes changed targets from the pools that they are in, which need
+// not be those that their new specs name. It looks through the pools once for all
+// of them: a whole configuration changes thousands.
+func (t *Table) dropTargets(changed []resource.Resource, own map[string]*Pool) {
+	uids := make(map[uint64]bool, len(changed))
+	for _, r := range changed {
+		if r.Kind == resource.KindTarget {
+			uids[r.Metadata.UID] = true
 		}
-		p := t.writable(name, own)
-		p.Targets = slices.DeleteFunc(p.Targets, func(x Target) bool { return x.UID == uid })
-		return true
 	}
-	if drop(likely) {
-		return
-	}
-	for name := range t.pools {
-		if drop(name) {
-			return
+	isChanged := func(x Target) bool { return uids[x.UID] }
+	for name, old := range t.pools {
+		if slices.ContainsFunc(old.Targets, isChanged) {
+			p := t.writable(name, own)
+			p.Targets = slices.DeleteFunc(p.Targets, isChanged)
 		}
 	}
 }
