--- a/cmd/hemlockdyke-router/main.go
+++ b/cmd/hemlockdyke-router/main.go
@@ -7,16 +7,26 @@
 
 	"github.com/alecthomas/kingpin/v2"
 
+	"github.com/hemlockdyke/hemlockdyke/internal/adapter/metrics"
 	"github.com/hemlockdyke/hemlockdyke/internal/daemon"
 	"github.com/hemlockdyke/hemlockdyke/internal/logging"
 	"github.com/hemlockdyke/hemlockdyke/internal/settings"
+	"github.com/hemlockdyke/hemlockdyke/platform"
 )
 
 func main() {
 	app := kingpin.New("hemlockdyke-router", "Carries callers' requests to targets.")
-	path := app.Flag("settings", "Settings file.").Required().String()
+	path := app.Flag("settings", "Settings file.").String()
 	check := app.Flag("check-settings", "Print the effective settings and exit.").Bool()
+	onPlatform := app.Flag("platform", "Run on the users' platform, by the settings file that it names.").Bool()
 	kingpin.MustParse(app.Parse(os.Args[1:]))
+	if *onPlatform {
+		runOnPlatform(app)
+		return
+	}
+	if *path == "" {
+		app.Fatalf("required flag --settings not provided")
+	}
 
 	s := settings.DefaultRouter()
 	app.FatalIfError(settings.LoadFile(*path, &s), "settings")
@@ -29,3 +39,15 @@
 	app.FatalIfError(err, "start")
 	daemon.RunUntilStopped(router, log)
 }
+
+func runOnPlatform(app *kingpin.Application) {
+	s, err := platform.LoadSettings(os.Getenv(platform.SettingsVariable))
+	app.FatalIfError(err, "settings")
+	log := logging.NewGateway(os.Stdout, s.Gateway.Gateway.Name)
+	m := metrics.NewGateway()
+	gateway, err := daemon.StartGateway(s.Gateway, daemon.Platform{
+		Store: platform.NewStore(s.StoreAddress, m.StoreCall), Decoder: platform.Decoder{}, Wire: platform.Wire{},
+	}, m, log)
+	app.FatalIfError(err, "start")
+	daemon.RunUntilStopped(gateway, log)
+}
--- a/gen/hemlockdyke/peer/v1/peerv1connect/peer.connect.go
+++ b/gen/hemlockdyke/peer/v1/peerv1connect/peer.connect.go
@@ -48,6 +48,8 @@
 	PeerServiceBurnProcedure = "/hemlockdyke.peer.v1.PeerService/Burn"
 	// PeerServicePullProcedure is the fully-qualified name of the PeerService's Pull RPC.
 	PeerServicePullProcedure = "/hemlockdyke.peer.v1.PeerService/Pull"
+	// PeerServiceCopyProcedure is the fully-qualified name of the PeerService's Copy RPC.
+	PeerServiceCopyProcedure = "/hemlockdyke.peer.v1.PeerService/Copy"
 )
 
 // PeerServiceClient is a client for the hemlockdyke.peer.v1.PeerService service.
@@ -64,6 +66,8 @@
 	Burn(context.Context, *connect.Request[v1.BurnRequest]) (*connect.Response[v1.BurnResponse], error)
 	// Pull returns the changes after a revision, or a snapshot if they are gone.
 	Pull(context.Context, *connect.Request[v1.PullRequest]) (*connect.Response[v1.PullResponse], error)
+	// Copy returns what a router's copy of a platform table lacks.
+	Copy(context.Context, *connect.Request[v1.CopyRequest]) (*connect.Response[v1.CopyResponse], error)
 }
 
 // NewPeerServiceClient constructs a client for the hemlockdyke.peer.v1.PeerService service. By
@@ -113,6 +117,12 @@
 			connect.WithSchema(peerServiceMethods.ByName("Pull")),
 			connect.WithClientOptions(opts...),
 		),
+		copy: connect.NewClient[v1.CopyRequest, v1.CopyResponse](
+			httpClient,
+			baseURL+PeerServiceCopyProcedure,
+			connect.WithSchema(peerServiceMethods.ByName("Copy")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -124,6 +134,7 @@
 	push     *connect.Client[v1.PushRequest, v1.PushResponse]
 	burn     *connect.Client[v1.BurnRequest, v1.BurnResponse]
 	pull     *connect.Client[v1.PullRequest, v1.PullResponse]
+	copy     *connect.Client[v1.CopyRequest, v1.CopyResponse]
 }
 
 // Exchange calls hemlockdyke.peer.v1.PeerService.Exchange.
@@ -156,6 +167,11 @@
 	return c.pull.CallUnary(ctx, req)
 }
 
+// Copy calls hemlockdyke.peer.v1.PeerService.Copy.
+func (c *peerServiceClient) Copy(ctx context.Context, req *connect.Request[v1.CopyRequest]) (*connect.Response[v1.CopyResponse], error) {
+	return c.copy.CallUnary(ctx, req)
+}
+
 // PeerServiceHandler is an implementation of the hemlockdyke.peer.v1.PeerService service.
 type PeerServiceHandler interface {
 	// Exchange asks the owner of a pool for tickets and releases finished ones.
@@ -170,6 +186,8 @@
 	Burn(context.Context, *connect.Request[v1.BurnRequest]) (*connect.Response[v1.BurnResponse], error)
 	// Pull returns the changes after a revision, or a snapshot if they are gone.
 	Pull(context.Context, *connect.Request[v1.PullRequest]) (*connect.Response[v1.PullResponse], error)
+	// Copy returns what a router's copy of a platform table lacks.
+	Copy(context.Context, *connect.Request[v1.CopyRequest]) (*connect.Response[v1.CopyResponse], error)
 }
 
 // NewPeerServiceHandler builds an HTTP handler from the service implementation. It returns the path
@@ -215,6 +233,12 @@
 		connect.WithSchema(peerServiceMethods.ByName("Pull")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerServiceCopyHandler := connect.NewUnaryHandler(
+		PeerServiceCopyProcedure,
+		svc.Copy,
+		connect.WithSchema(peerServiceMethods.ByName("Copy")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/hemlockdyke.peer.v1.PeerService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case PeerServiceExchangeProcedure:
@@ -229,6 +253,8 @@
 			peerServiceBurnHandler.ServeHTTP(w, r)
 		case PeerServicePullProcedure:
 			peerServicePullHandler.ServeHTTP(w, r)
+		case PeerServiceCopyProcedure:
+			peerServiceCopyHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -261,3 +287,7 @@
 func (UnimplementedPeerServiceHandler) Pull(context.Context, *connect.Request[v1.PullRequest]) (*connect.Response[v1.PullResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("hemlockdyke.peer.v1.PeerService.Pull is not implemented"))
 }
+
+func (UnimplementedPeerServiceHandler) Copy(context.Context, *connect.Request[v1.CopyRequest]) (*connect.Response[v1.CopyResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("hemlockdyke.peer.v1.PeerService.Copy is not implemented"))
+}
--- a/internal/adapter/callerhttp/callerhttp.go
+++ b/internal/adapter/callerhttp/callerhttp.go
@@ -233,7 +233,7 @@
 	default:
 		// The status is out already. An error event without the end marker keeps
 		// the caller from taking the part for the whole.
-		_ = wire.WriteEvent(w, errorBody(code.New(result.Code, "request %s", req.ID)))
+		_ = wire.WriteEvent(w, wire.NewErrorBody(code.New(result.Code, "request %s", req.ID)))
 	}
 }
 
@@ -338,14 +338,5 @@
 	if retryAfter > 0 {
 		w.Header().Set("Retry-After", strconv.Itoa(int(math.Ceil(retryAfter.Seconds()))))
 	}
-	w.Header().Set("Content-Type", "application/json")
-	w.WriteHeader(status)
-	_ = json.NewEncoder(w).Encode(errorBody(coded))
-}
-
-func errorBody(e *code.Error) wire.ErrorBody {
-	info := e.Code.Lookup()
-	return wire.ErrorBody{Error: wire.ErrorDetail{
-		Code: int(e.Code), Name: info.Name, Message: e.Message, Ran: info.Ran.String(), Field: e.Field,
-	}}
+	wire.WriteError(w, coded)
 }
--- a/internal/adapter/operatorhttp/operatorhttp.go
+++ b/internal/adapter/operatorhttp/operatorhttp.go
@@ -264,10 +264,5 @@
 	if !errors.As(err, &coded) {
 		coded = code.New(code.StoreDown, "%s", err)
 	}
-	info := coded.Code.Lookup()
-	w.Header().Set("Content-Type", "application/json")
-	w.WriteHeader(info.Status)
-	_ = json.NewEncoder(w).Encode(wire.ErrorBody{Error: wire.ErrorDetail{
-		Code: int(coded.Code), Name: info.Name, Message: coded.Message, Ran: info.Ran.String(), Field: coded.Field,
-	}})
+	wire.WriteError(w, coded)
 }
--- a/internal/adapter/peer/peer.go
+++ b/internal/adapter/peer/peer.go
@@ -93,6 +93,10 @@
 	return handle[peerv1.PullRequest, peerv1.PullResponse](ctx, s, req)
 }
 
+func (s *server) Copy(ctx context.Context, req *connect.Request[peerv1.CopyRequest]) (*connect.Response[peerv1.CopyResponse], error) {
+	return handle[peerv1.CopyRequest, peerv1.CopyResponse](ctx, s, req)
+}
+
 // Caller calls listed peers. It is safe for concurrent use.
 type Caller struct {
 	clients map[uint32]peerv1connect.PeerServiceClient
@@ -102,8 +106,19 @@
 // NewCaller returns a Caller for peers by router number. wrap sees each new
 // connection, to count its traffic.
 func NewCaller(addresses map[uint32]string, timeout time.Duration, wrap func(net.Conn) net.Conn) *Caller {
+	client := newHTTPClient(timeout, 0, wrap)
+	c := &Caller{clients: make(map[uint32]peerv1connect.PeerServiceClient), timeout: timeout}
+	for id, address := range addresses {
+		c.clients[id] = peerv1connect.NewPeerServiceClient(client, "http://"+address, connect.WithReadMaxBytes(maxMessage))
+	}
+	return c
+}
+
+// newHTTPClient returns a client for the peer service. idle is how long an unused
+// connection is kept; 0 means as long as both ends live.
+func newHTTPClient(timeout, idle time.Duration, wrap func(net.Conn) net.Conn) *http.Client {
 	dialer := &net.Dialer{Timeout: timeout}
-	transport := &http.Transport{
+	return &http.Client{Transport: &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			conn, err := dialer.DialContext(ctx, network, address)
 			if err != nil {
@@ -111,15 +126,10 @@
 			}
 			return newCoalescer(wrap(conn)), nil
 		},
-		Protocols: unencryptedHTTP2(),
-		HTTP2:     &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTimeout},
-	}
-	client := &http.Client{Transport: transport}
-	c := &Caller{clients: make(map[uint32]peerv1connect.PeerServiceClient), timeout: timeout}
-	for id, address := range addresses {
-		c.clients[id] = peerv1connect.NewPeerServiceClient(client, "http://"+address, connect.WithReadMaxBytes(maxMessage))
-	}
-	return c
+		IdleConnTimeout: idle,
+		Protocols:       unencryptedHTTP2(),
+		HTTP2:           &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTimeout},
+	}}
 }
 
 func unencryptedHTTP2() *http.Protocols {
--- /dev/null
+++ b/internal/app/gateway/control.go
@@ -0,0 +1,347 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+
+	peerv1 "github.com/hemlockdyke/hemlockdyke/gen/hemlockdyke/peer/v1"
+	"github.com/hemlockdyke/hemlockdyke/internal/core/fleet"
+	"github.com/hemlockdyke/hemlockdyke/internal/core/placement"
+	"github.com/hemlockdyke/hemlockdyke/internal/core/retry"
+	"github.com/hemlockdyke/hemlockdyke/internal/core/route"
+)
+
+// Settings of a gateway.
+type Settings struct {
+	Name       string
+	DataCentre string
+	Address    string   // where other routers reach this one, as IP:PORT
+	Seeds      []string // addresses at which routers may run
+	// RetryRatio, RetrySlack and RetryWindow are the fleet's budget of repeats.
+	RetryRatio  float64
+	RetrySlack  float64
+	RetryWindow time.Duration
+	// LoadMultiple and LoadSlack bound what a target holds, see placement.Settings.
+	LoadMultiple float64
+	LoadSlack    float64
+}
+
+const (
+	// goneGrace is how long a target is used after it left the list, and
+	// goneGraceInTrouble the same while the store is or was in trouble: entries that
+	// expired are back about two seconds after its return. Leaving targets have to
+	// be left alone after two seconds; the short grace and the spread of the news
+	// fit in.
+	goneGrace          = 700 * time.Millisecond
+	goneGraceInTrouble = 2500 * time.Millisecond
+	// registerPause is the pause between tries to be listed among the routers.
+	registerPause = time.Second
+	// callTimeout bounds the calls that do not wait for changes.
+	callTimeout = 2 * time.Second
+)
+
+// Control owns the control state. Its methods are safe for concurrent use.
+type Control struct {
+	settings Settings
+	view     *view
+	store    Store
+	decoder  Decoder
+	peers    Peers
+	upstream Upstream
+	log      zerolog.Logger
+	now      func() time.Time
+
+	inbox   chan func(now time.Time)
+	stopped chan struct{}
+
+	// Owned by the control goroutine.
+	core       *fleet.Core
+	roster     *placement.Roster
+	stopFollow context.CancelFunc
+	followCtx  context.Context
+	version    uint64 // of the desired state in force
+	routers    int    // the most that were alive at once
+}
+
+// inboxSize is how many events may wait. Senders block when it is full.
+const inboxSize = 256
+
+// NewControl returns a Control that Run has still to start.
+func NewControl(s Settings, store Store, decoder Decoder, peers Peers, up Upstream, log zerolog.Logger, now func() time.Time) *Control {
+	incarnation := rand.Uint64()
+	board := placement.DefaultSettings(s.DataCentre)
+	board.Multiple, board.Slack = s.LoadMultiple, s.LoadSlack
+	return &Control{
+		settings: s, store: store, decoder: decoder, peers: peers, upstream: up, log: log, now: now,
+		view: &view{
+			board:   placement.New(board, rand.New(rand.NewPCG(incarnation, 1))),
+			budgets: make(map[string]*retry.Window), span: s.RetryWindow,
+			limits: retry.Limits{Ratio: s.RetryRatio, Slack: s.RetrySlack, Routers: 1},
+		},
+		inbox: make(chan func(time.Time), inboxSize), stopped: make(chan struct{}),
+		core: fleet.New(fleet.Settings{
+			Self: fleet.Address(s.Address), Incarnation: incarnation, Seed: rand.Uint64(),
+		}),
+		roster: placement.NewRoster(),
+	}
+}
+
+// Run owns the control state until ctx ends.
+func (c *Control) Run(ctx context.Context) {
+	defer close(c.stopped)
+	c.followCtx, c.stopFollow = context.WithCancel(ctx)
+	defer func() { c.stopFollow() }()
+	go c.register(ctx)
+	if len(c.settings.Seeds) > 0 {
+		c.step(ctx, c.now(), fleet.Found{Addresses: addresses(c.settings.Seeds)})
+	}
+	ticker := time.NewTicker(fleet.TickInterval)
+	defer ticker.Stop()
+	c.tick(ctx, c.now())
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			c.tick(ctx, c.now())
+		case do := <-c.inbox:
+			do(c.now())
+		}
+	}
+}
+
+func (c *Control) tick(ctx context.Context, now time.Time) {
+	c.step(ctx, now, fleet.Tick{Loads: c.view.loads()})
+	c.view.mu.Lock()
+	c.view.board.Expire(now)
+	c.view.mu.Unlock()
+	grace := goneGrace
+	if c.core.InTrouble(now) {
+		grace = goneGraceInTrouble
+	}
+	if c.roster.Expire(now, grace) {
+		c.publishTargets()
+	}
+	c.upstream.Prune(c.roster.Has)
+	if n := c.core.Alive(now) + 1; n > c.routers {
+		c.routers = n
+		c.view.mu.Lock()
+		c.view.limits.Routers = n
+		c.view.mu.Unlock()
+	}
+}
+
+// post hands an event to the control goroutine.
+func (c *Control) post(ctx context.Context, ev fleet.Event) {
+	c.do(func(now time.Time) { c.step(ctx, now, ev) })
+}
+
+func (c *Control) do(f func(now time.Time)) {
+	select {
+	case c.inbox <- f:
+	case <-c.stopped:
+	}
+}
+
+func (c *Control) step(ctx context.Context, now time.Time, ev fleet.Event) {
+	for _, a := range c.core.Step(now, ev) {
+		c.act(ctx, now, a)
+	}
+}
+
+func (c *Control) act(ctx context.Context, now time.Time, a fleet.Action) {
+	switch a := a.(type) {
+	case fleet.SendDigest:
+		c.peers.Send(texts(a.To), a.Digest)
+	case fleet.Follow:
+		go c.follow(ctx, c.followCtx, a)
+	case fleet.ReadWhole:
+		go c.readWhole(ctx, c.followCtx, a.Table)
+	case fleet.StopFollowing:
+		c.stopFollow()
+		c.followCtx, c.stopFollow = context.WithCancel(ctx)
+	case fleet.CopyFrom:
+		go c.copyFrom(ctx, a)
+	case fleet.Changed:
+		c.changed(now, a)
+	case fleet.LoadsHeard:
+		c.view.mu.Lock()
+		c.view.board.Heard(now, a.Router, a.Loads)
+		c.view.updated = now
+		c.view.mu.Unlock()
+	case fleet.PeerUp:
+		c.log.Info().Str("event", "peer_up").Str("peer", string(a.Peer)).Bool("restarted", a.Restarted).Msg("")
+	case fleet.PeerDown:
+		c.view.mu.Lock()
+		c.view.board.Forget(a.Router)
+		c.view.mu.Unlock()
+		c.log.Warn().Str("event", "peer_down").Str("peer", string(a.Peer)).Dur("silent", a.Silent).Msg("")
+	case fleet.StoreChanged:
+		c.log.Info().Str("event", "store").Bool("reading", a.Reading).Bool("reachable", a.Reachable).Msg("")
+	}
+}
+
+func (c *Control) follow(ctx, calls context.Context, a fleet.Follow) {
+	position, rows, err := c.store.Follow(calls, a.Table, a.After)
+	if err != nil {
+		c.readFailed(ctx, calls, a.Table, err)
+		return
+	}
+	c.post(ctx, fleet.FollowRead{Table: a.Table, Position: position, Rows: rows})
+}
+
+func (c *Control) readWhole(ctx, calls context.Context, t fleet.Table) {
+	calls, cancel := context.WithTimeout(calls, callTimeout)
+	defer cancel()
+	position, rows, err := c.store.Whole(calls, t)
+	if err != nil {
+		c.readFailed(ctx, calls, t, err)
+		return
+	}
+	c.post(ctx, fleet.WholeRead{Table: t, Position: position, Rows: rows})
+}
+
+func (c *Control) readFailed(ctx, calls context.Context, t fleet.Table, err error) {
+	lost := errors.Is(err, ErrHistoryLost)
+	stopped := errors.Is(calls.Err(), context.Canceled)
+	if !stopped {
+		c.log.Warn().Str("event", "store_read_failed").Str("table", t.String()).Err(err).Msg("")
+	}
+	c.post(ctx, fleet.ReadFailed{Table: t, HistoryLost: lost, Stopped: stopped})
+}
+
+func (c *Control) copyFrom(ctx context.Context, a fleet.CopyFrom) {
+	req := &peerv1.CopyRequest{Protocol: fleet.Protocol, Table: uint32(a.Table), After: a.After}
+	reply, err := c.peers.Copy(ctx, string(a.Peer), req)
+	if err != nil {
+		reply = nil
+		c.log.Warn().Str("event", "copy_failed").Str("peer", string(a.Peer)).Str("table", a.Table.String()).Err(err).Msg("")
+	}
+	c.post(ctx, fleet.Copied{From: a.Peer, Table: a.Table, Reply: reply})
+}
+
+// changed puts new content of a table in force. What can't be decoded leaves the
+// last good content in force.
+func (c *Control) changed(now time.Time, a fleet.Changed) {
+	rows, _ := c.core.Rows(a.Table)
+	if a.Table == fleet.Desired {
+		state, err := c.decoder.Desired(rows)
+		switch {
+		case err != nil:
+			c.log.Error().Str("event", "desired_state_rejected").Uint64("row", a.Version).Str("source", a.Source).Err(err).Msg("")
+		case state != nil:
+			c.putInForce(state, a)
+		}
+		return
+	}
+	targets, bad := c.decoder.Targets(rows)
+	for _, err := range bad {
+		c.log.Error().Str("event", "target_rejected").Uint64("row", a.Version).Str("source", a.Source).Err(err).Msg("")
+	}
+	c.roster.Update(now, targets)
+	c.publishTargets()
+	c.log.Info().Str("event", "targets").Uint64("row", a.Version).Str("source", a.Source).Int("rows", len(rows)).Msg("")
+}
+
+// putInForce swaps the routing table. Versions only rise within one process, by
+// whichever way a state comes.
+func (c *Control) putInForce(state *route.State, a fleet.Changed) {
+	if state.Version <= c.version {
+		return
+	}
+	c.version = state.Version
+	c.view.table.Store(route.Build(state))
+	c.updateReady()
+	c.log.Info().Str("event", "desired_state").Uint64("version", state.Version).Uint64("row", a.Version).
+		Str("source", a.Source).Int("routes", len(state.Routes)).Msg("")
+}
+
+func (c *Control) publishTargets() {
+	c.view.mu.Lock()
+	c.view.board.SetTargets(c.roster.Pools())
+	c.view.mu.Unlock()
+	c.updateReady()
+}
+
+// updateReady makes the router ready once it knows the desired state and the list
+// of targets. From then on it stays ready without the store: what it knows is kept
+// up by the other routers, and refusing would help nobody.
+func (c *Control) updateReady() {
+	ready := c.view.table.Load() != nil && c.core.Known(fleet.Targets)
+	if ready != c.view.ready.Load() {
+		c.view.ready.Store(ready)
+		c.log.Info().Str("event", "ready").Bool("ready", ready).Uint64("version", c.version).Msg("")
+	}
+}
+
+// Ready reports whether the balancer should send new connections here.
+func (c *Control) Ready() bool { return c.view.ready.Load() && !c.view.leaving.Load() }
+
+// Leaving reports whether the router is stopping.
+func (c *Control) Leaving() bool { return c.view.leaving.Load() }
+
+// Leave makes the router unready for good, as the first step of a graceful shutdown.
+func (c *Control) Leave(ctx context.Context) {
+	c.view.leaving.Store(true)
+	c.post(ctx, fleet.Leave{})
+}
+
+// Digest takes in another router's digest.
+func (c *Control) Digest(ctx context.Context, from string, d *peerv1.Digest) {
+	c.post(ctx, fleet.DigestIn{From: fleet.Address(from), Digest: d})
+}
+
+// Copy answers another router's copy request.
+func (c *Control) Copy(ctx context.Context, req *peerv1.CopyRequest) (*peerv1.CopyResponse, error) {
+	reply := make(chan *peerv1.CopyResponse, 1)
+	c.do(func(time.Time) { reply <- c.core.Copy(req) })
+	select {
+	case r := <-reply:
+		return r, nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	case <-c.stopped:
+		return nil, errors.New("router has stopped")
+	}
+}
+
+// register lists this router in the store and learns of the others, once: from
+// then on digests carry who runs.
+func (c *Control) register(ctx context.Context) {
+	for ctx.Err() == nil {
+		call, cancel := context.WithTimeout(ctx, callTimeout)
+		found, err := c.store.Register(call, c.settings.Address)
+		cancel()
+		if err == nil {
+			c.post(ctx, fleet.Found{Addresses: addresses(found)})
+			return
+		}
+		c.log.Warn().Str("event", "register_failed").Err(err).Msg("")
+		pause := time.NewTimer(time.Duration(float64(registerPause) * (0.5 + rand.Float64())))
+		select {
+		case <-pause.C:
+		case <-ctx.Done():
+			pause.Stop()
+		}
+	}
+}
+
+func addresses(in []string) []fleet.Address {
+	out := make([]fleet.Address, len(in))
+	for i, a := range in {
+		out[i] = fleet.Address(a)
+	}
+	return out
+}
+
+func texts(in []fleet.Address) []string {
+	out := make([]string, len(in))
+	for i, a := range in {
+		out[i] = string(a)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/app/gateway/ports.go
@@ -0,0 +1,113 @@
+// Package gateway carries plain HTTP requests of callers to targets on a platform
+// that keeps the desired state and the list of targets in its store. One goroutine
+// owns the control state; the goroutines of requests carry traffic.
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	peerv1 "github.com/hemlockdyke/hemlockdyke/gen/hemlockdyke/peer/v1"
+	"github.com/hemlockdyke/hemlockdyke/internal/adapter/upstream"
+	"github.com/hemlockdyke/hemlockdyke/internal/core/code"
+	"github.com/hemlockdyke/hemlockdyke/internal/core/fleet"
+	"github.com/hemlockdyke/hemlockdyke/internal/core/placement"
+	"github.com/hemlockdyke/hemlockdyke/internal/core/replica"
+	"github.com/hemlockdyke/hemlockdyke/internal/core/route"
+)
+
+// ErrHistoryLost: the store no longer has the changes after a position.
+var ErrHistoryLost = errors.New("history no longer available")
+
+// Store reads the platform's tables. Implementations are safe for concurrent use.
+type Store interface {
+	// Whole returns a table and the position from which to follow it.
+	Whole(ctx context.Context, t fleet.Table) (position uint64, rows []replica.Row, err error)
+	// Follow waits for changes after a position and returns them with the next
+	// position. It returns without rows after a while, and ErrHistoryLost.
+	Follow(ctx context.Context, t fleet.Table, after uint64) (position uint64, rows []replica.Row, err error)
+	// Register lists this router's address, and returns those of all routers.
+	Register(ctx context.Context, address string) ([]string, error)
+	// Unregister ends that.
+	Unregister(ctx context.Context, address string) error
+}
+
+// Decoder decodes rows of the platform's tables.
+type Decoder interface {
+	// Desired returns the newest desired state, nil if there is none yet.
+	Desired(rows []replica.Row) (*route.State, error)
+	// Targets returns the targets by pool, and an error for each row that is none.
+	Targets(rows []replica.Row) (map[string][]placement.Target, []error)
+}
+
+// Peers reaches other routers.
+type Peers interface {
+	Send(to []string, m *peerv1.Digest) (failed int)
+	Copy(ctx context.Context, address string, req *peerv1.CopyRequest) (*peerv1.CopyResponse, error)
+}
+
+// Upstream sends attempts.
+type Upstream interface {
+	Do(ctx context.Context, r upstream.Request) (*upstream.Answer, error)
+	Prune(listed func(target uint64) bool)
+}
+
+// Call is one caller's request, without what only concerns its connection.
+type Call struct {
+	ID     string
+	Key    string        // the caller's key; empty if it sent none
+	Budget time.Duration // what the caller will wait; 0 if it did not say
+	// Chat is the hash of the longest prompt part that later requests share; 0 if none.
+	Chat uint64
+	// ResumeAfter is the event after which the caller wants a stream to go on.
+	ResumeAfter string
+	Method      string
+	Host        string
+	URI         string // path and query, as sent
+	Path        string
+	Header      http.Header // for targets
+}
+
+// Attempt is what a target is told beside the caller's request.
+type Attempt struct {
+	Left       time.Duration // until the request's deadline
+	TargetID   string        // the lifetime that is meant; any other must not run it
+	Team       string
+	Priority   int    // 0 is the most urgent
+	ResumeFrom string // the last event that the caller has; empty if none
+}
+
+// Reply is what a target's answer says beside its content.
+type Reply struct {
+	// Unrun is the target's promise that it did not run the request.
+	Unrun bool
+	// WrongTarget says that another lifetime has the address.
+	WrongTarget bool
+	// Sealed answers carry the target's proof that they are its own.
+	Sealed bool
+}
+
+// Wire speaks the platform's header names.
+type Wire interface {
+	// Prepare adds an attempt's headers to those of the call.
+	Prepare(call *Call, a Attempt) http.Header
+	// Echoes reports whether an answer's header belongs to a request.
+	Echoes(call *Call, h http.Header) bool
+	// Reply decodes an answer's header.
+	Reply(status int, h http.Header) Reply
+}
+
+// Responder answers the caller.
+type Responder interface {
+	// Begin sends status and header of an answer. length is -1 if it is not known.
+	Begin(status int, header http.Header, length int64)
+	// Write sends part of the body at once.
+	Write(p []byte) error
+	// Refuse answers with a result code. retryAfter is 0 if coming back makes no sense.
+	Refuse(c code.Code, retryAfter time.Duration)
+	// Cut ends an answer so that it can't be taken for a whole one.
+	Cut()
+}
--- /dev/null
+++ b/internal/app/gateway/relay.go
@@ -0,0 +1,355 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+
+	"github.com/hemlockdyke/hemlockdyke/internal/adapter/upstream"
+	"github.com/hemlockdyke/hemlockdyke/internal/core/attempt"
+	"github.com/hemlockdyke/hemlockdyke/internal/core/code"
+	"github.com/hemlockdyke/hemlockdyke/internal/core/placement"
+	"github.com/hemlockdyke/hemlockdyke/internal/core/rendezvous"
+	"github.com/hemlockdyke/hemlockdyke/internal/core/route"
+)
+
+// Observer is told how each request ended.
+type Observer interface {
+	Observe(r Result)
+}
+
+// Result is how a request ended.
+type Result struct {
+	Route    string
+	Pool     string
+	Code     code.Code
+	Status   int // of the answer that was passed on; 0 if none
+	Attempts int
+	Repeats  int
+	First    time.Duration // to the first byte of the answer; 0 if none
+	Total    time.Duration
+}
+
+// Relay carries requests. It is safe for concurrent use.
+type Relay struct {
+	view     *view
+	wire     Wire
+	upstream Upstream
+	log      zerolog.Logger
+	now      func() time.Time
+	observer Observer
+}
+
+// NewRelay returns a Relay that goes by what a Control knows.
+func NewRelay(c *Control, wire Wire, up Upstream, observer Observer, log zerolog.Logger, now func() time.Time) *Relay {
+	return &Relay{view: c.view, wire: wire, upstream: up, observer: observer, log: log, now: now}
+}
+
+const (
+	// maxUnrun is how many targets may turn a request away before its caller is
+	// told to come back: at a full or changing pool a third one rarely takes it.
+	maxUnrun = 2
+	// answerAfterDeadline is how long after the deadline a target's own answer may
+	// still arrive before the router gives its final one.
+	answerAfterDeadline = 60 * time.Millisecond
+	// retryNotReady and retryNoTarget are when callers are told to come back, before
+	// jitter: other routers serve at once, a restarted target takes a second.
+	retryNotReady = 250 * time.Millisecond
+	retryNoTarget = 500 * time.Millisecond
+	// defaultBudget applies to callers that do not say how long they wait, on
+	// routes without a timeout.
+	defaultBudget = 30 * time.Second
+)
+
+// Match is a request whose route and team are known, so that its body is wanted.
+type Match struct {
+	call  *Call
+	route *route.Route
+	team  *route.Team // nil if the request has none
+	pool  string
+	began time.Time
+	// MaxBodyBytes bounds the body; 0 means unset.
+	MaxBodyBytes int64
+}
+
+// Match finds a request's route and team. The code is OK, or why there are none.
+func (r *Relay) Match(call *Call) (*Match, code.Code) {
+	table := r.view.table.Load()
+	if table == nil || !r.view.ready.Load() {
+		return nil, code.NotReady
+	}
+	rt, ok := table.Match(call.Host, call.Path)
+	if !ok {
+		return nil, code.NotFound
+	}
+	m := &Match{call: call, route: rt, began: r.now(), MaxBodyBytes: table.MaxBodyBytes}
+	if team, ok := table.TeamByKey(call.Key); ok {
+		m.team = team
+	} else if table.HasTeams() && !rt.Public {
+		return nil, code.UnknownKey
+	}
+	hash := call.Chat
+	if hash == 0 {
+		hash = rendezvous.Hash(call.ID)
+	}
+	m.pool = rt.Choose(hash)
+	return m, code.OK
+}
+
+// RetryAfter returns when a caller that is refused with a code should come back,
+// with jitter: callers refused together would return together.
+func (r *Relay) RetryAfter(c code.Code) time.Duration {
+	base := time.Duration(0)
+	switch c {
+	case code.NotReady, code.ShuttingDown, code.StaleConfig:
+		base = retryNotReady
+	case code.NoTarget, code.TargetRefused, code.QueueFull:
+		base = retryNoTarget
+	}
+	return time.Duration(float64(base) * (0.5 + rand.Float64()))
+}
+
+// run is one request under way.
+type run struct {
+	relay   *Relay
+	match   *Match
+	body    []byte
+	out     Responder
+	machine *attempt.Machine
+	ctx     context.Context
+	ends    time.Time // when the caller gets a final answer at the latest
+
+	repeats int
+	first   time.Time
+	status  int
+	// kept is a target's own failure that is passed on if no other target answers.
+	kept   *kept
+	stream streamState
+}
+
+// kept is a whole answer.
+type kept struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// Serve carries a matched request to its end. ctx ends when the caller leaves.
+func (r *Relay) Serve(ctx context.Context, m *Match, body []byte, out Responder) {
+	budget := m.call.Budget
+	if t := m.route.Timeout; t > 0 && (budget == 0 || t < budget) {
+		budget = t
+	}
+	if budget == 0 {
+		budget = defaultBudget
+	}
+	x := &run{
+		relay: r, match: m, body: body, out: out, ends: m.began.Add(budget),
+		machine: attempt.New(attempt.Spec{
+			Idempotent: m.route.Repeatable(), MaxAttempts: max(m.route.MaxAttempts, 1), MaxUnrun: maxUnrun,
+		}),
+	}
+	x.stream.last = m.call.ResumeAfter
+	var cancel context.CancelFunc
+	x.ctx, cancel = context.WithDeadline(ctx, x.ends.Add(answerAfterDeadline))
+	defer cancel()
+	r.view.countRequest(m.began, m.pool)
+	action := x.next()
+	for action.Kind == attempt.Ask {
+		action = x.again()
+	}
+	x.finish(action.Code)
+}
+
+// again sends the request to another target if the budget has room.
+func (x *run) again() attempt.Action {
+	r := x.relay
+	if !r.view.allowRepeat(r.now(), x.match.pool) {
+		x.note(zerolog.WarnLevel, "repeat_denied").Msg("")
+		return x.machine.Step(attempt.Refused{Code: code.TargetRefused})
+	}
+	x.repeats++
+	return x.next()
+}
+
+// next places the request and makes one attempt.
+func (x *run) next() attempt.Action {
+	r := x.relay
+	now := r.now()
+	if x.ctx.Err() != nil || !now.Before(x.ends) {
+		return x.gaveUp()
+	}
+	choice, ok := r.view.place(now, placement.Ask{
+		Pool: x.match.pool, Chat: x.match.call.Chat, Excluded: x.machine.Excluded(),
+	})
+	if !ok {
+		return x.machine.Step(attempt.Refused{Code: code.NoTarget})
+	}
+	action := x.machine.Step(attempt.Granted{Target: choice.Target.UID})
+	a := &try{run: x, choice: choice, number: action.Attempt, began: now, outcome: placement.Neutral}
+	action = a.make()
+	r.view.done(r.now(), choice.Target.UID, a.outcome)
+	if a.failure != "" {
+		x.note(zerolog.WarnLevel, "attempt_failed").Int("attempt", a.number).Str("target", choice.Target.ID).
+			Str("why", a.failure).AnErr("error", a.err).Dur("after", r.now().Sub(now)).Msg("")
+	}
+	return action
+}
+
+// gaveUp ends the request because its caller left or its deadline came.
+func (x *run) gaveUp() attempt.Action {
+	if errors.Is(context.Cause(x.ctx), context.Canceled) {
+		return x.machine.Step(attempt.CallerLeft{})
+	}
+	return x.machine.Step(attempt.DeadlineCame{})
+}
+
+func (x *run) finish(c code.Code) {
+	r := x.relay
+	switch {
+	case c == code.OK:
+	case x.first.IsZero() && x.kept != nil:
+		// A target's own failure is the better answer: it is the caller's to read.
+		x.whole(x.kept.status, x.kept.header, x.kept.body)
+	case x.first.IsZero():
+		x.out.Refuse(c, r.RetryAfter(c))
+	default:
+		x.out.Cut()
+	}
+	now := r.now()
+	res := Result{
+		Route: x.match.route.Name, Pool: x.match.pool, Code: c, Status: x.status,
+		Attempts: x.machine.Attempts(), Repeats: x.repeats, Total: now.Sub(x.match.began),
+	}
+	if !x.first.IsZero() {
+		res.First = x.first.Sub(x.match.began)
+	}
+	r.observer.Observe(res)
+	level := zerolog.InfoLevel
+	if c != code.OK {
+		level = zerolog.WarnLevel
+	}
+	x.note(level, "finished").Int("code", int(c)).Int("status", x.status).Int("attempts", res.Attempts).
+		Dur("first", res.First).Dur("total", res.Total).Str("pool", x.match.pool).Msg("")
+}
+
+// whole passes a whole answer on.
+func (x *run) whole(status int, header http.Header, body []byte) {
+	x.first, x.status = x.relay.now(), status
+	x.out.Begin(status, header, int64(len(body)))
+	_ = x.out.Write(body) // a caller that left shows in its context
+}
+
+// note begins a log line about the request.
+func (x *run) note(level zerolog.Level, event string) *zerolog.Event {
+	return x.relay.log.WithLevel(level).Str("event", event).Str("request", x.match.call.ID).Str("route", x.match.route.Name)
+}
+
+// try is one attempt at a target.
+type try struct {
+	run     *run
+	choice  placement.Choice
+	number  int
+	began   time.Time
+	outcome placement.Outcome
+	failure string // why it failed, for the log; empty if it did not
+	err     error
+
+	ctx    context.Context
+	cancel context.CancelCauseFunc
+	// watch ends the attempt, or tells of it, when the target stays silent.
+	watch *time.Timer
+}
+
+// errSilent ends an attempt whose target has been silent for too long.
+var errSilent = errors.New("target is silent")
+
+// make sends the request and passes the answer on.
+func (t *try) make() attempt.Action {
+	x := t.run
+	t.ctx, t.cancel = context.WithCancelCause(x.ctx)
+	defer t.cancel(nil)
+	t.watchFirst()
+	defer func() { t.watch.Stop() }()
+	answer, err := x.relay.upstream.Do(t.ctx, t.request())
+	if err != nil {
+		return t.sendFailed(err)
+	}
+	defer answer.Close()
+	reply := x.relay.wire.Reply(answer.Status, answer.Header)
+	switch {
+	case reply.Unrun:
+		return t.turnedAway(reply)
+	case x.match.route.Kind == route.Stream && answer.Status == http.StatusOK && reply.Sealed:
+		return t.relayStream(answer)
+	}
+	return t.relayWhole(answer, reply)
+}
+
+func (t *try) request() upstream.Request {
+	x := t.run
+	call := x.match.call
+	a := Attempt{
+		Left: x.ends.Sub(t.began), TargetID: t.choice.Target.ID, Priority: x.match.route.Priority, ResumeFrom: x.stream.last,
+	}
+	if team := x.match.team; team != nil {
+		a.Team = team.Name
+		if team.Priority != nil {
+			a.Priority = *team.Priority
+		}
+	}
+	return upstream.Request{
+		Target: t.choice.Target.UID, Address: t.choice.Target.Address,
+		Method: call.Method, URI: call.URI, Host: call.Host, Header: x.relay.wire.Prepare(call, a), Body: x.body,
+		Echoes: func(h http.Header) bool { return x.relay.wire.Echoes(call, h) },
+		Sent:   func() { x.machine.Step(attempt.Wrote{Attempt: t.number}) },
+	}
+}
+
+// fail records why the attempt failed and what that says of the target.
+func (t *try) fail(why string, err error) {
+	t.failure, t.err, t.outcome = why, err, placement.Failed
+}
+
+func (t *try) sendFailed(err error) attempt.Action {
+	x := t.run
+	if x.ctx.Err() != nil {
+		return t.ended()
+	}
+	if errors.Is(err, upstream.ErrNotSent) {
+		t.fail("not_sent", err)
+		return x.machine.Step(attempt.NotSent{Attempt: t.number})
+	}
+	t.fail(t.brokenBy("broken"), err)
+	return x.machine.Step(attempt.Broken{Attempt: t.number})
+}
+
+// brokenBy names silence as the cause if that ended the attempt.
+func (t *try) brokenBy(otherwise string) string {
+	if errors.Is(context.Cause(t.ctx), errSilent) {
+		return "silent"
+	}
+	return otherwise
+}
+
+// ended is the end of an attempt whose caller left or whose deadline came. A
+// target that let the deadline pass without a word counts as failed.
+func (t *try) ended() attempt.Action {
+	x := t.run
+	if !errors.Is(context.Cause(x.ctx), context.Canceled) {
+		t.fail("deadline", nil)
+	}
+	return x.gaveUp()
+}
+
+func (t *try) turnedAway(reply Reply) attempt.Action {
+	t.failure, t.outcome = "turned_away", placement.Refused
+	if reply.WrongTarget {
+		t.fail("wrong_target", nil)
+	}
+	return t.run.machine.Step(attempt.TurnedAway{Attempt: t.number})
+}
--- /dev/null
+++ b/internal/app/gateway/view.go
@@ -0,0 +1,75 @@
+package gateway
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hemlockdyke/hemlockdyke/internal/core/placement"
+	"github.com/hemlockdyke/hemlockdyke/internal/core/retry"
+	"github.com/hemlockdyke/hemlockdyke/internal/core/route"
+)
+
+// view is what traffic reads and changes: the routing table, swapped whole, and the
+// board of open requests. A placement takes a microsecond under the lock, less
+// than handing it to another goroutine would.
+type view struct {
+	table   atomic.Pointer[route.Table]
+	leaving atomic.Bool
+	ready   atomic.Bool
+
+	mu      sync.Mutex
+	board   *placement.Board
+	budgets map[string]*retry.Window
+	limits  retry.Limits
+	span    time.Duration
+	updated time.Time // when the fleet's loads were last heard of
+}
+
+func (v *view) place(now time.Time, a placement.Ask) (placement.Choice, bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.board.Place(now, a)
+}
+
+func (v *view) done(now time.Time, target uint64, o placement.Outcome) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.board.Done(now, target, o)
+}
+
+// silent tells the board of a target that leaves a request unanswered, while the
+// request still waits.
+func (v *view) silent(now time.Time, target uint64) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.board.Silent(now, target)
+}
+
+func (v *view) budget(now time.Time, pool string) *retry.Window {
+	w, ok := v.budgets[pool]
+	if !ok {
+		w = retry.NewWindow(now, v.span)
+		v.budgets[pool] = w
+	}
+	return w
+}
+
+func (v *view) countRequest(now time.Time, pool string) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.budget(now, pool).Request(now)
+}
+
+// allowRepeat takes one repeat out of the budget if there is room.
+func (v *view) allowRepeat(now time.Time, pool string) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.budget(now, pool).Repeat(now, v.limits)
+}
+
+func (v *view) loads() []placement.Load {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.board.Own()
+}
--- a/internal/core/attempt/attempt.go
+++ b/internal/core/attempt/attempt.go
@@ -24,6 +24,9 @@
 	Idempotent bool
 	// MaxAttempts bounds the number of targets tried.
 	MaxAttempts int
+	// MaxUnrun is how many attempts that no target ran don't count towards
+	// MaxAttempts: a request that was turned away may go elsewhere.
+	MaxUnrun int
 }
 
 // Event is something that happened to the request.
@@ -118,6 +121,7 @@
 	attempt  int
 	target   uint64
 	offset   int
+	unrun    int  // attempts that no target ran
 	earlier  bool // an earlier attempt may have run
 	current  bool // the present attempt passed the point of no return
 	excluded []uint64
@@ -260,10 +264,13 @@
 // again asks for another target, or finishes when the attempts are used up.
 func (m *Machine) again(c code.Code, failed bool) Action {
 	m.excluded = append(m.excluded, m.target)
+	if !m.current {
+		m.unrun++
+	}
 	m.earlier = m.earlier || m.current
 	m.current = false
 	var a Action
-	if m.attempt >= m.spec.MaxAttempts {
+	if m.attempt-min(m.unrun, m.spec.MaxUnrun) >= m.spec.MaxAttempts {
 		a = m.finish(m.refusal(c))
 	} else {
 		m.state = Waiting
--- a/internal/core/code/code.go
+++ b/internal/core/code/code.go
@@ -44,6 +44,7 @@
 	BadHeader        Code = 1005
 	KeyReused        Code = 1006
 	NotFound         Code = 1007
+	UnknownKey       Code = 1008
 	NotReady         Code = 2001
 	QueueFull        Code = 2002
 	DeadlineTooShort Code = 2003
@@ -71,6 +72,8 @@
 	NoSuchOperation Code = 5006
 	BadSettings     Code = 6001
 	BadUsage        Code = 6002
+	BadDesiredState Code = 6003
+	BadTargetEntry  Code = 6004
 	BadProtocol     Code = 7001
 	UnknownRouter   Code = 7002
 	OldIncarnation  Code = 7003
@@ -92,6 +95,7 @@
 	BadHeader:        {"bad_header", 400, RanNo, "Correct the named header."},
 	KeyReused:        {"key_reused", 422, RanNo, "Use a new Idempotency-Key for a different request."},
 	NotFound:         {"not_found", 404, RanNo, "Correct the path."},
+	UnknownKey:       {"unknown_key", 401, RanNo, "Send a key that a team of the desired state holds."},
 	NotReady:         {"not_ready", 503, RanNo, "Wait for the router to load its configuration."},
 	QueueFull:        {"queue_full", 503, RanNo, "Come back after Retry-After; add targets if it lasts."},
 	DeadlineTooShort: {"deadline_too_short", 503, RanNo, "Come back after Retry-After or allow more time."},
@@ -118,6 +122,8 @@
 	NoSuchOperation:  {"no_such_operation", 404, RanNo, "The change was not accepted; send it again."},
 	BadSettings:      {"bad_settings", 0, RanNo, "Correct the settings file at the named line."},
 	BadUsage:         {"bad_usage", 0, RanNo, "See --help."},
+	BadDesiredState:  {"bad_desired_state", 0, RanNo, "Correct the desired state; the last good one stays in force."},
+	BadTargetEntry:   {"bad_target_entry", 0, RanNo, "Correct the named target's entry; the others stay in force."},
 	BadProtocol:      {"bad_protocol", 400, RanNo, "Run the same release on every VM."},
 	UnknownRouter:    {"unknown_router", 403, RanNo, "List the router in settings.peers."},
 	OldIncarnation:   {"old_incarnation", 409, RanNo, "None; an earlier process of the router spoke late."},
--- /dev/null
+++ b/internal/core/fleet/events.go
@@ -0,0 +1,152 @@
+// Package fleet decides how the routers of a fleet keep the same copies of the
+// platform's tables without each of them calling the store: who reads, who copies
+// from whom, who is alive. It does no I/O, reads no clock and draws randomness only
+// from its seed.
+package fleet
+
+import (
+	"time"
+
+	peerv1 "github.com/hemlockdyke/hemlockdyke/gen/hemlockdyke/peer/v1"
+	"github.com/hemlockdyke/hemlockdyke/internal/core/placement"
+	"github.com/hemlockdyke/hemlockdyke/internal/core/replica"
+)
+
+// Address is where a router receives digests and copy requests, as IP:PORT. It
+// names the router: a process that starts at the same address is its successor.
+type Address string
+
+// Table is one of the tables that every router has a copy of.
+type Table int
+
+// The tables, in the order in which digests carry their versions.
+const (
+	Desired Table = iota // the operators' desired state
+	Targets              // the list of targets
+	Tables               // the number of tables
+)
+
+// String returns the table's name in logs.
+func (t Table) String() string {
+	if t == Desired {
+		return "desired"
+	}
+	return "targets"
+}
+
+// Event is an input of the core.
+type Event interface{ isEvent() }
+
+// The events.
+type (
+	// FollowRead: the store told the changes after a version. Position is where to go on.
+	FollowRead struct {
+		Table    Table
+		Position uint64
+		Rows     []replica.Row
+	}
+	// WholeRead: the store told the whole table as of Position.
+	WholeRead struct {
+		Table    Table
+		Position uint64
+		Rows     []replica.Row
+	}
+	// ReadFailed: a call to the store failed. HistoryLost says that the changes
+	// after the position are no longer to be had, Stopped that the core ended the
+	// call itself.
+	ReadFailed struct {
+		Table       Table
+		HistoryLost bool
+		Stopped     bool
+	}
+	// DigestIn: a router sent a digest.
+	DigestIn struct {
+		From   Address
+		Digest *peerv1.Digest
+	}
+	// Copied: a router answered a copy request; Reply is nil if the call failed.
+	Copied struct {
+		From  Address
+		Table Table
+		Reply *peerv1.CopyResponse
+	}
+	// Found: addresses at which routers may run.
+	Found struct{ Addresses []Address }
+	// Tick: time has passed. The core expects one every TickInterval.
+	Tick struct{ Loads []placement.Load }
+	// Leave: this router is to stop.
+	Leave struct{}
+)
+
+func (FollowRead) isEvent() {}
+func (WholeRead) isEvent()  {}
+func (ReadFailed) isEvent() {}
+func (DigestIn) isEvent()   {}
+func (Copied) isEvent()     {}
+func (Found) isEvent()      {}
+func (Tick) isEvent()       {}
+func (Leave) isEvent()      {}
+
+// Action is an output of the core.
+type Action interface{ isAction() }
+
+// The actions.
+type (
+	// SendDigest tells routers. A lost one is not sent again.
+	SendDigest struct {
+		To     []Address
+		Digest *peerv1.Digest
+	}
+	// Follow asks the store for the changes of a table after a position, waiting
+	// for the first; answered by FollowRead or ReadFailed.
+	Follow struct {
+		Table Table
+		After uint64
+	}
+	// ReadWhole asks the store for a whole table; answered by WholeRead or ReadFailed.
+	ReadWhole struct{ Table Table }
+	// StopFollowing ends the calls to the store that wait.
+	StopFollowing struct{}
+	// CopyFrom asks a router for what the copy lacks; answered by Copied.
+	CopyFrom struct {
+		Peer  Address
+		Table Table
+		After uint64
+	}
+	// Changed says that the content of a copy changed.
+	Changed struct {
+		Table   Table
+		Version uint64
+		// Source is "store" or the router that it came from.
+		Source string
+	}
+	// LoadsHeard passes on what a router has open.
+	LoadsHeard struct {
+		Router uint32
+		Loads  []placement.Load
+	}
+	// PeerUp, PeerDown and StoreChanged are for the log.
+	PeerUp struct {
+		Peer      Address
+		Restarted bool
+	}
+	// PeerDown: a router has been silent for too long, or says that it is leaving.
+	PeerDown struct {
+		Peer   Address
+		Router uint32
+		Silent time.Duration
+	}
+	// StoreChanged: the store was lost or regained, or this router began or ceased to read.
+	StoreChanged struct{ Reading, Reachable bool }
+)
+
+func (SendDigest) isAction()    {}
+func (Follow) isAction()        {}
+func (ReadWhole) isAction()     {}
+func (StopFollowing) isAction() {}
+func (CopyFrom) isAction()      {}
+func (Changed) isAction()       {}
+func (LoadsHeard) isAction()    {}
+func (PeerUp) isAction()        {}
+func (PeerDown) isAction()      {}
+func (StoreChanged) isAction()  {}
--- /dev/null
+++ b/internal/core/fleet/fleet.go
@@ -0,0 +1,209 @@
+package fleet
+
+import (
+	"math/rand/v2"
+	"time"
+
+	peerv1 "github.com/hemlockdyke/hemlockdyke/gen/hemlockdyke/peer/v1"
+	"github.com/hemlockdyke/hemlockdyke/internal/core/placement"
+	"github.com/hemlockdyke/hemlockdyke/internal/core/replica"
+)
+
+// Protocol is the version of digests and copies. Others are ignored: they may mean
+// something else by the same fields.
+const Protocol = 2
+
+// TickInterval is how often the core expects a Tick, in which it sends a digest if
+// loads changed. A tenth of a second holds about two new requests for each target
+// of a pool of twelve at today's rate, which is the placement's margin.
+const TickInterval = 100 * time.Millisecond
+
+const (
+	// heartbeatEvery is how long a router without news stays silent.
+	heartbeatEvery = 400 * time.Millisecond
+	// silentAfter is when a silent router counts as down: three heartbeats lost in
+	// a row happen once in tens of thousands at 3% loss. Readers are replaced then,
+	// well within the two seconds in which a change has to be in force.
+	silentAfter = 1300 * time.Millisecond
+	// forgetAfter is when a silent router is no longer sent digests. Until then they
+	// tell a process that starts at its address who else runs.
+	forgetAfter = 60 * time.Second
+	// knownEvery is how many digests apart the list of routers is sent.
+	knownEvery = 10
+	// readers is how many routers follow the store. Two may fail at the same moment
+	// before a change is delayed by silentAfter.
+	readers = 3
+	// retryMin and retryMax bound the pause after a failed call to the store: calls
+	// are paid for, refused ones too, and the fleet shares a limit on them.
+	retryMin = 150 * time.Millisecond
+	retryMax = time.Second
+	// troubleFor is how long the store counts as in trouble after a failed call.
+	troubleFor = 5 * time.Second
+	// copyTimeout is when an unanswered copy request may be followed by another.
+	copyTimeout = 500 * time.Millisecond
+)
+
+// Settings configure a Core.
+type Settings struct {
+	Self        Address
+	Incarnation uint64
+	Seed        uint64
+}
+
+// reader is the state of following one table at the store.
+type reader struct {
+	waiting  bool // a call is under way
+	position uint64
+	failures int // in a row
+	retryAt  time.Time
+	needAll  bool
+	ok       bool // the last call succeeded
+}
+
+// Core is the state of one router. It is not safe for concurrent use.
+type Core struct {
+	settings Settings
+	rand     *rand.Rand
+	tables   [Tables]*replica.Table
+	readers  [Tables]reader
+	peers    map[Address]*peer
+
+	reading   bool
+	reachable bool
+	troubleAt time.Time // last failed call; zero if none
+	leaving   bool
+
+	sequence   uint64
+	lastDigest time.Time
+	lastLoads  []placement.Load
+	news       bool // something that the others should hear at once
+	copying    [Tables]time.Time
+
+	actions []Action
+}
+
+// New returns a Core that knows nothing.
+func New(s Settings) *Core {
+	c := &Core{
+		settings: s, rand: rand.New(rand.NewPCG(s.Seed, s.Incarnation)), peers: make(map[Address]*peer),
+	}
+	for i := range c.tables {
+		c.tables[i] = replica.New()
+		c.readers[i].needAll = true
+	}
+	return c
+}
+
+// Rows returns the content of a copy and its version.
+func (c *Core) Rows(t Table) ([]replica.Row, uint64) {
+	return c.tables[t].Rows(), c.tables[t].Version()
+}
+
+// Known reports whether a table has been read or copied.
+func (c *Core) Known(t Table) bool { return c.tables[t].Known() }
+
+// InTrouble reports whether the store has failed this router, or one that it
+// hears, lately. Entries of targets expire while the store is away, so a removal
+// says less then.
+func (c *Core) InTrouble(now time.Time) bool {
+	if !c.troubleAt.IsZero() && now.Sub(c.troubleAt) < troubleFor {
+		return true
+	}
+	for _, p := range c.peers {
+		if p.trouble && p.alive(now) {
+			return true
+		}
+	}
+	return false
+}
+
+// Step takes one event and returns the actions that follow. The slice is valid
+// until the next call.
+func (c *Core) Step(now time.Time, ev Event) []Action {
+	c.actions = c.actions[:0]
+	switch ev := ev.(type) {
+	case FollowRead:
+		c.followRead(ev)
+	case WholeRead:
+		c.wholeRead(ev)
+	case ReadFailed:
+		c.readFailed(now, ev)
+	case DigestIn:
+		c.digestIn(now, ev)
+	case Copied:
+		c.copied(ev)
+	case Found:
+		c.found(now, ev)
+	case Tick:
+		c.tick(now, ev)
+	case Leave:
+		c.leaving, c.news = true, true
+	}
+	c.read(now)
+	if c.news {
+		c.digest(now, c.lastLoads)
+	}
+	return c.actions
+}
+
+func (c *Core) emit(a Action) { c.actions = append(c.actions, a) }
+
+func (c *Core) tick(now time.Time, ev Tick) {
+	c.expirePeers(now)
+	if !equalLoads(ev.Loads, c.lastLoads) || now.Sub(c.lastDigest) >= heartbeatEvery {
+		c.digest(now, ev.Loads)
+	}
+	c.copyIfBehind(now)
+}
+
+func equalLoads(a, b []placement.Load) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	open := make(map[uint64]int, len(a))
+	for _, l := range a {
+		open[l.Target] = l.Open
+	}
+	for _, l := range b {
+		if open[l.Target] != l.Open {
+			return false
+		}
+	}
+	return true
+}
+
+// digest tells every known router what this one holds.
+func (c *Core) digest(now time.Time, loads []placement.Load) {
+	c.news = false
+	c.sequence++
+	c.lastDigest, c.lastLoads = now, loads
+	d := &peerv1.Digest{
+		Protocol: Protocol, Incarnation: c.settings.Incarnation, Sequence: c.sequence,
+		Reading:      c.reading && c.healthy(),
+		StoreTrouble: !c.troubleAt.IsZero() && now.Sub(c.troubleAt) < troubleFor,
+		Leaving:      c.leaving,
+	}
+	for _, t := range c.tables {
+		d.Versions = append(d.Versions, t.Version())
+	}
+	for _, l := range loads {
+		d.LoadTarget = append(d.LoadTarget, l.Target)
+		d.LoadOpen = append(d.LoadOpen, uint32(l.Open))
+	}
+	to := c.addressees(now)
+	if c.sequence%knownEvery == 1 {
+		for _, a := range to {
+			d.Known = append(d.Known, string(a))
+		}
+	}
+	if len(to) > 0 {
+		c.emit(SendDigest{To: to, Digest: d})
+	}
+}
+
+// changed passes a change of content on. The digest goes at once: the others copy
+// as soon as they hear of the version.
+func (c *Core) changed(t Table, source string) {
+	c.news = true
+	c.emit(Changed{Table: t, Version: c.tables[t].Version(), Source: source})
+}
--- /dev/null
+++ b/internal/core/placement/health.go
@@ -0,0 +1,77 @@
+package placement
+
+import "time"
+
+// Outcome is what an attempt says about its target.
+type Outcome int
+
+// The outcomes.
+const (
+	// Answered: the target answered, whatever the status.
+	Answered Outcome = iota
+	// Failed: the connection failed, or the answer was spoiled.
+	Failed
+	// Errored: the target answered with a failure of its own.
+	Errored
+	// Refused: the target was full.
+	Refused
+	// Neutral: the attempt ended for a reason that is not the target's.
+	Neutral
+)
+
+// suspendAfter failures in a row a target gets no new work for a while. One may
+// be a lost connection; a crashed target fails every request.
+const suspendAfter = 2
+
+// A suspension grows with each one that follows without an answer in between: a
+// crashed target is back after seconds, a lost one never.
+const (
+	suspendBase = 500 * time.Millisecond
+	suspendMax  = 4 * time.Second
+)
+
+// health is what the answers of a target say about it. Liveness checks don't
+// enter: a target may pass them and fail part of its requests.
+type health struct {
+	failures    int // in a row
+	suspensions int // since the last answer
+	until       time.Time
+	errors      float64 // share of own failures among the answers, moving average
+}
+
+// errorWeight is the weight of one answer in the share of errors: about the last
+// twelve count.
+const errorWeight = 0.08
+
+// greyShare is the share of errors above which a target counts as failing: plain
+// services answer up to 0.14 of some requests with a failure of their own.
+const greyShare = 0.3
+
+// greySuspend is how long a target that fails part of its requests rests. It is
+// short, since a single request in it is all that shows that it has recovered.
+const greySuspend = time.Second
+
+func (h *health) suspended(now time.Time) bool { return h.until.After(now) }
+
+func (h *health) observe(now time.Time, o Outcome) {
+	switch o {
+	case Answered:
+		h.failures, h.suspensions = 0, 0
+		h.errors -= errorWeight * h.errors
+	case Errored:
+		h.failures = 0
+		h.errors += errorWeight * (1 - h.errors)
+		if h.errors > greyShare {
+			h.until = now.Add(greySuspend)
+			h.errors = greyShare - errorWeight
+		}
+	case Failed:
+		h.failures++
+		if h.failures < suspendAfter || h.suspended(now) {
+			return
+		}
+		h.until = now.Add(min(suspendBase<<min(h.suspensions, 8), suspendMax))
+		h.suspensions++
+	case Refused, Neutral:
+	}
+}
--- /dev/null
+++ b/internal/core/placement/placement.go
@@ -0,0 +1,329 @@
+// Package placement chooses the target of each request from what the whole fleet
+// has open. Every router tells the others how many requests it has open at each
+// target; each one places by the sum. So one router's view covers the fleet's load
+// although it sees a sliver of the traffic, and no router waits for another.
+package placement
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/hemlockdyke/hemlockdyke/internal/core/rendezvous"
+)
+
+// Settings are the limits of a Board.
+type Settings struct {
+	// DataCentre is where this router runs.
+	DataCentre string
+	// Multiple and Slack bound what a target may hold: Multiple x the pool's mean +
+	// Slack. They are the operators' promise to the targets.
+	Multiple float64
+	Slack    float64
+	// Margin is how many requests below the bound a placement stays: routers place
+	// for up to a digest interval without knowing of each other's last requests.
+	Margin float64
+	// LoadsExpire is how long a silent router's loads still count. Its requests end
+	// with it, but a short silence may be lost datagrams.
+	LoadsExpire time.Duration
+}
+
+// DefaultSettings returns the settings used by the router.
+func DefaultSettings(dataCentre string) Settings {
+	return Settings{
+		DataCentre: dataCentre, Multiple: 2, Slack: 3, Margin: 2,
+		LoadsExpire: 1500 * time.Millisecond,
+	}
+}
+
+// Target is one back end as a placement sees it.
+type Target struct {
+	UID        uint64
+	ID         string // the lifetime that the target names in its answers
+	Address    string
+	DataCentre string
+	Leaving    bool
+	Slots      int // 0 if unknown
+}
+
+// Ask is one request that needs a target.
+type Ask struct {
+	Pool string
+	// Chat is the hash of what the request shares with earlier ones; 0 if nothing.
+	Chat     uint64
+	Excluded []uint64
+}
+
+// Load is how many requests one router has open at a target.
+type Load struct {
+	Target uint64
+	Open   int
+}
+
+// Rule names why a target was chosen, for the log.
+type Rule string
+
+// The rules.
+const (
+	RuleHome    Rule = "home"         // first in the chat's order
+	RuleSpill   Rule = "spill"        // a later one: those before it are at the bound or suspended
+	RuleLeast   Rule = "least_loaded" // no chat, or every target at the bound
+	RuleSuspect Rule = "suspect"      // only suspended targets were left
+)
+
+// Choice is a placement with the figures that decided.
+type Choice struct {
+	Target Target
+	Rule   Rule
+	Open   int     // what the fleet had open at the target, this request not counted
+	Bound  float64 // what it may hold
+}
+
+type target struct {
+	Target
+	seed   uint64
+	own    int
+	peers  int // of all other routers, from their last digests
+	health health
+}
+
+func (t *target) open() int { return t.own + t.peers }
+
+type pool struct {
+	targets []*target
+}
+
+type peerLoads struct {
+	heard time.Time
+	loads []Load
+}
+
+// Board counts the open requests of the fleet. It is not safe for concurrent use.
+type Board struct {
+	settings Settings
+	rand     *rand.Rand
+	pools    map[string]*pool
+	byUID    map[uint64]*target
+	peers    map[uint32]*peerLoads
+}
+
+// New returns an empty Board.
+func New(s Settings, rnd *rand.Rand) *Board {
+	return &Board{
+		settings: s, rand: rnd, pools: make(map[string]*pool),
+		byUID: make(map[uint64]*target), peers: make(map[uint32]*peerLoads),
+	}
+}
+
+// SetTargets puts the targets of all pools in force. A target that is gone keeps
+// its count until its last request ends.
+func (b *Board) SetTargets(pools map[string][]Target) {
+	b.pools = make(map[string]*pool, len(pools))
+	listed := make(map[uint64]bool)
+	for name, targets := range pools {
+		p := &pool{}
+		for _, t := range targets {
+			known, ok := b.byUID[t.UID]
+			if !ok {
+				known = &target{seed: rendezvous.Hash(t.ID)}
+				b.byUID[t.UID] = known
+			}
+			known.Target = t
+			listed[t.UID] = true
+			p.targets = append(p.targets, known)
+		}
+		b.pools[name] = p
+	}
+	for uid, t := range b.byUID {
+		if !listed[uid] && t.own == 0 {
+			delete(b.byUID, uid)
+		}
+	}
+	b.sumPeers()
+}
+
+// Heard takes in what another router has open, in place of what it said before.
+func (b *Board) Heard(now time.Time, router uint32, loads []Load) {
+	p, ok := b.peers[router]
+	if !ok {
+		p = &peerLoads{}
+		b.peers[router] = p
+	}
+	for _, l := range p.loads {
+		b.addPeer(l, -1)
+	}
+	p.heard, p.loads = now, loads
+	for _, l := range p.loads {
+		b.addPeer(l, 1)
+	}
+}
+
+func (b *Board) addPeer(l Load, sign int) {
+	if t, ok := b.byUID[l.Target]; ok {
+		t.peers += sign * l.Open
+	}
+}
+
+// sumPeers counts all digests again: targets may have come and gone since.
+func (b *Board) sumPeers() {
+	for _, t := range b.byUID {
+		t.peers = 0
+	}
+	for _, p := range b.peers {
+		for _, l := range p.loads {
+			b.addPeer(l, 1)
+		}
+	}
+}
+
+// Expire forgets the loads of routers that have been silent for too long.
+func (b *Board) Expire(now time.Time) {
+	for id, p := range b.peers {
+		if now.Sub(p.heard) > b.settings.LoadsExpire {
+			b.Forget(id)
+		}
+	}
+}
+
+// Forget drops what a router has told: it has ended or restarted.
+func (b *Board) Forget(router uint32) {
+	if p, ok := b.peers[router]; ok {
+		for _, l := range p.loads {
+			b.addPeer(l, -1)
+		}
+		delete(b.peers, router)
+	}
+}
+
+// Own returns what this router has open, for its digest.
+func (b *Board) Own() []Load {
+	var out []Load
+	for uid, t := range b.byUID {
+		if t.own > 0 {
+			out = append(out, Load{Target: uid, Open: t.own})
+		}
+	}
+	return out
+}
+
+// Place chooses a target and counts the request there; false if the pool has none.
+func (b *Board) Place(now time.Time, a Ask) (Choice, bool) {
+	p, ok := b.pools[a.Pool]
+	if !ok {
+		return Choice{}, false
+	}
+	bound := b.bound(p)
+	t, rule := b.choose(now, p, a, bound)
+	if t == nil {
+		return Choice{}, false
+	}
+	c := Choice{Target: t.Target, Rule: rule, Open: t.open(), Bound: bound}
+	t.own++
+	return c, true
+}
+
+// Done takes a request off its target and learns from its outcome.
+func (b *Board) Done(now time.Time, uid uint64, o Outcome) {
+	t, ok := b.byUID[uid]
+	if !ok {
+		return
+	}
+	t.own--
+	t.health.observe(now, o)
+}
+
+// Silent takes note of a target that leaves a request unanswered for longer than
+// its answers take. The request still waits, so nothing else would show the failure
+// before the request's deadline, and more would be sent there meanwhile.
+func (b *Board) Silent(now time.Time, uid uint64) {
+	if t, ok := b.byUID[uid]; ok {
+		t.health.observe(now, Failed)
+	}
+}
+
+// bound is the highest count that a placement may bring a target to. The mean is
+// over all targets, leaving ones as well: those still hold requests and receive none.
+func (b *Board) bound(p *pool) float64 {
+	if len(p.targets) == 0 {
+		return 0
+	}
+	open := 0
+	for _, t := range p.targets {
+		open += t.open()
+	}
+	mean := float64(open) / float64(len(p.targets))
+	return max(b.settings.Multiple*mean+b.settings.Slack-b.settings.Margin, 1)
+}
+
+func (b *Board) choose(now time.Time, p *pool, a Ask, bound float64) (*target, Rule) {
+	if a.Chat != 0 {
+		if t, rule := b.byChat(now, p, a, bound); t != nil {
+			return t, rule
+		}
+	}
+	if t := b.leastLoaded(now, p, a, false); t != nil {
+		return t, RuleLeast
+	}
+	return b.leastLoaded(now, p, a, true), RuleSuspect
+}
+
+// byChat returns the first target in the chat's rendezvous order that is below
+// the bound. Every router computes the same order, so a chat that spills finds
+// its second target whichever router it comes to.
+func (b *Board) byChat(now time.Time, p *pool, a Ask, bound float64) (*target, Rule) {
+	var top rendezvous.Top
+	for i, t := range p.targets {
+		if !t.Leaving && !a.excludes(t.UID) {
+			top.Offer(int32(i), rendezvous.Mix(a.Chat, t.seed), rendezvous.MaxTop)
+		}
+	}
+	for i := range top.Len {
+		t := p.targets[top.Index[i]]
+		if t.health.suspended(now) || float64(t.open()+1) > bound {
+			continue
+		}
+		if i == 0 {
+			return t, RuleHome
+		}
+		return t, RuleSpill
+	}
+	return nil, ""
+}
+
+// leastLoaded returns the target with the fewest open requests, of equal ones one
+// in this data centre.
+func (b *Board) leastLoaded(now time.Time, p *pool, a Ask, suspended bool) *target {
+	var best *target
+	bestCost := 0.0
+	for _, t := range p.targets {
+		if t.Leaving || a.excludes(t.UID) || t.health.suspended(now) != suspended {
+			continue
+		}
+		cost := b.cost(t)
+		if best == nil || cost < bestCost {
+			best, bestCost = t, cost
+		}
+	}
+	return best
+}
+
+// remoteCost is what another data centre adds to a target's count: two requests
+// more in the own one are answered as soon as none across the link, and bytes
+// between data centres are paid for.
+const remoteCost = 1.5
+
+func (b *Board) cost(t *target) float64 {
+	cost := float64(t.open()) + b.rand.Float64()
+	if t.DataCentre != b.settings.DataCentre {
+		cost += remoteCost
+	}
+	return cost
+}
+
+func (a *Ask) excludes(uid uint64) bool {
+	for _, e := range a.Excluded {
+		if e == uid {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/core/retry/window.go
@@ -0,0 +1,74 @@
+package retry
+
+import "time"
+
+// Window limits the repeats of one router to its part of a budget that the whole
+// fleet shares: ratio x the requests of the last window + slack. Each router spends
+// the ratio of its own requests and an equal part of the slack, so that the parts
+// add up to the budget without any message. It is not safe for concurrent use.
+type Window struct {
+	start   time.Time // slots count from here: the time of day may jump
+	span    time.Duration
+	buckets [windowBuckets]bucket
+}
+
+type bucket struct {
+	slot              int64
+	requests, repeats int
+}
+
+// windowBuckets is the resolution: repeats leave the window up to a tenth of it late.
+const windowBuckets = 10
+
+// Limits are a fleet's budget and this router's part of it.
+type Limits struct {
+	Ratio   float64
+	Slack   float64
+	Routers int // that share the slack
+}
+
+// headroom is the part of the budget that is used. The rest is for repeats that
+// the routers count in different windows.
+const headroom = 0.85
+
+// NewWindow returns an empty Window of a span.
+func NewWindow(now time.Time, span time.Duration) *Window { return &Window{start: now, span: span} }
+
+// Request counts the first send of a request.
+func (w *Window) Request(now time.Time) { w.at(now).requests++ }
+
+// Repeat counts a further send if the budget has room for it.
+func (w *Window) Repeat(now time.Time, l Limits) bool {
+	current := w.at(now)
+	requests, repeats := w.sum(now)
+	allowed := headroom * (l.Ratio*float64(requests) + l.Slack/float64(max(l.Routers, 1)))
+	if float64(repeats+1) > allowed {
+		return false
+	}
+	current.repeats++
+	return true
+}
+
+func (w *Window) slot(now time.Time) int64 {
+	return int64(now.Sub(w.start)/(w.span/windowBuckets)) + windowBuckets
+}
+
+func (w *Window) at(now time.Time) *bucket {
+	slot := w.slot(now)
+	b := &w.buckets[slot%windowBuckets]
+	if b.slot != slot {
+		*b = bucket{slot: slot}
+	}
+	return b
+}
+
+func (w *Window) sum(now time.Time) (requests, repeats int) {
+	slot := w.slot(now)
+	for i := range w.buckets {
+		if b := &w.buckets[i]; slot-b.slot < windowBuckets {
+			requests += b.requests
+			repeats += b.repeats
+		}
+	}
+	return requests, repeats
+}
--- /dev/null
+++ b/internal/daemon/gateway.go
@@ -0,0 +1,183 @@
+package daemon
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+	"google.golang.org/protobuf/proto"
+
+	peerv1 "github.com/hemlockdyke/hemlockdyke/gen/hemlockdyke/peer/v1"
+	"github.com/hemlockdyke/hemlockdyke/internal/adapter/gatewayhttp"
+	"github.com/hemlockdyke/hemlockdyke/internal/adapter/metrics"
+	"github.com/hemlockdyke/hemlockdyke/internal/adapter/peer"
+	"github.com/hemlockdyke/hemlockdyke/internal/adapter/upstream"
+	"github.com/hemlockdyke/hemlockdyke/internal/app/gateway"
+	"github.com/hemlockdyke/hemlockdyke/internal/core/code"
+)
+
+// GatewaySettings are the settings of a gateway process.
+type GatewaySettings struct {
+	Callers       string // address for callers
+	Readiness     string // address for the balancer's checks
+	ReadinessPath string
+	Metrics       string // address of the metrics
+	MemoryBytes   int64  // what the process may use; 0 if unknown
+	// Grace is how long after SIGTERM the process is killed.
+	Grace   time.Duration
+	Gateway gateway.Settings
+}
+
+const (
+	// gatewayPeerTimeout bounds one copy between routers.
+	gatewayPeerTimeout = 500 * time.Millisecond
+	// balancerLag is how long the balancer goes on sending new connections after the
+	// first failed check: it asks every second and takes a router out after two misses.
+	balancerLag = 2500 * time.Millisecond
+	// graceMargin is kept between the end of a graceful shutdown and the kill.
+	graceMargin = 500 * time.Millisecond
+	// headerTimeout and idleTimeout bound slow and idle callers. Callers reuse
+	// connections that have been idle for many seconds, so these are generous.
+	headerTimeout = 5 * time.Second
+	idleTimeout   = 60 * time.Second
+	// maxHeader is twice what the platform lets callers send.
+	maxHeader = 32 << 10
+	// memoryShare is the part of the process's memory at which the garbage collector
+	// works harder instead of letting the heap grow.
+	memoryShare = 0.5
+	// gcPercent lets the heap grow to three times what lives: it is small, and
+	// collections take processor time from requests.
+	gcPercent = 200
+)
+
+// Gateway is a running gateway.
+type Gateway struct {
+	settings GatewaySettings
+	log      zerolog.Logger
+	control  *gateway.Control
+	store    gateway.Store
+	links    *peer.Datagrams
+	servers  []*http.Server // callers first
+	failed   chan error
+	stop     context.CancelFunc
+}
+
+// Platform is what a gateway needs of the platform.
+type Platform struct {
+	Store   gateway.Store
+	Decoder gateway.Decoder
+	Wire    interface {
+		gateway.Wire
+		gatewayhttp.Decoder
+	}
+}
+
+// StartGateway starts a gateway.
+func StartGateway(s GatewaySettings, p Platform, m *metrics.Gateway, log zerolog.Logger) (*Gateway, error) {
+	debug.SetGCPercent(gcPercent)
+	if s.MemoryBytes > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryBytes)))
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	g := &Gateway{settings: s, log: log, store: p.Store, failed: make(chan error, 5), stop: stop}
+	links, err := peer.ListenDatagrams(s.Gateway.Address)
+	if err != nil {
+		stop()
+		return nil, err
+	}
+	g.links = links
+	up := upstream.New(upstream.DefaultSettings(), time.Now, m.Dialed)
+	peers := &gatewayPeers{Datagrams: links, Copier: peer.NewCopier(gatewayPeerTimeout, unwrapped)}
+	g.control = gateway.NewControl(s.Gateway, p.Store, p.Decoder, peers, up, log, time.Now)
+	relay := gateway.NewRelay(g.control, p.Wire, up, m, log, time.Now)
+	front := gatewayhttp.New(relay, g.control, p.Wire, time.Now, m.Refused)
+	if err := g.listen(front, m); err != nil {
+		stop()
+		return nil, err
+	}
+	go g.receive(ctx)
+	go g.control.Run(ctx)
+	log.Info().Str("event", "started").Str("callers", s.Callers).Str("peers", s.Gateway.Address).Msg("")
+	return g, nil
+}
+
+// gatewayPeers joins the two ways to other routers.
+type gatewayPeers struct {
+	*peer.Datagrams
+	*peer.Copier
+}
+
+func unwrapped(c net.Conn) net.Conn { return c }
+
+func (g *Gateway) receive(ctx context.Context) {
+	err := g.links.Receive(func(from string, m *peerv1.Digest) { g.control.Digest(ctx, from, m) })
+	if err != nil {
+		g.failed <- err
+	}
+}
+
+// Handle answers other routers' messages.
+func (g *Gateway) Handle(ctx context.Context, m proto.Message) (proto.Message, error) {
+	req, ok := m.(*peerv1.CopyRequest)
+	if !ok {
+		return nil, code.New(code.BadProtocol, "unexpected message")
+	}
+	return g.control.Copy(ctx, req)
+}
+
+func (g *Gateway) listen(front http.Handler, m *metrics.Gateway) error {
+	peerMux := http.NewServeMux()
+	peerMux.Handle(peer.NewHandler(g))
+	server, ok := front.(*gatewayhttp.Server)
+	if !ok {
+		return errors.New("no readiness")
+	}
+	for _, one := range []struct {
+		address string
+		server  *http.Server
+		wrap    func(net.Listener) net.Listener
+	}{
+		{g.settings.Callers, &http.Server{Handler: front, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader}, nil},
+		{g.settings.Readiness, &http.Server{Handler: server.Readiness(g.settings.ReadinessPath)}, nil},
+		{g.settings.Gateway.Address, &http.Server{Handler: peerMux, Protocols: peer.Protocols()}, peer.Listen},
+		{g.settings.Metrics, &http.Server{Handler: m.Handler()}, nil},
+	} {
+		l, err := listen(one.address)
+		if err != nil {
+			return err
+		}
+		if one.wrap != nil {
+			l = one.wrap(l)
+		}
+		g.servers = append(g.servers, one.server)
+		go serve(one.server, l, g.failed)
+	}
+	return nil
+}
+
+// Failed receives an error when a listener breaks.
+func (g *Gateway) Failed() <-chan error { return g.failed }
+
+// Shutdown stops gracefully: unready at once, serving until the balancer has
+// noticed, then ending with the last open request.
+func (g *Gateway) Shutdown(ctx context.Context) {
+	began := time.Now()
+	g.log.Info().Str("event", "stopping").Msg("")
+	g.control.Leave(ctx)
+	sleep(ctx, balancerLag)
+	graceful, cancel := context.WithDeadline(ctx, began.Add(g.settings.Grace-graceMargin))
+	defer cancel()
+	if err := g.servers[0].Shutdown(graceful); err != nil {
+		g.log.Error().Str("event", "requests_cut").Err(err).Msg("")
+	}
+	if err := g.store.Unregister(graceful, g.settings.Gateway.Address); err != nil {
+		g.log.Warn().Str("event", "unregister_failed").Err(err).Msg("")
+	}
+	g.stop()
+	_ = g.links.Close()
+	g.log.Info().Str("event", "stopped").Dur("after", time.Since(began)).Msg("")
+}
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -16,3 +16,8 @@
 	}
 	return zerolog.New(w).Level(parsed).With().Timestamp().Str("process", process).Uint32("id", id).Logger()
 }
+
+// NewGateway returns the logger of a gateway, which writes JSON lines to w.
+func NewGateway(w io.Writer, name string) zerolog.Logger {
+	return zerolog.New(w).With().Timestamp().Str("router", name).Logger()
+}
--- /dev/null
+++ b/internal/wire/errors.go
@@ -0,0 +1,23 @@
+package wire
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"github.com/hemlockdyke/hemlockdyke/internal/core/code"
+)
+
+// NewErrorBody returns the body of a refusal or failure.
+func NewErrorBody(e *code.Error) ErrorBody {
+	info := e.Code.Lookup()
+	return ErrorBody{Error: ErrorDetail{
+		Code: int(e.Code), Name: info.Name, Message: e.Message, Ran: info.Ran.String(), Field: e.Field,
+	}}
+}
+
+// WriteError answers with a numbered code. Headers have to be set before.
+func WriteError(w http.ResponseWriter, e *code.Error) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(e.Code.Lookup().Status)
+	_ = json.NewEncoder(w).Encode(NewErrorBody(e)) // a caller that left reads no answer
+}
