A spilled or moved chat's cached parts are fetched; removals believed unless nobody reads the store

Change: a request that goes to another target than its chat's last one names that one as the source of the cached parts: the first in the chat's order without a target that has just joined.

Routers that the store refused told so, and all others took it for an outage, in which a removed target is used for 2.5 s more. Change: the store is away only while no router reads it.

--- a/internal/app/gateway/control.go
+++ b/internal/app/gateway/control.go
@@ -32,12 +32,12 @@
 
 const (
 	// goneGrace is how long a target is used after it left the list, and
-	// goneGraceInTrouble the same while the store is or was in trouble: entries that
+	// goneGraceStoreAway the same while the store is or was away: entries that
 	// expired are back about two seconds after its return. Leaving targets have to
 	// be left alone after two seconds; the short grace and the spread of the news
 	// fit in.
 	goneGrace          = 700 * time.Millisecond
-	goneGraceInTrouble = 2500 * time.Millisecond
+	goneGraceStoreAway = 2500 * time.Millisecond
 	// registerPause is the pause between tries to be listed among the routers.
 	registerPause = time.Second
 	// callTimeout bounds the calls that do not wait for changes.
@@ -120,11 +120,11 @@
 	c.view.board.Expire(now)
 	c.view.mu.Unlock()
 	grace := goneGrace
-	if c.core.InTrouble(now) {
-		grace = goneGraceInTrouble
+	if c.core.StoreAway(now) {
+		grace = goneGraceStoreAway
 	}
 	if c.roster.Expire(now, grace) {
-		c.publishTargets()
+		c.publishTargets(now)
 	}
 	c.upstream.Prune(c.roster.Has)
 	if n := c.core.Alive(now) + 1; n > c.routers {
@@ -243,7 +243,7 @@
 		c.log.Error().Str("event", "target_rejected").Uint64("row", a.Version).Str("source", a.Source).Err(err).Msg("")
 	}
 	c.roster.Update(now, targets)
-	c.publishTargets()
+	c.publishTargets(now)
 	c.log.Info().Str("event", "targets").Uint64("row", a.Version).Str("source", a.Source).Int("rows", len(rows)).Msg("")
 }
 
@@ -260,9 +260,9 @@
 		Str("source", a.Source).Int("routes", len(state.Routes)).Msg("")
 }
 
-func (c *Control) publishTargets() {
+func (c *Control) publishTargets(now time.Time) {
 	c.view.mu.Lock()
-	c.view.board.SetTargets(c.roster.Pools())
+	c.view.board.SetTargets(now, c.roster.Pools())
 	c.view.mu.Unlock()
 	c.updateReady()
 }
--- a/internal/app/gateway/ports.go
+++ b/internal/app/gateway/ports.go
@@ -78,6 +78,9 @@
 	Team       string
 	Priority   int    // 0 is the most urgent
 	ResumeFrom string // the last event that the caller has; empty if none
+	// Source is the address of a target whose cached prompt parts are to be fetched;
+	// empty if none.
+	Source string
 }
 
 // Reply is what a target's answer says beside its content.
--- a/internal/app/gateway/relay.go
+++ b/internal/app/gateway/relay.go
@@ -295,6 +295,7 @@
 	call := x.match.call
 	a := Attempt{
 		Left: x.ends.Sub(t.began), TargetID: t.choice.Target.ID, Priority: x.match.route.Priority, ResumeFrom: x.stream.last,
+		Source: t.choice.Source,
 	}
 	if team := x.match.team; team != nil {
 		a.Team = team.Name
--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -37,8 +37,9 @@
 	// are paid for, refused ones too, and the fleet shares a limit on them.
 	retryMin = 150 * time.Millisecond
 	retryMax = time.Second
-	// troubleFor is how long the store counts as in trouble after a failed call.
-	troubleFor = 5 * time.Second
+	// outageLasts is how long the store counts as away after a router reads it
+	// again. The readers see within 1.5 s what expired meanwhile.
+	outageLasts = 3 * time.Second
 	// copyTimeout is when an unanswered copy request may be followed by another.
 	copyTimeout = 500 * time.Millisecond
 )
@@ -70,7 +71,8 @@
 
 	reading   bool
 	reachable bool
-	troubleAt time.Time // last failed call; zero if none
+	wasRead   bool      // some router has read the store
+	outageAt  time.Time // when no router read it last; zero if never
 	leaving   bool
 
 	sequence   uint64
@@ -102,19 +104,24 @@
 // Known reports whether a table has been read or copied.
 func (c *Core) Known(t Table) bool { return c.tables[t].Known() }
 
-// InTrouble reports whether the store has failed this router, or one that it
-// hears, lately. Entries of targets expire while the store is away, so a removal
-// says less then.
-func (c *Core) InTrouble(now time.Time) bool {
-	if !c.troubleAt.IsZero() && now.Sub(c.troubleAt) < troubleFor {
-		return true
-	}
+// StoreAway reports whether no router reads the store, or none did a moment ago.
+// Entries of targets expire while the store is away, so a removal says less then.
+// A store that refuses some routers and serves others is not away.
+func (c *Core) StoreAway(now time.Time) bool {
+	return !c.outageAt.IsZero() && now.Sub(c.outageAt) < outageLasts
+}
+
+// watchStore notes the moments in which no router reads the store. Before the
+// first read there is nothing that could have expired.
+func (c *Core) watchStore(now time.Time) {
+	read := c.reading && c.healthy()
 	for _, p := range c.peers {
-		if p.trouble && p.alive(now) {
-			return true
-		}
+		read = read || (p.reading && p.alive(now))
+	}
+	c.wasRead = c.wasRead || read
+	if c.wasRead && !read {
+		c.outageAt = now
 	}
-	return false
 }
 
 // Step takes one event and returns the actions that follow. The slice is valid
@@ -150,6 +157,7 @@
 
 func (c *Core) tick(now time.Time, ev Tick) {
 	c.expirePeers(now)
+	c.watchStore(now)
 	if !equalLoads(ev.Loads, c.lastLoads) || now.Sub(c.lastDigest) >= heartbeatEvery {
 		c.digest(now, ev.Loads)
 	}
@@ -179,9 +187,7 @@
 	c.lastDigest, c.lastLoads = now, loads
 	d := &peerv1.Digest{
 		Protocol: Protocol, Incarnation: c.settings.Incarnation, Sequence: c.sequence,
-		Reading:      c.reading && c.healthy(),
-		StoreTrouble: !c.troubleAt.IsZero() && now.Sub(c.troubleAt) < troubleFor,
-		Leaving:      c.leaving,
+		Reading: c.reading && c.healthy(), Leaving: c.leaving,
 	}
 	for _, t := range c.tables {
 		d.Versions = append(d.Versions, t.Version())
--- a/internal/core/fleet/peers.go
+++ b/internal/core/fleet/peers.go
@@ -20,7 +20,6 @@
 	since       time.Time // known since
 	versions    [Tables]uint64
 	reading     bool
-	trouble     bool
 	leaving     bool
 	up          bool
 }
@@ -69,7 +68,7 @@
 
 func (p *peer) take(now time.Time, d *peerv1.Digest) {
 	p.incarnation, p.sequence, p.heard = d.GetIncarnation(), d.GetSequence(), now
-	p.reading, p.trouble, p.leaving = d.GetReading(), d.GetStoreTrouble(), d.GetLeaving()
+	p.reading, p.leaving = d.GetReading(), d.GetLeaving()
 	p.versions = [Tables]uint64{}
 	copy(p.versions[:], d.GetVersions())
 }
--- a/internal/core/fleet/store.go
+++ b/internal/core/fleet/store.go
@@ -47,7 +47,6 @@
 	r.failures++
 	pause := min(retryMin<<min(r.failures-1, 8), retryMax)
 	r.retryAt = now.Add(time.Duration(float64(pause) * (0.5 + c.rand.Float64())))
-	c.troubleAt = now
 	c.storeState()
 }
 
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -76,10 +76,14 @@
 	Rule   Rule
 	Open   int     // what the fleet had open at the target, this request not counted
 	Bound  float64 // what it may hold
+	// Source is the address of a target that probably holds the chat's cache while
+	// the chosen one does not; empty if there is none.
+	Source string
 }
 
 type target struct {
 	Target
+	joined time.Time
 	seed   uint64
 	own    int
 	peers  int // of all other routers, from their last digests
@@ -116,7 +120,11 @@
 
 // SetTargets puts the targets of all pools in force. A target that is gone keeps
 // its count until its last request ends.
-func (b *Board) SetTargets(pools map[string][]Target) {
+func (b *Board) SetTargets(now time.Time, pools map[string][]Target) {
+	joined := now
+	if len(b.byUID) == 0 {
+		joined = time.Time{} // those of the first list have been there before this router
+	}
 	b.pools = make(map[string]*pool, len(pools))
 	listed := make(map[uint64]bool)
 	for name, targets := range pools {
@@ -124,7 +132,7 @@
 		for _, t := range targets {
 			known, ok := b.byUID[t.UID]
 			if !ok {
-				known = &target{seed: rendezvous.Hash(t.ID)}
+				known = &target{joined: joined, seed: rendezvous.Hash(t.ID)}
 				b.byUID[t.UID] = known
 			}
 			known.Target = t
@@ -216,7 +224,7 @@
 	if t == nil {
 		return Choice{}, false
 	}
-	c := Choice{Target: t.Target, Rule: rule, Open: t.open(), Bound: bound}
+	c := Choice{Target: t.Target, Rule: rule, Open: t.open(), Bound: bound, Source: source(now, p, a, t)}
 	t.own++
 	return c, true
 }
@@ -289,6 +297,41 @@
 	return nil, ""
 }
 
+// youngFor is how long a target that joined is taken not to hold the chats that
+// are its own by rendezvous order. Most chats return within that time.
+const youngFor = 20 * time.Second
+
+// source returns the address of the target that the chat's requests went to before
+// they go to t: the first in the chat's order without t, if t is young, and the
+// first of all, a leaving one as well, if t is not that. Fetching a cached part
+// from there takes a quarter of the time of reading it again and a tenth of its
+// price (qls-recall: 19 ms against 75 ms for 10,000 tokens).
+func source(now time.Time, p *pool, a Ask, t *target) string {
+	if a.Chat == 0 {
+		return ""
+	}
+	young := now.Sub(t.joined) < youngFor
+	var best *target
+	weight := rendezvous.Mix(a.Chat, t.seed)
+	var bestWeight uint64
+	for _, o := range p.targets {
+		w := rendezvous.Mix(a.Chat, o.seed)
+		if o == t || o.health.suspended(now) || (!young && w < weight) {
+			continue
+		}
+		if now.Sub(o.joined) < youngFor && !young {
+			continue
+		}
+		if best == nil || w > bestWeight {
+			best, bestWeight = o, w
+		}
+	}
+	if best == nil {
+		return ""
+	}
+	return best.Address
+}
+
 // leastLoaded returns the target with the fewest open requests, of equal ones one
 // in this data centre.
 func (b *Board) leastLoaded(now time.Time, p *pool, a Ask, suspended bool) *target {
