Readers of the store that are cut off in silence are replaced in time, and read less

The three routers that read the store were cut off from it without a reset; their calls waited on and they told the others that they read. Keep-alive probes count whole seconds and took 4 s. Change: the first reader waits one second at most, so it notices and a fourth router begins to read. Readers stay readers as others come; starting routers leave the seeds a moment to pass on what they read; only readers are listed in the store. A table that was read before its first transaction no longer hides that one.

--- a/internal/adapter/upstream/conn.go
+++ b/internal/adapter/upstream/conn.go
@@ -23,10 +23,11 @@
 // without power answers nothing. Keep-alive probes find the first while an answer
 // is awaited, the user timeout finds a request that is never acknowledged; without
 // them only the request's deadline would end the wait.
+// Probes are counted in whole seconds.
 const (
-	probeIdle     = 500 * time.Millisecond
-	probeInterval = 400 * time.Millisecond
-	probeCount    = 3
+	probeIdle     = time.Second
+	probeInterval = time.Second
+	probeCount    = 2
 	userTimeout   = 1500 * time.Millisecond
 )
 
--- a/internal/app/gateway/control.go
+++ b/internal/app/gateway/control.go
@@ -21,6 +21,7 @@
 	DataCentre string
 	Address    string   // where other routers reach this one, as IP:PORT
 	Seeds      []string // addresses at which routers may run
+	IsSeed     bool     // others have this router's address as a seed
 	// RetryRatio, RetrySlack and RetryWindow are the fleet's budget of repeats.
 	RetryRatio  float64
 	RetrySlack  float64
@@ -38,8 +39,9 @@
 	// fit in.
 	goneGrace          = 700 * time.Millisecond
 	goneGraceStoreAway = 2500 * time.Millisecond
-	// registerPause is the pause between tries to be listed among the routers.
-	registerPause = time.Second
+	// registerPause is the pause between looks whether this router has to be listed
+	// or to look for others. Two seconds after a start the readers are settled.
+	registerPause = 2 * time.Second
 	// callTimeout bounds the calls that do not wait for changes.
 	callTimeout = 2 * time.Second
 )
@@ -83,8 +85,8 @@
 			limits: retry.Limits{Ratio: s.RetryRatio, Slack: s.RetrySlack, Routers: 1},
 		},
 		inbox: make(chan func(time.Time), inboxSize), stopped: make(chan struct{}),
-		core: fleet.New(fleet.Settings{
-			Self: fleet.Address(s.Address), Incarnation: incarnation, Seed: rand.Uint64(),
+		core: fleet.New(now(), fleet.Settings{
+			Self: fleet.Address(s.Address), Incarnation: incarnation, Seed: rand.Uint64(), StartsFirst: s.IsSeed,
 		}),
 		roster: placement.NewRoster(),
 	}
@@ -186,7 +188,7 @@
 }
 
 func (c *Control) follow(ctx, calls context.Context, a fleet.Follow) {
-	position, rows, err := c.store.Follow(calls, a.Table, a.After)
+	position, rows, err := c.store.Follow(calls, a.Table, a.After, a.Wait)
 	if err != nil {
 		c.readFailed(ctx, calls, a.Table, err)
 		return
@@ -309,24 +311,60 @@
 	}
 }
 
-// register lists this router in the store and learns of the others, once: from
-// then on digests carry who runs.
+// register lists this router in the store if it is a reader, and looks for others
+// there if it hears none: seeds may be out of date, and then a router that starts
+// would take itself for the only one. Digests carry who runs from then on.
 func (c *Control) register(ctx context.Context) {
-	for ctx.Err() == nil {
+	listed := false
+	for pause(ctx, registerPause) {
+		var reading, alone bool
+		c.query(func(now time.Time) { reading, alone = c.core.Reading(), c.core.Alive(now) == 0 })
+		if !alone && (listed || !reading) {
+			continue
+		}
 		call, cancel := context.WithTimeout(ctx, callTimeout)
 		found, err := c.store.Register(call, c.settings.Address)
 		cancel()
-		if err == nil {
-			c.post(ctx, fleet.Found{Addresses: addresses(found)})
-			return
-		}
-		c.log.Warn().Str("event", "register_failed").Err(err).Msg("")
-		pause := time.NewTimer(time.Duration(float64(registerPause) * (0.5 + rand.Float64())))
-		select {
-		case <-pause.C:
-		case <-ctx.Done():
-			pause.Stop()
+		if err != nil {
+			c.log.Warn().Str("event", "register_failed").Err(err).Msg("")
+			continue
 		}
+		listed = true
+		c.view.listed.Store(true)
+		c.post(ctx, fleet.Found{Addresses: addresses(found)})
+	}
+}
+
+// Unlist takes this router out of the store's list if it is there.
+func (c *Control) Unlist(ctx context.Context) error {
+	if !c.view.listed.Load() {
+		return nil
+	}
+	return c.store.Unregister(ctx, c.settings.Address)
+}
+
+// query runs f on the control goroutine and waits for it.
+func (c *Control) query(f func(now time.Time)) {
+	done := make(chan struct{})
+	c.do(func(now time.Time) {
+		f(now)
+		close(done)
+	})
+	select {
+	case <-done:
+	case <-c.stopped:
+	}
+}
+
+// pause waits for about d and reports whether ctx still runs.
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(time.Duration(float64(d) * (0.5 + rand.Float64())))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
 	}
 }
 
--- a/internal/app/gateway/ports.go
+++ b/internal/app/gateway/ports.go
@@ -27,8 +27,9 @@
 	// Whole returns a table and the position from which to follow it.
 	Whole(ctx context.Context, t fleet.Table) (position uint64, rows []replica.Row, err error)
 	// Follow waits for changes after a position and returns them with the next
-	// position. It returns without rows after a while, and ErrHistoryLost.
-	Follow(ctx context.Context, t fleet.Table, after uint64) (position uint64, rows []replica.Row, err error)
+	// position, without rows if there was none within wait. It fails with
+	// ErrHistoryLost if the changes are no longer to be had.
+	Follow(ctx context.Context, t fleet.Table, after uint64, wait time.Duration) (position uint64, rows []replica.Row, err error)
 	// Register lists this router's address, and returns those of all routers.
 	Register(ctx context.Context, address string) ([]string, error)
 	// Unregister ends that.
--- a/internal/app/gateway/view.go
+++ b/internal/app/gateway/view.go
@@ -17,6 +17,7 @@
 	table   atomic.Pointer[route.Table]
 	leaving atomic.Bool
 	ready   atomic.Bool
+	listed  atomic.Bool // in the store's list of routers
 
 	mu      sync.Mutex
 	board   *placement.Board
--- a/internal/core/fleet/events.go
+++ b/internal/core/fleet/events.go
@@ -98,10 +98,11 @@
 		Digest *peerv1.Digest
 	}
 	// Follow asks the store for the changes of a table after a position, waiting
-	// for the first; answered by FollowRead or ReadFailed.
+	// for the first for up to Wait; answered by FollowRead or ReadFailed.
 	Follow struct {
 		Table Table
 		After uint64
+		Wait  time.Duration
 	}
 	// ReadWhole asks the store for a whole table; answered by WholeRead or ReadFailed.
 	ReadWhole struct{ Table Table }
--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -33,6 +33,18 @@
 	// readers is how many routers follow the store. Two may fail at the same moment
 	// before a change is delayed by silentAfter.
 	readers = 3
+	// briefWait is how long the first reader waits for a change of the desired state,
+	// longWait every other call. A reader that is cut off in silence hears nothing and
+	// can't tell that from a store without news; the first one notices within
+	// briefWait and the call's margin, and the next router in rank begins to read,
+	// all within the two seconds in which a change has to be in force. Brief waits
+	// of all readers would be three times the calls, which are paid for.
+	briefWait = time.Second
+	longWait  = 15 * time.Second
+	// startDelay is how long a starting router leaves others the time to tell of
+	// themselves before it reads the store, and half as much again at the most, so
+	// that of many that start together the first ones spare the rest their calls.
+	startDelay = 300 * time.Millisecond
 	// retryMin and retryMax bound the pause after a failed call to the store: calls
 	// are paid for, refused ones too, and the fleet shares a limit on them.
 	retryMin = 150 * time.Millisecond
@@ -49,6 +61,9 @@
 	Self        Address
 	Incarnation uint64
 	Seed        uint64
+	// StartsFirst routers read the store as soon as they start. The others leave
+	// them a moment to pass on what they read.
+	StartsFirst bool
 }
 
 // reader is the state of following one table at the store.
@@ -69,11 +84,15 @@
 	readers  [Tables]reader
 	peers    map[Address]*peer
 
-	reading   bool
-	reachable bool
-	wasRead   bool      // some router has read the store
-	outageAt  time.Time // when no router read it last; zero if never
-	leaving   bool
+	started time.Time
+
+	startDelay time.Duration
+	reading    bool
+	first      bool // of the readers, as far as this router knows
+	reachable  bool
+	wasRead    bool      // some router has read the store
+	outageAt   time.Time // when no router read it last; zero if never
+	leaving    bool
 
 	sequence   uint64
 	lastDigest time.Time
@@ -85,10 +104,11 @@
 }
 
 // New returns a Core that knows nothing.
-func New(s Settings) *Core {
+func New(now time.Time, s Settings) *Core {
 	c := &Core{
-		settings: s, rand: rand.New(rand.NewPCG(s.Seed, s.Incarnation)), peers: make(map[Address]*peer),
+		settings: s, started: now, rand: rand.New(rand.NewPCG(s.Seed, s.Incarnation)), peers: make(map[Address]*peer),
 	}
+	c.startDelay = time.Duration(float64(startDelay) * (1 + 0.5*c.rand.Float64()))
 	for i := range c.tables {
 		c.tables[i] = replica.New()
 		c.readers[i].needAll = true
@@ -104,6 +124,9 @@
 // Known reports whether a table has been read or copied.
 func (c *Core) Known(t Table) bool { return c.tables[t].Known() }
 
+// Reading reports whether this router reads the store, or tries to.
+func (c *Core) Reading() bool { return c.reading }
+
 // StoreAway reports whether no router reads the store, or none did a moment ago.
 // Entries of targets expire while the store is away, so a removal says less then.
 // A store that refuses some routers and serves others is not away.
--- a/internal/core/fleet/store.go
+++ b/internal/core/fleet/store.go
@@ -71,7 +71,11 @@
 // read makes this router one of the readers or ends that, and keeps a call under
 // way for each table while it is one.
 func (c *Core) read(now time.Time) {
-	should := c.shouldRead(now)
+	before, others := c.otherReaders(now)
+	should := !c.leaving && others < readers && c.mayStart(now)
+	if c.reading {
+		should = !c.leaving && before < readers
+	}
 	if should != c.reading {
 		c.reading = should
 		c.news = true
@@ -80,6 +84,12 @@
 			c.stopReading()
 		}
 	}
+	if first := should && before == 0; first != c.first {
+		c.first = first
+		if first {
+			c.emit(StopFollowing{}) // the call that waits would do so for long
+		}
+	}
 	if !c.reading {
 		return
 	}
@@ -108,25 +118,36 @@
 		c.emit(ReadWhole{Table: t})
 		return
 	}
-	c.emit(Follow{Table: t, After: r.position})
+	wait := longWait
+	if c.first && t == Desired {
+		wait = briefWait
+	}
+	c.emit(Follow{Table: t, After: r.position, Wait: wait})
 }
 
-// shouldRead reports whether fewer than the wanted number of routers that rank
-// before this one read successfully. Nobody is the reader for good: readers are
-// killed, cut off and refused by the store, and the next in rank take over without
-// asking anyone.
-func (c *Core) shouldRead(now time.Time) bool {
-	if c.leaving {
-		return false
-	}
+// mayStart reports whether a starting router has left others the time to tell of
+// themselves.
+func (c *Core) mayStart(now time.Time) bool {
+	return c.settings.StartsFirst || now.Sub(c.started) >= c.startDelay
+}
+
+// otherReaders returns how many other routers read the store successfully, and how
+// many of them rank before this one. A router begins to read while fewer than the
+// wanted number do, and ends if as many rank before it. Nobody is the reader for
+// good: readers are killed, cut off and refused by the store, and others take over
+// without asking anyone.
+func (c *Core) otherReaders(now time.Time) (before, all int) {
 	own := rank(c.settings.Self)
-	before := 0
 	for a, p := range c.peers {
-		if p.reading && !p.leaving && p.alive(now) && rank(a) < own {
+		if !p.reading || p.leaving || !p.alive(now) {
+			continue
+		}
+		all++
+		if rank(a) < own {
 			before++
 		}
 	}
-	return before < readers
+	return before, all
 }
 
 // rank orders routers in a way that all of them compute alike.
--- a/internal/core/replica/replica.go
+++ b/internal/core/replica/replica.go
@@ -65,7 +65,7 @@
 		return false
 	}
 	t.rows, t.removed = next, nil
-	t.version, t.floor, t.known = max(version, 1), version, true
+	t.version, t.floor, t.known = version, version, true
 	return true
 }
 
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -59,7 +59,6 @@
 	settings GatewaySettings
 	log      zerolog.Logger
 	control  *gateway.Control
-	store    gateway.Store
 	links    *peer.Datagrams
 	servers  []*http.Server // callers first
 	failed   chan error
@@ -83,7 +82,7 @@
 		debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryBytes)))
 	}
 	ctx, stop := context.WithCancel(context.Background())
-	g := &Gateway{settings: s, log: log, store: p.Store, failed: make(chan error, 5), stop: stop}
+	g := &Gateway{settings: s, log: log, failed: make(chan error, 5), stop: stop}
 	links, err := peer.ListenDatagrams(s.Gateway.Address)
 	if err != nil {
 		stop()
@@ -174,7 +173,7 @@
 	if err := g.servers[0].Shutdown(graceful); err != nil {
 		g.log.Error().Str("event", "requests_cut").Err(err).Msg("")
 	}
-	if err := g.store.Unregister(graceful, g.settings.Gateway.Address); err != nil {
+	if err := g.control.Unlist(graceful); err != nil {
 		g.log.Warn().Str("event", "unregister_failed").Err(err).Msg("")
 	}
 	g.stop()
