Restarted routers read the store at once

Cause: after a power off of all, routers that are no seeds waited 0.4 s for seeds that started later than they did.

--- a/internal/app/gateway/control.go
+++ b/internal/app/gateway/control.go
@@ -21,7 +21,9 @@
 	DataCentre string
 	Address    string   // where other routers reach this one, as IP:PORT
 	Seeds      []string // addresses at which routers may run
-	IsSeed     bool     // others have this router's address as a seed
+	// ReadsAtOnce is false for routers that start together with others that read the
+	// store and pass on what they read.
+	ReadsAtOnce bool
 	// RetryRatio, RetrySlack and RetryWindow are the fleet's budget of repeats.
 	RetryRatio  float64
 	RetrySlack  float64
@@ -86,7 +88,7 @@
 		},
 		inbox: make(chan func(time.Time), inboxSize), stopped: make(chan struct{}),
 		core: fleet.New(now(), fleet.Settings{
-			Self: fleet.Address(s.Address), Incarnation: incarnation, Seed: rand.Uint64(), StartsFirst: s.IsSeed,
+			Self: fleet.Address(s.Address), Incarnation: incarnation, Seed: rand.Uint64(), StartsFirst: s.ReadsAtOnce,
 		}),
 		roster: placement.NewRoster(),
 	}
