Suspensions are passed over when most of a pool is suspended; a smaller heap

The heap grew to 16 MB before the first collection, and memory is paid for. Change: with half of a pool suspended, suspensions don't count; collections at 50%.

--- a/internal/app/gateway/relay.go
+++ b/internal/app/gateway/relay.go
@@ -124,6 +124,7 @@
 	ends    time.Time // when the caller gets a final answer at the latest
 
 	repeats int
+	choice  placement.Choice // the last one
 	first   time.Time
 	status  int
 	// kept is a target's own failure that is passed on if no other target answers.
@@ -189,6 +190,7 @@
 	if !ok {
 		return x.machine.Step(attempt.Refused{Code: code.NoTarget})
 	}
+	x.choice = choice
 	action := x.machine.Step(attempt.Granted{Target: choice.Target.UID})
 	a := &try{run: x, choice: choice, number: action.Attempt, began: now, outcome: placement.Neutral}
 	action = a.make()
@@ -234,7 +236,9 @@
 		level = zerolog.WarnLevel
 	}
 	x.note(level, "finished").Int("code", int(c)).Int("status", x.status).Int("attempts", res.Attempts).
-		Dur("first", res.First).Dur("total", res.Total).Str("pool", x.match.pool).Msg("")
+		Dur("first", res.First).Dur("total", res.Total).Str("pool", x.match.pool).
+		Str("target", x.choice.Target.ID).Str("rule", string(x.choice.Rule)).Str("source", x.choice.Source).
+		Int("open", x.choice.Open).Float64("bound", x.choice.Bound).Msg("")
 }
 
 // whole passes a whole answer on.
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -67,7 +67,7 @@
 	RuleHome    Rule = "home"         // first in the chat's order
 	RuleSpill   Rule = "spill"        // a later one: those before it are at the bound or suspended
 	RuleLeast   Rule = "least_loaded" // no chat, or every target at the bound
-	RuleSuspect Rule = "suspect"      // only suspended targets were left
+	RuleSuspect Rule = "suspect"      // all others are suspended or have failed the request
 )
 
 // Choice is a placement with the figures that decided.
@@ -262,22 +262,43 @@
 	return max(b.settings.Multiple*mean+b.settings.Slack-b.settings.Margin, 1)
 }
 
+// panicShare is the share of suspended targets from which suspensions are passed
+// over. If most of a pool fails, the few left would be overrun and the caches of the
+// others lost, and often the cause is none of theirs.
+const panicShare = 0.5
+
+// skips reports whether suspended targets are to be passed over.
+func skips(now time.Time, p *pool) bool {
+	staying, suspended := 0, 0
+	for _, t := range p.targets {
+		if t.Leaving {
+			continue
+		}
+		staying++
+		if t.health.suspended(now) {
+			suspended++
+		}
+	}
+	return float64(suspended) < panicShare*float64(staying)
+}
+
 func (b *Board) choose(now time.Time, p *pool, a Ask, bound float64) (*target, Rule) {
+	skip := skips(now, p)
 	if a.Chat != 0 {
-		if t, rule := b.byChat(now, p, a, bound); t != nil {
+		if t, rule := b.byChat(now, p, a, bound, skip); t != nil {
 			return t, rule
 		}
 	}
-	if t := b.leastLoaded(now, p, a, false); t != nil {
+	if t := b.leastLoaded(now, p, a, skip); t != nil {
 		return t, RuleLeast
 	}
-	return b.leastLoaded(now, p, a, true), RuleSuspect
+	return b.leastLoaded(now, p, a, false), RuleSuspect
 }
 
 // byChat returns the first target in the chat's rendezvous order that is below
 // the bound. Every router computes the same order, so a chat that spills finds
 // its second target whichever router it comes to.
-func (b *Board) byChat(now time.Time, p *pool, a Ask, bound float64) (*target, Rule) {
+func (b *Board) byChat(now time.Time, p *pool, a Ask, bound float64, skip bool) (*target, Rule) {
 	var top rendezvous.Top
 	for i, t := range p.targets {
 		if !t.Leaving && !a.excludes(t.UID) {
@@ -286,7 +307,7 @@
 	}
 	for i := range top.Len {
 		t := p.targets[top.Index[i]]
-		if t.health.suspended(now) || float64(t.open()+1) > bound {
+		if (skip && t.health.suspended(now)) || float64(t.open()+1) > bound {
 			continue
 		}
 		if i == 0 {
@@ -297,48 +318,13 @@
 	return nil, ""
 }
 
-// youngFor is how long a target that joined is taken not to hold the chats that
-// are its own by rendezvous order. Most chats return within that time.
-const youngFor = 20 * time.Second
-
-// source returns the address of the target that the chat's requests went to before
-// they go to t: the first in the chat's order without t, if t is young, and the
-// first of all, a leaving one as well, if t is not that. Fetching a cached part
-// from there takes a quarter of the time of reading it again and a tenth of its
-// price (qls-recall: 19 ms against 75 ms for 10,000 tokens).
-func source(now time.Time, p *pool, a Ask, t *target) string {
-	if a.Chat == 0 {
-		return ""
-	}
-	young := now.Sub(t.joined) < youngFor
-	var best *target
-	weight := rendezvous.Mix(a.Chat, t.seed)
-	var bestWeight uint64
-	for _, o := range p.targets {
-		w := rendezvous.Mix(a.Chat, o.seed)
-		if o == t || o.health.suspended(now) || (!young && w < weight) {
-			continue
-		}
-		if now.Sub(o.joined) < youngFor && !young {
-			continue
-		}
-		if best == nil || w > bestWeight {
-			best, bestWeight = o, w
-		}
-	}
-	if best == nil {
-		return ""
-	}
-	return best.Address
-}
-
 // leastLoaded returns the target with the fewest open requests, of equal ones one
 // in this data centre.
-func (b *Board) leastLoaded(now time.Time, p *pool, a Ask, suspended bool) *target {
+func (b *Board) leastLoaded(now time.Time, p *pool, a Ask, skip bool) *target {
 	var best *target
 	bestCost := 0.0
 	for _, t := range p.targets {
-		if t.Leaving || a.excludes(t.UID) || t.health.suspended(now) != suspended {
+		if t.Leaving || a.excludes(t.UID) || (skip && t.health.suspended(now)) {
 			continue
 		}
 		cost := b.cost(t)
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -49,9 +49,9 @@
 	// memoryShare is the part of the process's memory at which the garbage collector
 	// works harder instead of letting the heap grow.
 	memoryShare = 0.5
-	// gcPercent lets the heap grow to three times what lives: it is small, and
-	// collections take processor time from requests.
-	gcPercent = 200
+	// gcPercent keeps the heap small. Memory is paid for, and collections of the few
+	// megabytes that live take little processor time.
+	gcPercent = 50
 )
 
 // Gateway is a running gateway.
