--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -30,7 +30,7 @@
 // DefaultSettings returns the settings used by the router.
 func DefaultSettings(dataCentre string) Settings {
 	return Settings{
-		DataCentre: dataCentre, Multiple: 2, Slack: 3, Margin: 2,
+		DataCentre: dataCentre, Multiple: 2, Slack: 3, Margin: 1,
 		LoadsExpire: 1500 * time.Millisecond,
 	}
 }
