Admission: requests that can't be answered in time are refused at once

Cause: nothing was refused. Where a target's places are all taken, every request waits behind all that came before it and is worked on after its caller has left. Change: a gate of its own (internal/core/admission) estimates the wait from what the fleet has open at the target, its places and the mean time that a request holds one; refuses when the wait leaves too little time, the less urgent earlier, a team that holds twice the mean of all earlier still; and tells when there is room again.

--- a/internal/app/gateway/control.go
+++ b/internal/app/gateway/control.go
@@ -9,6 +9,7 @@
 	"github.com/rs/zerolog"
 
 	peerv1 "github.com/hemlockdyke/hemlockdyke/gen/hemlockdyke/peer/v1"
+	"github.com/hemlockdyke/hemlockdyke/internal/core/admission"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/fleet"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/placement"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/retry"
@@ -83,6 +84,7 @@
 		settings: s, store: store, decoder: decoder, peers: peers, upstream: up, log: log, now: now,
 		view: &view{
 			board:   placement.New(board, rand.New(rand.NewPCG(incarnation, 1))),
+			gates:   make(map[string]*admission.Gate),
 			budgets: make(map[string]*retry.Window), span: s.RetryWindow,
 			limits: retry.Limits{Ratio: s.RetryRatio, Slack: s.RetrySlack, Routers: 1},
 		},
--- a/internal/app/gateway/relay.go
+++ b/internal/app/gateway/relay.go
@@ -10,6 +10,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/hemlockdyke/hemlockdyke/internal/adapter/upstream"
+	"github.com/hemlockdyke/hemlockdyke/internal/core/admission"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/attempt"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/code"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/placement"
@@ -76,6 +77,22 @@
 	MaxBodyBytes int64
 }
 
+// teamName returns the team's name, empty if the request has none.
+func (m *Match) teamName() string {
+	if m.team == nil {
+		return ""
+	}
+	return m.team.Name
+}
+
+// rank returns how urgent the request is: its team's rank, or else the route's.
+func (m *Match) rank() int {
+	if m.team != nil && m.team.Priority != nil {
+		return *m.team.Priority
+	}
+	return m.route.Priority
+}
+
 // Match finds a request's route and team. The code is OK, or why there are none.
 func (r *Relay) Match(call *Call) (*Match, code.Code) {
 	table := r.view.table.Load()
@@ -110,7 +127,11 @@
 	case code.NoTarget, code.TargetRefused, code.QueueFull:
 		base = retryNoTarget
 	}
-	return time.Duration(float64(base) * (0.5 + rand.Float64()))
+	return jittered(base)
+}
+
+func jittered(d time.Duration) time.Duration {
+	return time.Duration(float64(d) * (0.5 + rand.Float64()))
 }
 
 // run is one request under way.
@@ -124,9 +145,11 @@
 	ends    time.Time // when the caller gets a final answer at the latest
 
 	repeats int
-	choice  placement.Choice // the last one
-	first   time.Time
-	status  int
+	// retryAfter is when there is room again, 0 if the code alone says it.
+	retryAfter time.Duration
+	choice     placement.Choice // the last one
+	first      time.Time
+	status     int
 	// kept is a target's own failure that is passed on if no other target answers.
 	kept   *kept
 	stream streamState
@@ -184,17 +207,23 @@
 	if x.ctx.Err() != nil || !now.Before(x.ends) {
 		return x.gaveUp()
 	}
-	choice, ok := r.view.place(now, placement.Ask{
+	choice, verdict, ok := r.view.place(now, placement.Ask{
 		Pool: x.match.pool, Chat: x.match.call.Chat, Excluded: x.machine.Excluded(),
-	})
-	if !ok {
+	}, admission.Ask{Team: x.match.teamName(), Rank: x.match.rank(), Left: x.ends.Sub(now)})
+	switch {
+	case !ok:
 		return x.machine.Step(attempt.Refused{Code: code.NoTarget})
+	case verdict.Code != code.OK:
+		x.note(zerolog.WarnLevel, "not_admitted").Str("target", choice.Target.ID).Int("open", choice.Open).
+			Dur("wait", verdict.Wait).Dur("left", x.ends.Sub(now)).Int("rank", x.match.rank()).Msg("")
+		x.retryAfter = verdict.RetryAfter
+		return x.machine.Step(attempt.Refused{Code: verdict.Code})
 	}
 	x.choice = choice
 	action := x.machine.Step(attempt.Granted{Target: choice.Target.UID})
 	a := &try{run: x, choice: choice, number: action.Attempt, began: now, outcome: placement.Neutral}
 	action = a.make()
-	r.view.done(r.now(), choice.Target.UID, a.outcome)
+	r.view.done(r.now(), x.match.pool, x.match.teamName(), choice.Target.UID, a.outcome, r.now().Sub(now))
 	if a.failure != "" {
 		x.note(zerolog.WarnLevel, "attempt_failed").Int("attempt", a.number).Str("target", choice.Target.ID).
 			Str("why", a.failure).AnErr("error", a.err).Dur("after", r.now().Sub(now)).Msg("")
@@ -218,7 +247,11 @@
 		// A target's own failure is the better answer: it is the caller's to read.
 		x.whole(x.kept.status, x.kept.header, x.kept.body)
 	case x.first.IsZero():
-		x.out.Refuse(c, r.RetryAfter(c))
+		after := r.RetryAfter(c)
+		if x.retryAfter > 0 {
+			after = jittered(x.retryAfter)
+		}
+		x.out.Refuse(c, after)
 	default:
 		x.out.Cut()
 	}
@@ -298,14 +331,8 @@
 	x := t.run
 	call := x.match.call
 	a := Attempt{
-		Left: x.ends.Sub(t.began), TargetID: t.choice.Target.ID, Priority: x.match.route.Priority, ResumeFrom: x.stream.last,
-		Source: t.choice.Source,
-	}
-	if team := x.match.team; team != nil {
-		a.Team = team.Name
-		if team.Priority != nil {
-			a.Priority = *team.Priority
-		}
+		Left: x.ends.Sub(t.began), TargetID: t.choice.Target.ID, ResumeFrom: x.stream.last,
+		Source: t.choice.Source, Team: x.match.teamName(), Priority: x.match.rank(),
 	}
 	return upstream.Request{
 		Target: t.choice.Target.UID, Address: t.choice.Target.Address,
--- a/internal/app/gateway/view.go
+++ b/internal/app/gateway/view.go
@@ -5,6 +5,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/hemlockdyke/hemlockdyke/internal/core/admission"
+	"github.com/hemlockdyke/hemlockdyke/internal/core/code"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/placement"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/retry"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/route"
@@ -21,22 +23,47 @@
 
 	mu      sync.Mutex
 	board   *placement.Board
+	gates   map[string]*admission.Gate
 	budgets map[string]*retry.Window
 	limits  retry.Limits
 	span    time.Duration
 	updated time.Time // when the fleet's loads were last heard of
 }
 
-func (v *view) place(now time.Time, a placement.Ask) (placement.Choice, bool) {
+// place chooses a target and decides whether the request is sent there. ok is false
+// if the pool has no target.
+func (v *view) place(now time.Time, a placement.Ask, q admission.Ask) (c placement.Choice, verdict admission.Verdict, ok bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return v.board.Place(now, a)
+	c, ok = v.board.Place(now, a)
+	if !ok {
+		return c, verdict, false
+	}
+	gate := v.gate(a.Pool)
+	verdict = gate.Decide(now, q, admission.Load{Open: c.Open, Slots: c.Target.Slots})
+	if verdict.Code != code.OK {
+		v.board.Done(now, c.Target.UID, placement.Neutral)
+		return c, verdict, true
+	}
+	gate.Began(q.Team)
+	return c, verdict, true
 }
 
-func (v *view) done(now time.Time, target uint64, o placement.Outcome) {
+// done takes an attempt off its target, after it held a place there for a while.
+func (v *view) done(now time.Time, pool, team string, target uint64, o placement.Outcome, took time.Duration) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.board.Done(now, target, o)
+	v.gate(pool).Ended(team, took)
+}
+
+func (v *view) gate(pool string) *admission.Gate {
+	g, ok := v.gates[pool]
+	if !ok {
+		g = admission.NewGate()
+		v.gates[pool] = g
+	}
+	return g
 }
 
 // silent tells the board of a target that leaves a request unanswered, while the
--- /dev/null
+++ b/internal/core/admission/admission.go
@@ -0,0 +1,139 @@
+// Package admission decides whether a request that found a target is sent there or
+// refused. A request that can't be answered in the time it has left only delays the
+// others; told so at once, its caller can come back when there is room.
+package admission
+
+import (
+	"time"
+
+	"github.com/hemlockdyke/hemlockdyke/internal/core/code"
+)
+
+// Load is what the fleet has open at the target that a request would go to.
+type Load struct {
+	Open  int // this request not counted
+	Slots int // requests that it works on at once; 0 if unknown
+}
+
+// Ask is one request.
+type Ask struct {
+	Team string // empty if it has none
+	Rank int    // 0 is the most urgent
+	Left time.Duration
+}
+
+// Verdict is the decision with the figure that made it.
+type Verdict struct {
+	Code       code.Code // OK if the request is sent
+	Wait       time.Duration
+	RetryAfter time.Duration // before jitter
+}
+
+const (
+	// waitShare is the part of its time that a request of the most urgent rank may
+	// spend waiting; the rest is for its work. A rank further down it is divided by
+	// one more: under overload the less urgent are refused first, while there is
+	// still room for the urgent ones that come next.
+	waitShare = 0.6
+	// teamShare is how many times the mean of all teams one team may hold before its
+	// requests have to wait less than those of others. Twice leaves room for large
+	// teams, and none for one that sends many times its usual.
+	teamShare = 2.0
+	// overShare is what part of the wait of others a team over its share may cause.
+	// The rest is room in which the others' requests are admitted.
+	overShare = 0.25
+	// teamLeast is what a team may hold before it is looked at: with few requests open
+	// the mean says nothing.
+	teamLeast = 4
+	// teamLasts is how long a team without requests counts among those that share.
+	teamLasts = 5 * time.Second
+	// durationWeight is the weight of one request in the moving average of durations:
+	// about the last thirty count.
+	durationWeight = 0.033
+	// firstDuration stands for the mean before any request has ended.
+	firstDuration = 100 * time.Millisecond
+)
+
+// Gate decides for one pool by what this router has seen of it. It is not safe for
+// concurrent use.
+type Gate struct {
+	duration time.Duration // mean time that a request holds a place
+	teams    map[string]*team
+	total    int // open requests of all teams
+}
+
+type team struct {
+	open  int
+	asked time.Time // last
+}
+
+// NewGate returns a Gate that has seen nothing.
+func NewGate() *Gate { return &Gate{duration: firstDuration, teams: make(map[string]*team)} }
+
+// Decide admits or refuses a request.
+func (g *Gate) Decide(now time.Time, a Ask, l Load) Verdict {
+	t := g.team(a.Team)
+	t.asked = now
+	wait := g.wait(l)
+	if wait == 0 {
+		return Verdict{Code: code.OK}
+	}
+	v := Verdict{Code: code.OK, Wait: wait, RetryAfter: wait}
+	allowed := waitShare * float64(a.Left) / float64(1+max(a.Rank, 0))
+	switch {
+	case float64(wait) > allowed:
+		v.Code = code.QueueFull
+	case float64(wait) > overShare*allowed && g.over(now, t):
+		v.Code = code.TeamLimit
+	}
+	return v
+}
+
+func (g *Gate) team(name string) *team {
+	t, ok := g.teams[name]
+	if !ok {
+		t = &team{}
+		g.teams[name] = t
+	}
+	return t
+}
+
+// wait estimates how long a request waits for a place: each place becomes free once
+// in the mean duration.
+func (g *Gate) wait(l Load) time.Duration {
+	ahead := l.Open + 1 - l.Slots
+	if l.Slots == 0 || ahead <= 0 {
+		return 0
+	}
+	return time.Duration(float64(ahead) / float64(l.Slots) * float64(g.duration))
+}
+
+// over reports whether a team holds more than its share of the open requests.
+func (g *Gate) over(now time.Time, t *team) bool {
+	if t.open < teamLeast {
+		return false
+	}
+	sharing := 0
+	for name, other := range g.teams {
+		switch {
+		case other.open > 0 || now.Sub(other.asked) <= teamLasts:
+			sharing++
+		default:
+			delete(g.teams, name)
+		}
+	}
+	return float64(t.open) >= teamShare*float64(g.total)/float64(max(sharing, 1))
+}
+
+// Began counts a request that was sent.
+func (g *Gate) Began(name string) {
+	g.team(name).open++
+	g.total++
+}
+
+// Ended takes a request off and learns how long it held its place.
+func (g *Gate) Ended(name string, took time.Duration) {
+	g.total--
+	g.team(name).open--
+	g.duration += time.Duration(durationWeight * float64(took-g.duration))
+}
