Log lines typed, bounded and never blocking; hemlockctl explain joins them by request

Cause: lines were free text, unbounded, and written by the request itself. Change: kinds of lines with level, bound a second and meaning (docs/LOGS.md, kept in step by a test), a writer that drops and counts when its reader stalls, placed and finished lines with the figures that decided; hemlockctl explain REQUEST-ID reads routers' logs and names the cause. SIGHUP reads the settings again; bad ones change nothing.

--- a/cmd/hemlockdyke-router/main.go
+++ b/cmd/hemlockdyke-router/main.go
@@ -9,6 +9,7 @@
 
 	"github.com/hemlockdyke/hemlockdyke/internal/adapter/metrics"
 	"github.com/hemlockdyke/hemlockdyke/internal/daemon"
+	"github.com/hemlockdyke/hemlockdyke/internal/eventlog"
 	"github.com/hemlockdyke/hemlockdyke/internal/logging"
 	"github.com/hemlockdyke/hemlockdyke/internal/settings"
 	"github.com/hemlockdyke/hemlockdyke/platform"
@@ -43,11 +44,17 @@
 func runOnPlatform(app *kingpin.Application) {
 	s, err := platform.LoadSettings(os.Getenv(platform.SettingsVariable))
 	app.FatalIfError(err, "settings")
-	log := logging.NewGateway(os.Stdout, s.Gateway.Gateway.Name)
+	out := eventlog.NewWriter(os.Stdout)
+	defer out.Close()
+	log := eventlog.New(logging.NewGateway(out, s.Gateway.Gateway.Name), time.Now)
+	reload := func() (daemon.GatewaySettings, error) {
+		again, err := platform.LoadSettings(os.Getenv(platform.SettingsVariable))
+		return again.Gateway, err
+	}
 	m := metrics.NewGateway()
 	gateway, err := daemon.StartGateway(s.Gateway, daemon.Platform{
 		Store: platform.NewStore(s.StoreAddress, m.StoreCall), Decoder: platform.Decoder{}, Wire: platform.Wire{},
 	}, m, log)
 	app.FatalIfError(err, "start")
-	daemon.RunUntilStopped(gateway, log)
+	daemon.RunGateway(gateway, reload, log)
 }
--- a/internal/app/gateway/answer.go
+++ b/internal/app/gateway/answer.go
@@ -11,6 +11,7 @@
 	"github.com/hemlockdyke/hemlockdyke/internal/adapter/upstream"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/attempt"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/placement"
+	"github.com/hemlockdyke/hemlockdyke/internal/eventlog"
 )
 
 // maxWhole is the largest answer that is read whole before any of it goes on.
@@ -198,7 +199,9 @@
 // silent runs when the target has said nothing for too long.
 func (t *try) silent() {
 	x := t.run
-	x.relay.view.silent(x.relay.now(), t.choice.Target.UID)
+	if x.relay.view.silent(x.relay.now(), t.choice.Target.UID) {
+		x.note(eventlog.TargetSuspended).Str("target", t.choice.Target.ID).Str("why", "silent").Msg("")
+	}
 	if x.match.route.Repeatable() && x.match.route.MaxAttempts > t.number {
 		t.cancel(errSilent)
 	}
--- a/internal/app/gateway/control.go
+++ b/internal/app/gateway/control.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/rs/zerolog"
 
 	peerv1 "github.com/hemlockdyke/hemlockdyke/gen/hemlockdyke/peer/v1"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/admission"
@@ -14,6 +13,7 @@
 	"github.com/hemlockdyke/hemlockdyke/internal/core/placement"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/retry"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/route"
+	"github.com/hemlockdyke/hemlockdyke/internal/eventlog"
 )
 
 // Settings of a gateway.
@@ -57,7 +57,7 @@
 	decoder  Decoder
 	peers    Peers
 	upstream Upstream
-	log      zerolog.Logger
+	log      *eventlog.Log
 	now      func() time.Time
 
 	inbox   chan func(now time.Time)
@@ -76,7 +76,7 @@
 const inboxSize = 256
 
 // NewControl returns a Control that Run has still to start.
-func NewControl(s Settings, store Store, decoder Decoder, peers Peers, up Upstream, log zerolog.Logger, now func() time.Time) *Control {
+func NewControl(s Settings, store Store, decoder Decoder, peers Peers, up Upstream, log *eventlog.Log, now func() time.Time) *Control {
 	incarnation := rand.Uint64()
 	board := placement.DefaultSettings(s.DataCentre)
 	board.Multiple, board.Slack = s.LoadMultiple, s.LoadSlack
@@ -180,14 +180,14 @@
 		c.view.updated = now
 		c.view.mu.Unlock()
 	case fleet.PeerUp:
-		c.log.Info().Str("event", "peer_up").Str("peer", string(a.Peer)).Bool("restarted", a.Restarted).Msg("")
+		c.log.Line(eventlog.PeerUp).Str("peer", string(a.Peer)).Bool("restarted", a.Restarted).Msg("")
 	case fleet.PeerDown:
 		c.view.mu.Lock()
 		c.view.board.Forget(a.Router)
 		c.view.mu.Unlock()
-		c.log.Warn().Str("event", "peer_down").Str("peer", string(a.Peer)).Dur("silent", a.Silent).Msg("")
+		c.log.Line(eventlog.PeerDown).Str("peer", string(a.Peer)).Dur("silent", a.Silent).Msg("")
 	case fleet.StoreChanged:
-		c.log.Info().Str("event", "store").Bool("reading", a.Reading).Bool("reachable", a.Reachable).Msg("")
+		c.log.Line(eventlog.StoreChanged).Bool("reading", a.Reading).Bool("reachable", a.Reachable).Msg("")
 	}
 }
 
@@ -215,7 +215,7 @@
 	lost := errors.Is(err, ErrHistoryLost)
 	stopped := errors.Is(calls.Err(), context.Canceled)
 	if !stopped {
-		c.log.Warn().Str("event", "store_read_failed").Str("table", t.String()).Err(err).Msg("")
+		c.log.Line(eventlog.StoreReadFailed).Str("table", t.String()).Err(err).Msg("")
 	}
 	c.post(ctx, fleet.ReadFailed{Table: t, HistoryLost: lost, Stopped: stopped})
 }
@@ -225,7 +225,7 @@
 	reply, err := c.peers.Copy(ctx, string(a.Peer), req)
 	if err != nil {
 		reply = nil
-		c.log.Warn().Str("event", "copy_failed").Str("peer", string(a.Peer)).Str("table", a.Table.String()).Err(err).Msg("")
+		c.log.Line(eventlog.CopyFailed).Str("peer", string(a.Peer)).Str("table", a.Table.String()).Err(err).Msg("")
 	}
 	c.post(ctx, fleet.Copied{From: a.Peer, Table: a.Table, Reply: reply})
 }
@@ -238,7 +238,7 @@
 		state, err := c.decoder.Desired(rows)
 		switch {
 		case err != nil:
-			c.log.Error().Str("event", "desired_state_rejected").Uint64("row", a.Version).Str("source", a.Source).Err(err).Msg("")
+			c.log.Line(eventlog.DesiredStateRejected).Uint64("row", a.Version).Str("source", a.Source).Err(err).Msg("")
 		case state != nil:
 			c.putInForce(state, a)
 		}
@@ -246,11 +246,11 @@
 	}
 	targets, bad := c.decoder.Targets(rows)
 	for _, err := range bad {
-		c.log.Error().Str("event", "target_rejected").Uint64("row", a.Version).Str("source", a.Source).Err(err).Msg("")
+		c.log.Line(eventlog.TargetRejected).Uint64("row", a.Version).Str("source", a.Source).Err(err).Msg("")
 	}
 	c.roster.Update(now, targets)
 	c.publishTargets(now)
-	c.log.Info().Str("event", "targets").Uint64("row", a.Version).Str("source", a.Source).Int("rows", len(rows)).Msg("")
+	c.log.Line(eventlog.TargetsChanged).Uint64("row", a.Version).Str("source", a.Source).Int("rows", len(rows)).Msg("")
 }
 
 // putInForce swaps the routing table. Versions only rise within one process, by
@@ -262,7 +262,7 @@
 	c.version = state.Version
 	c.view.table.Store(route.Build(state))
 	c.updateReady()
-	c.log.Info().Str("event", "desired_state").Uint64("version", state.Version).Uint64("row", a.Version).
+	c.log.Line(eventlog.DesiredState).Uint64("version", state.Version).Uint64("row", a.Version).
 		Str("source", a.Source).Int("routes", len(state.Routes)).Msg("")
 }
 
@@ -280,7 +280,7 @@
 	ready := c.view.table.Load() != nil && c.core.Known(fleet.Targets)
 	if ready != c.view.ready.Load() {
 		c.view.ready.Store(ready)
-		c.log.Info().Str("event", "ready").Bool("ready", ready).Uint64("version", c.version).Msg("")
+		c.log.Line(eventlog.ReadyChanged).Bool("ready", ready).Uint64("version", c.version).Msg("")
 	}
 }
 
@@ -296,6 +296,14 @@
 	c.post(ctx, fleet.Leave{})
 }
 
+// Reload puts the bounds of new settings in force.
+func (c *Control) Reload(s Settings) {
+	c.view.mu.Lock()
+	defer c.view.mu.Unlock()
+	c.view.limits.Ratio, c.view.limits.Slack = s.RetryRatio, s.RetrySlack
+	c.view.board.SetBound(s.LoadMultiple, s.LoadSlack)
+}
+
 // Digest takes in another router's digest.
 func (c *Control) Digest(ctx context.Context, from string, d *peerv1.Digest) {
 	c.post(ctx, fleet.DigestIn{From: fleet.Address(from), Digest: d})
@@ -330,7 +338,7 @@
 		found, err := c.store.Register(call, c.settings.Address)
 		cancel()
 		if err != nil {
-			c.log.Warn().Str("event", "register_failed").Err(err).Msg("")
+			c.log.Line(eventlog.ListFailed).Err(err).Msg("")
 			continue
 		}
 		listed = true
--- a/internal/app/gateway/relay.go
+++ b/internal/app/gateway/relay.go
@@ -16,6 +16,7 @@
 	"github.com/hemlockdyke/hemlockdyke/internal/core/placement"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/rendezvous"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/route"
+	"github.com/hemlockdyke/hemlockdyke/internal/eventlog"
 )
 
 // Observer is told how each request ended.
@@ -40,13 +41,13 @@
 	view     *view
 	wire     Wire
 	upstream Upstream
-	log      zerolog.Logger
+	log      *eventlog.Log
 	now      func() time.Time
 	observer Observer
 }
 
 // NewRelay returns a Relay that goes by what a Control knows.
-func NewRelay(c *Control, wire Wire, up Upstream, observer Observer, log zerolog.Logger, now func() time.Time) *Relay {
+func NewRelay(c *Control, wire Wire, up Upstream, observer Observer, log *eventlog.Log, now func() time.Time) *Relay {
 	return &Relay{view: c.view, wire: wire, upstream: up, observer: observer, log: log, now: now}
 }
 
@@ -73,6 +74,8 @@
 	team  *route.Team // nil if the request has none
 	pool  string
 	began time.Time
+	// version is that of the desired state that matched.
+	version uint64
 	// MaxBodyBytes bounds the body; 0 means unset.
 	MaxBodyBytes int64
 }
@@ -103,7 +106,7 @@
 	if !ok {
 		return nil, code.NotFound
 	}
-	m := &Match{call: call, route: rt, began: r.now(), MaxBodyBytes: table.MaxBodyBytes}
+	m := &Match{call: call, route: rt, began: r.now(), version: table.Version, MaxBodyBytes: table.MaxBodyBytes}
 	if team, ok := table.TeamByKey(call.Key); ok {
 		m.team = team
 	} else if table.HasTeams() && !rt.Public {
@@ -193,7 +196,7 @@
 func (x *run) again() attempt.Action {
 	r := x.relay
 	if !r.view.allowRepeat(r.now(), x.match.pool) {
-		x.note(zerolog.WarnLevel, "repeat_denied").Msg("")
+		x.note(eventlog.RepeatDenied).Msg("")
 		return x.machine.Step(attempt.Refused{Code: code.TargetRefused})
 	}
 	x.repeats++
@@ -214,19 +217,22 @@
 	case !ok:
 		return x.machine.Step(attempt.Refused{Code: code.NoTarget})
 	case verdict.Code != code.OK:
-		x.note(zerolog.WarnLevel, "not_admitted").Str("target", choice.Target.ID).Int("open", choice.Open).
+		x.note(eventlog.NotAdmitted).Str("target", choice.Target.ID).Int("open", choice.Open).
 			Dur("wait", verdict.Wait).Dur("left", x.ends.Sub(now)).Int("rank", x.match.rank()).Msg("")
 		x.retryAfter = verdict.RetryAfter
 		return x.machine.Step(attempt.Refused{Code: verdict.Code})
 	}
-	x.choice = choice
 	action := x.machine.Step(attempt.Granted{Target: choice.Target.UID})
 	a := &try{run: x, choice: choice, number: action.Attempt, began: now, outcome: placement.Neutral}
+	x.notePlaced(a, r.view.loadsAge(now))
 	action = a.make()
-	r.view.done(r.now(), x.match.pool, x.match.teamName(), choice.Target.UID, a.outcome, r.now().Sub(now))
+	took := r.now().Sub(now)
+	if r.view.done(r.now(), x.match.pool, x.match.teamName(), choice.Target.UID, a.outcome, took) {
+		x.note(eventlog.TargetSuspended).Str("target", choice.Target.ID).Str("why", a.failure).Msg("")
+	}
 	if a.failure != "" {
-		x.note(zerolog.WarnLevel, "attempt_failed").Int("attempt", a.number).Str("target", choice.Target.ID).
-			Str("why", a.failure).AnErr("error", a.err).Dur("after", r.now().Sub(now)).Msg("")
+		x.note(eventlog.AttemptFailed).Int("attempt", a.number).Str("target", choice.Target.ID).
+			Str("why", a.failure).AnErr("error", a.err).Dur("after", took).Msg("")
 	}
 	return action
 }
@@ -264,14 +270,13 @@
 		res.First = x.first.Sub(x.match.began)
 	}
 	r.observer.Observe(res)
-	level := zerolog.InfoLevel
+	kind := eventlog.Finished
 	if c != code.OK {
-		level = zerolog.WarnLevel
+		kind = eventlog.Failed
 	}
-	x.note(level, "finished").Int("code", int(c)).Int("status", x.status).Int("attempts", res.Attempts).
-		Dur("first", res.First).Dur("total", res.Total).Str("pool", x.match.pool).
-		Str("target", x.choice.Target.ID).Str("rule", string(x.choice.Rule)).Str("source", x.choice.Source).
-		Int("open", x.choice.Open).Float64("bound", x.choice.Bound).Msg("")
+	x.note(kind).Int("code", int(c)).Str("name", c.Lookup().Name).Str("ran", c.Lookup().Ran.String()).
+		Int("status", x.status).Int("attempts", res.Attempts).Dur("first", res.First).Dur("total", res.Total).
+		Dur("budget", x.ends.Sub(x.match.began)).Msg("")
 }
 
 // whole passes a whole answer on.
@@ -282,8 +287,17 @@
 }
 
 // note begins a log line about the request.
-func (x *run) note(level zerolog.Level, event string) *zerolog.Event {
-	return x.relay.log.WithLevel(level).Str("event", event).Str("request", x.match.call.ID).Str("route", x.match.route.Name)
+func (x *run) note(k eventlog.Kind) *zerolog.Event {
+	return x.relay.log.Line(k).Str("request", x.match.call.ID).Str("route", x.match.route.Name)
+}
+
+// notePlaced logs where an attempt goes and what decided.
+func (x *run) notePlaced(a *try, loadsAge time.Duration) {
+	c := a.choice
+	x.note(eventlog.Placed).Int("attempt", a.number).Str("pool", x.match.pool).Str("team", x.match.teamName()).
+		Str("target", c.Target.ID).Str("rule", string(c.Rule)).Int("open", c.Open).Float64("bound", c.Bound).
+		Str("source", c.Source).Dur("loads_age", loadsAge).Uint64("version", x.match.version).
+		Str("resume_from", x.stream.last).Msg("")
 }
 
 // try is one attempt at a target.
--- a/internal/app/gateway/view.go
+++ b/internal/app/gateway/view.go
@@ -50,11 +50,11 @@
 }
 
 // done takes an attempt off its target, after it held a place there for a while.
-func (v *view) done(now time.Time, pool, team string, target uint64, o placement.Outcome, took time.Duration) {
+func (v *view) done(now time.Time, pool, team string, target uint64, o placement.Outcome, took time.Duration) (suspended bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.board.Done(now, target, o)
 	v.gate(pool).Ended(team, took)
+	return v.board.Done(now, target, o)
 }
 
 func (v *view) gate(pool string) *admission.Gate {
@@ -68,10 +68,10 @@
 
 // silent tells the board of a target that leaves a request unanswered, while the
 // request still waits.
-func (v *view) silent(now time.Time, target uint64) {
+func (v *view) silent(now time.Time, target uint64) (suspended bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.board.Silent(now, target)
+	return v.board.Silent(now, target)
 }
 
 func (v *view) budget(now time.Time, pool string) *retry.Window {
@@ -96,6 +96,16 @@
 	return v.budget(now, pool).Repeat(now, v.limits)
 }
 
+// loadsAge returns how long ago another router told its loads.
+func (v *view) loadsAge(now time.Time) time.Duration {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.updated.IsZero() {
+		return 0
+	}
+	return now.Sub(v.updated)
+}
+
 func (v *view) loads() []placement.Load {
 	v.mu.Lock()
 	defer v.mu.Unlock()
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -104,10 +104,10 @@
 	burnReport := report.Command("burn", "How fast teams use up their error budgets.")
 	page := burnReport.Flag("html", "Also write a page with plots to this file.").String()
 
-	explain := app.Command("explain", "Say why a chat goes where it goes.")
-	pool := explain.Flag("pool", "Pool.").Required().String()
-	team := explain.Flag("team", "Team.").Required().String()
-	chat := explain.Flag("chat", "Chat.").Required().String()
+	why := app.Command("explain", "Say how a request ended and why, from routers' logs; or why a chat goes where it goes.")
+	pool, team, chat := why.Flag("pool", "Pool.").String(), why.Flag("team", "Team.").String(), why.Flag("chat", "Chat.").String()
+	request := why.Arg("request", "Id of a request.").String()
+	logs := why.Arg("logs", "Log files of routers; standard input if there are none.").Strings()
 
 	return map[string]func() error{
 		apply.FullCommand():      func() error { return a.apply(*file, *operation) },
@@ -118,7 +118,12 @@
 		watch.FullCommand():      func() error { return a.watch(*after, *count) },
 		op.FullCommand():         func() error { return a.operation(*opName) },
 		burnReport.FullCommand(): func() error { return a.burn(*page) },
-		explain.FullCommand():    func() error { return a.explain(*pool, *team, *chat) },
+		why.FullCommand(): func() error {
+			if *request != "" {
+				return a.explainRequest(*request, *logs)
+			}
+			return a.explain(*pool, *team, *chat)
+		},
 	}
 }
 
@@ -296,6 +301,9 @@
 }
 
 func (a *App) explain(pool, team, chat string) error {
+	if pool == "" || team == "" || chat == "" {
+		return code.New(code.BadUsage, "explain needs the id of a request, or --pool, --team and --chat")
+	}
 	e, err := a.client.Explain(pool, team, chat)
 	if err != nil {
 		return err
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -135,4 +135,15 @@
 		Expect(exit).To(Equal(cli.ExitUsage))
 		Expect(errOut).To(ContainSubstring("6002"))
 	})
+
+	It("explains a request from log files", func() {
+		file := filepath.Join(GinkgoT().TempDir(), "router.log")
+		line := `{"router":"front-a-1","event":"finished","request":"r1","status":500,"time":"2026-04-21T22:03:05Z"}`
+		Expect(os.WriteFile(file, []byte(line), 0o600)).To(Succeed())
+		var out, errOut bytes.Buffer
+		Expect(cli.Run([]string{"explain", "r1", file}, &out, &errOut)).To(Equal(cli.ExitOK), errOut.String())
+		Expect(out.String()).To(ContainSubstring("cause: the answer with status 500 is the target's own"))
+		Expect(cli.Run([]string{"explain", "r1", "no-such-file"}, &out, &errOut)).To(Equal(cli.ExitFailed))
+		Expect(cli.Run([]string{"explain"}, &out, &errOut)).To(Equal(cli.ExitUsage))
+	})
 })
--- /dev/null
+++ b/internal/cli/explain.go
@@ -0,0 +1,47 @@
+package cli
+
+import (
+	"io"
+	"os"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/hemlockdyke/hemlockdyke/internal/explain"
+)
+
+// explainRequest prints the chain of a request and its cause from log files, or from
+// standard input if there are none.
+func (a *App) explainRequest(request string, files []string) error {
+	readers, closeAll, err := openLogs(files)
+	defer closeAll()
+	if err != nil {
+		return err
+	}
+	entries, err := explain.Read(io.MultiReader(readers...), request)
+	if err != nil {
+		return errors.Wrap(err, "read logs")
+	}
+	explain.Print(a.out, request, entries)
+	return nil
+}
+
+func openLogs(files []string) (readers []io.Reader, closeAll func(), err error) {
+	var open []*os.File
+	closeAll = func() {
+		for _, f := range open {
+			_ = f.Close() // nothing was written
+		}
+	}
+	if len(files) == 0 {
+		return []io.Reader{os.Stdin}, closeAll, nil
+	}
+	for _, name := range files {
+		f, err := os.Open(name)
+		if err != nil {
+			return nil, closeAll, errors.Wrap(err, "open log")
+		}
+		open = append(open, f)
+		readers = append(readers, f)
+	}
+	return readers, closeAll, nil
+}
--- a/internal/core/placement/health.go
+++ b/internal/core/placement/health.go
@@ -64,7 +64,9 @@
 // placed notes that a request is sent.
 func (h *health) placed() { h.trial = h.suspensions > 0 }
 
-func (h *health) observe(now time.Time, o Outcome) {
+// observe learns from an outcome and reports whether a suspension begins with it.
+func (h *health) observe(now time.Time, o Outcome) bool {
+	before := h.until
 	switch o {
 	case Answered:
 		h.failures, h.suspensions = 0, 0
@@ -88,6 +90,7 @@
 	case Refused, Neutral:
 	}
 	h.trial = false
+	return h.until.After(before)
 }
 
 // suspend takes the target out for a while. Requests that were sent before it began
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -149,6 +149,11 @@
 	b.sumPeers()
 }
 
+// SetBound changes what a target may hold.
+func (b *Board) SetBound(multiple, slack float64) {
+	b.settings.Multiple, b.settings.Slack = multiple, slack
+}
+
 // Heard takes in what another router has open, in place of what it said before.
 func (b *Board) Heard(now time.Time, router uint32, loads []Load) {
 	p, ok := b.peers[router]
@@ -230,23 +235,23 @@
 	return c, true
 }
 
-// Done takes a request off its target and learns from its outcome.
-func (b *Board) Done(now time.Time, uid uint64, o Outcome) {
+// Done takes a request off its target and learns from its outcome. It reports whether
+// the target is suspended from now on.
+func (b *Board) Done(now time.Time, uid uint64, o Outcome) (suspended bool) {
 	t, ok := b.byUID[uid]
 	if !ok {
-		return
+		return false
 	}
 	t.own--
-	t.health.observe(now, o)
+	return t.health.observe(now, o)
 }
 
 // Silent takes note of a target that leaves a request unanswered for longer than
 // its answers take. The request still waits, so nothing else would show the failure
 // before the request's deadline, and more would be sent there meanwhile.
-func (b *Board) Silent(now time.Time, uid uint64) {
-	if t, ok := b.byUID[uid]; ok {
-		t.health.observe(now, Failed)
-	}
+func (b *Board) Silent(now time.Time, uid uint64) (suspended bool) {
+	t, ok := b.byUID[uid]
+	return ok && t.health.observe(now, Failed)
 }
 
 // bound is the highest count that a placement may bring a target to. The mean is
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/rs/zerolog"
 	"google.golang.org/protobuf/proto"
 
 	peerv1 "github.com/hemlockdyke/hemlockdyke/gen/hemlockdyke/peer/v1"
@@ -18,6 +17,7 @@
 	"github.com/hemlockdyke/hemlockdyke/internal/adapter/upstream"
 	"github.com/hemlockdyke/hemlockdyke/internal/app/gateway"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/code"
+	"github.com/hemlockdyke/hemlockdyke/internal/eventlog"
 )
 
 // GatewaySettings are the settings of a gateway process.
@@ -57,7 +57,7 @@
 // Gateway is a running gateway.
 type Gateway struct {
 	settings GatewaySettings
-	log      zerolog.Logger
+	log      *eventlog.Log
 	control  *gateway.Control
 	links    *peer.Datagrams
 	servers  []*http.Server // callers first
@@ -76,7 +76,7 @@
 }
 
 // StartGateway starts a gateway.
-func StartGateway(s GatewaySettings, p Platform, m *metrics.Gateway, log zerolog.Logger) (*Gateway, error) {
+func StartGateway(s GatewaySettings, p Platform, m *metrics.Gateway, log *eventlog.Log) (*Gateway, error) {
 	debug.SetGCPercent(gcPercent)
 	if s.MemoryBytes > 0 {
 		debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryBytes)))
@@ -100,7 +100,7 @@
 	}
 	go g.receive(ctx)
 	go g.control.Run(ctx)
-	log.Info().Str("event", "started").Str("callers", s.Callers).Str("peers", s.Gateway.Address).Msg("")
+	log.Line(eventlog.Started).Str("callers", s.Callers).Str("peers", s.Gateway.Address).Msg("")
 	return g, nil
 }
 
@@ -158,6 +158,18 @@
 	return nil
 }
 
+// Reload puts changed bounds in force. Addresses can't change while the process runs;
+// a change of them takes effect at the next start.
+func (g *Gateway) Reload(s GatewaySettings, err error) {
+	if err != nil {
+		g.log.Line(eventlog.ReloadRejected).Err(err).Msg("")
+		return
+	}
+	g.control.Reload(s.Gateway)
+	g.log.Line(eventlog.Reloaded).Float64("retry_ratio", s.Gateway.RetryRatio).Float64("retry_slack", s.Gateway.RetrySlack).
+		Float64("load_multiple", s.Gateway.LoadMultiple).Msg("")
+}
+
 // Failed receives an error when a listener breaks.
 func (g *Gateway) Failed() <-chan error { return g.failed }
 
@@ -165,20 +177,20 @@
 // noticed, then ending with the last open request.
 func (g *Gateway) Shutdown(ctx context.Context) {
 	began := time.Now()
-	g.log.Info().Str("event", "stopping").Msg("")
+	g.log.Line(eventlog.Stopping).Msg("")
 	g.control.Leave(ctx)
 	sleep(ctx, balancerLag)
 	graceful, cancel := context.WithDeadline(ctx, began.Add(g.settings.Grace-graceMargin))
 	defer cancel()
 	if err := g.servers[0].Shutdown(graceful); err != nil {
-		g.log.Error().Str("event", "requests_cut").Err(err).Msg("")
+		g.log.Line(eventlog.RequestsCut).Err(err).Msg("")
 	}
 	if err := g.control.Unlist(graceful); err != nil {
-		g.log.Warn().Str("event", "unregister_failed").Err(err).Msg("")
+		g.log.Line(eventlog.ListFailed).Err(err).Msg("")
 	}
 	g.stop()
 	_ = g.links.Close()
-	g.log.Info().Str("event", "stopped").Dur("after", time.Since(began)).Msg("")
+	g.log.Line(eventlog.Stopped).Dur("after", time.Since(began)).Msg("")
 }
 
 // Kill ends the process's work at once, as a lost VM does.
--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"os"
 	"os/signal"
 	"syscall"
 
 	"github.com/rs/zerolog"
+
+	"github.com/hemlockdyke/hemlockdyke/internal/eventlog"
 )
 
 // Process is a running daemon.
@@ -27,3 +30,24 @@
 	}
 	p.Shutdown(context.Background())
 }
+
+// RunGateway is RunUntilStopped for a gateway, which also reads its settings again on
+// SIGHUP. Bad ones change nothing.
+func RunGateway(g *Gateway, load func() (GatewaySettings, error), log *eventlog.Log) {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
+	for {
+		select {
+		case <-hangup:
+			g.Reload(load())
+			continue
+		case <-ctx.Done():
+		case err := <-g.Failed():
+			log.Line(eventlog.RequestsCut).Err(err).Msg("")
+		}
+		g.Shutdown(context.Background())
+		return
+	}
+}
--- /dev/null
+++ b/internal/eventlog/eventlog_test.go
@@ -0,0 +1,79 @@
+package eventlog_test
+
+import (
+	"bytes"
+	"fmt"
+	"os"
+	"regexp"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/rs/zerolog"
+
+	"github.com/hemlockdyke/hemlockdyke/internal/eventlog"
+	"github.com/hemlockdyke/hemlockdyke/internal/testkit"
+)
+
+func TestSuite(t *testing.T) { testkit.Run(t, "eventlog") }
+
+// stalling is a writer that stands still until it is released.
+type stalling struct {
+	release chan bool
+	mu      sync.Mutex
+	buf     bytes.Buffer
+}
+
+func (s *stalling) Write(p []byte) (int, error) {
+	<-s.release
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.buf.Write(p)
+}
+
+var _ = Describe("the event log", func() {
+	It("bounds the lines of a kind and second, and counts what it leaves out", func() {
+		var out bytes.Buffer
+		now := time.Unix(1000, 0)
+		log := eventlog.New(zerolog.New(&out), func() time.Time { return now })
+		for range eventlog.Placed.PerSecond + 7 {
+			log.Line(eventlog.Placed).Str("request", "r").Msg("")
+		}
+		log.Line(eventlog.Failed).Str("request", "r").Msg("")
+		Expect(strings.Count(out.String(), `"event":"placed"`)).To(Equal(eventlog.Placed.PerSecond))
+		Expect(out.String()).To(ContainSubstring(`"event":"failed"`), "a flood of others takes no room of failures")
+		now = now.Add(time.Second)
+		log.Line(eventlog.Placed).Msg("")
+		Expect(out.String()).To(ContainSubstring(`"event":"left_out","kind":"placed","count":7`))
+	})
+
+	// Symptom: every request stands still. Sequence: whoever reads standard output stops
+	// reading; the pipe fills up. Cause: a line was written by the request itself.
+	It("never blocks on a writer that stalls, and tells what was dropped", func() {
+		out := &stalling{release: make(chan bool)}
+		w := eventlog.NewWriter(out)
+		log := zerolog.New(w)
+		began := time.Now()
+		for i := range 5000 {
+			log.Info().Int("i", i).Msg("")
+		}
+		Expect(time.Since(began)).To(BeNumerically("<", time.Second))
+		close(out.release)
+		w.Close()
+		Expect(out.buf.String()).To(MatchRegexp(`"event":"left_out","kind":"any","count":\d{4}`))
+	})
+
+	It("is described by docs/LOGS.md, line by line", func() {
+		page, err := os.ReadFile("../../docs/LOGS.md")
+		Expect(err).NotTo(HaveOccurred())
+		listed := 0
+		for _, k := range eventlog.Kinds() {
+			Expect(string(page)).To(ContainSubstring(fmt.Sprintf("| `%s` | %s | %d | %s |", k.Name, k.Level, k.PerSecond, k.Meaning)))
+			listed++
+		}
+		Expect(regexp.MustCompile("(?m)^\\| `[a-z_]+` \\| (info|warn|error) ").FindAllString(string(page), -1)).To(HaveLen(listed))
+	})
+})
--- /dev/null
+++ b/internal/eventlog/kinds.go
@@ -0,0 +1,61 @@
+// Package eventlog writes the JSON lines from which a failure is explained afterwards:
+// one for each decision that touches a request or changes what a router believes.
+// Volume is bounded for each kind and second, and a writer that stalls blocks nobody.
+package eventlog
+
+import "github.com/rs/zerolog"
+
+// Kind is one kind of line. docs/LOGS.md lists all of them.
+type Kind struct {
+	Name  string
+	Level zerolog.Level
+	// PerSecond bounds the lines of one second. What happens to every request has more
+	// room than a router carries today; what is left out is counted.
+	PerSecond int
+	// Meaning says what happened, for docs/LOGS.md.
+	Meaning string
+}
+
+// The kinds of lines that touch a request. Failures and refusals have their own kinds,
+// so that a flood of good lines never takes their room.
+var (
+	Placed        = Kind{"placed", zerolog.InfoLevel, 400, "an attempt goes to a target: by which rule, what the fleet had open there, how old that view is"}
+	AttemptFailed = Kind{"attempt_failed", zerolog.WarnLevel, 400, "an attempt ended without a good answer, and why"}
+	RepeatDenied  = Kind{"repeat_denied", zerolog.WarnLevel, 200, "the shared budget of repeats has no room"}
+	NotAdmitted   = Kind{"not_admitted", zerolog.WarnLevel, 400, "refused before it was sent: the wait is too long for its time, objective and rank"}
+	Finished      = Kind{"finished", zerolog.InfoLevel, 400, "the caller has a target's answer"}
+	Failed        = Kind{"failed", zerolog.WarnLevel, 400, "the caller got a result code of the router, a cut answer, or left"}
+)
+
+// The kinds of lines that change what a router believes.
+var (
+	Started              = Kind{"started", zerolog.InfoLevel, 10, "the process serves"}
+	Stopping             = Kind{"stopping", zerolog.InfoLevel, 10, "a graceful shutdown begins"}
+	Stopped              = Kind{"stopped", zerolog.InfoLevel, 10, "the process ends"}
+	Reloaded             = Kind{"reloaded", zerolog.InfoLevel, 10, "the settings file was read again"}
+	ReloadRejected       = Kind{"reload_rejected", zerolog.ErrorLevel, 10, "the settings file is bad; the last good settings stay"}
+	RequestsCut          = Kind{"requests_cut", zerolog.ErrorLevel, 10, "the grace time ended with requests open"}
+	ReadyChanged         = Kind{"ready", zerolog.InfoLevel, 20, "the answer to the balancer's checks changed"}
+	DesiredState         = Kind{"desired_state", zerolog.InfoLevel, 50, "a desired state is in force: its version, the row's, and who it came from"}
+	DesiredStateRejected = Kind{"desired_state_rejected", zerolog.ErrorLevel, 20, "a desired state can't be decoded; the last good one stays in force"}
+	TargetsChanged       = Kind{"targets", zerolog.InfoLevel, 50, "a list of targets is in force"}
+	TargetRejected       = Kind{"target_rejected", zerolog.ErrorLevel, 20, "an entry of the list can't be decoded; the others stay"}
+	StoreChanged         = Kind{"store", zerolog.InfoLevel, 50, "this router began or ceased to read the store, or the store was lost or regained"}
+	StoreReadFailed      = Kind{"store_read_failed", zerolog.WarnLevel, 50, "a call to the store failed"}
+	CopyFailed           = Kind{"copy_failed", zerolog.WarnLevel, 50, "another router did not answer a copy request"}
+	ListFailed           = Kind{"list_failed", zerolog.WarnLevel, 20, "the store's list of routers could not be read or written"}
+	PeerUp               = Kind{"peer_up", zerolog.InfoLevel, 100, "another router was heard for the first time, or again"}
+	PeerDown             = Kind{"peer_down", zerolog.WarnLevel, 100, "another router has been silent for too long; its requests no longer count"}
+	TargetSuspended      = Kind{"target_suspended", zerolog.WarnLevel, 100, "a target gets no new work for a while, and what it did"}
+	LeftOut              = Kind{"left_out", zerolog.WarnLevel, 100, "lines of a kind that were not written, and how many"}
+)
+
+// Kinds lists every kind.
+func Kinds() []Kind {
+	return []Kind{
+		Placed, AttemptFailed, RepeatDenied, NotAdmitted, Finished, Failed,
+		Started, Stopping, Stopped, Reloaded, ReloadRejected, RequestsCut, ReadyChanged, DesiredState,
+		DesiredStateRejected, TargetsChanged, TargetRejected, StoreChanged, StoreReadFailed, CopyFailed, ListFailed,
+		PeerUp, PeerDown, TargetSuspended, LeftOut,
+	}
+}
--- /dev/null
+++ b/internal/eventlog/writer.go
@@ -0,0 +1,79 @@
+package eventlog
+
+import (
+	"fmt"
+	"io"
+	"sync/atomic"
+)
+
+const (
+	// queued is how many lines wait for a slow writer: about two seconds of a busy
+	// router, some 300 KB.
+	queued = 1024
+	// batch is how many bytes are written at once.
+	batch = 16 << 10
+)
+
+// Writer passes lines on to a slow writer without ever blocking: while that one
+// stalls, lines are dropped and counted. A pipe whose reader has stopped would
+// otherwise stop every request at its next line.
+type Writer struct {
+	out     io.Writer
+	lines   chan []byte
+	closed  chan struct{}
+	dropped atomic.Int64
+}
+
+// NewWriter returns a Writer to out.
+func NewWriter(out io.Writer) *Writer {
+	w := &Writer{out: out, lines: make(chan []byte, queued), closed: make(chan struct{})}
+	go w.run()
+	return w
+}
+
+// Write queues one line. It keeps no reference to p.
+func (w *Writer) Write(p []byte) (int, error) {
+	line := append([]byte(nil), p...)
+	select {
+	case w.lines <- line:
+	default:
+		w.dropped.Add(1)
+	}
+	return len(p), nil
+}
+
+// Close writes what is queued and ends the Writer. Nothing may be written after it.
+func (w *Writer) Close() {
+	close(w.lines)
+	<-w.closed
+}
+
+func (w *Writer) run() {
+	defer close(w.closed)
+	buffer := make([]byte, 0, batch)
+	for line := range w.lines {
+		buffer = append(buffer[:0], line...)
+		buffer = w.gather(buffer)
+		if n := w.dropped.Swap(0); n > 0 {
+			buffer = fmt.Appendf(buffer, "{\"level\":\"warn\",\"event\":%q,\"kind\":\"any\",\"count\":%d}\n", LeftOut.Name, n)
+		}
+		// A log that can't be written has nowhere to be reported.
+		_, _ = w.out.Write(buffer)
+	}
+}
+
+// gather appends the lines that wait already.
+func (w *Writer) gather(buffer []byte) []byte {
+	for len(buffer) < batch {
+		select {
+		case line, ok := <-w.lines:
+			if !ok {
+				return buffer
+			}
+			buffer = append(buffer, line...)
+		default:
+			return buffer
+		}
+	}
+	return buffer
+}
--- /dev/null
+++ b/internal/explain/explain.go
@@ -0,0 +1,198 @@
+// Package explain joins the log lines of one request over many routers and names the
+// cause of its outcome.
+package explain
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/hemlockdyke/hemlockdyke/internal/core/code"
+	"github.com/hemlockdyke/hemlockdyke/internal/eventlog"
+)
+
+// Entry is one log line about a request. Durations are in milliseconds.
+type Entry struct {
+	Event   string    `json:"event"`
+	Router  string    `json:"router"`
+	Time    time.Time `json:"time"`
+	Request string    `json:"request"`
+	Route   string    `json:"route"`
+
+	Attempt    int     `json:"attempt"`
+	Target     string  `json:"target"`
+	Rule       string  `json:"rule"`
+	Open       int     `json:"open"`
+	Bound      float64 `json:"bound"`
+	LoadsAge   float64 `json:"loads_age"`
+	Version    uint64  `json:"version"`
+	ResumeFrom string  `json:"resume_from"`
+	Why        string  `json:"why"`
+	Error      string  `json:"error"`
+	After      float64 `json:"after"`
+	Wait       float64 `json:"wait"`
+	Left       float64 `json:"left"`
+	Rank       int     `json:"rank"`
+	Code       int     `json:"code"`
+	Name       string  `json:"name"`
+	Ran        string  `json:"ran"`
+	Status     int     `json:"status"`
+	Attempts   int     `json:"attempts"`
+	First      float64 `json:"first"`
+	Total      float64 `json:"total"`
+	Budget     float64 `json:"budget"`
+
+	order int
+}
+
+// maxLine is the longest log line that is read.
+const maxLine = 1 << 20
+
+// Read returns the entries of a request in the order of time. What stands before the
+// first brace of a line, such as a collector's own time and machine, is left out.
+func Read(r io.Reader, request string) ([]Entry, error) {
+	lines := bufio.NewScanner(r)
+	lines.Buffer(make([]byte, 0, 64<<10), maxLine)
+	var out []Entry
+	for lines.Scan() {
+		line := lines.Bytes()
+		at := bytes.IndexByte(line, '{')
+		if at < 0 || !bytes.Contains(line, []byte(request)) {
+			continue
+		}
+		var e Entry
+		if json.Unmarshal(line[at:], &e) != nil || e.Request != request {
+			continue // a line of something else
+		}
+		e.order = len(out)
+		out = append(out, e)
+	}
+	sort.SliceStable(out, func(i, j int) bool {
+		if !out[i].Time.Equal(out[j].Time) {
+			return out[i].Time.Before(out[j].Time)
+		}
+		return out[i].order < out[j].order
+	})
+	return out, lines.Err()
+}
+
+// Print writes the chain of a request and its cause.
+func Print(w io.Writer, request string, entries []Entry) {
+	for _, e := range entries {
+		fmt.Fprintf(w, "%s  %-16s %s\n", e.Time.Format("15:04:05.000"), e.Router, e.describe())
+	}
+	fmt.Fprintf(w, "cause: %s\n", Cause(request, entries))
+}
+
+func (e Entry) describe() string {
+	switch e.Event {
+	case eventlog.Placed.Name:
+		text := fmt.Sprintf("attempt %d goes to %s by rule %s: %d open of at most %.1f, by loads %.0f ms old; desired state %d",
+			e.Attempt, e.Target, e.Rule, e.Open, e.Bound, e.LoadsAge, e.Version)
+		if e.ResumeFrom != "" {
+			text += ", goes on after event " + e.ResumeFrom
+		}
+		return text
+	case eventlog.AttemptFailed.Name:
+		return fmt.Sprintf("attempt %d failed after %.0f ms: %s", e.Attempt, e.After, e.why())
+	case eventlog.RepeatDenied.Name:
+		return "no repeat: the shared budget has no room"
+	case eventlog.NotAdmitted.Name:
+		return fmt.Sprintf("not sent to %s: a wait of %.0f ms expected behind %d open, %.0f ms left, rank %d", e.Target, e.Wait, e.Open, e.Left, e.Rank)
+	case eventlog.TargetSuspended.Name:
+		return fmt.Sprintf("%s gets no new work for a while: %s", e.Target, e.Why)
+	case eventlog.Finished.Name:
+		return fmt.Sprintf("answered with status %d, first byte after %.0f ms, end after %.0f of %.0f ms", e.Status, e.First, e.Total, e.Budget)
+	case eventlog.Failed.Name:
+		return fmt.Sprintf("ended as %d %s (ran: %s) after %.0f of %.0f ms", e.Code, e.Name, e.Ran, e.Total, e.Budget)
+	}
+	return e.Event
+}
+
+// reasons say what each reason of a failed attempt means.
+var reasons = map[string]string{
+	"not_sent":      "the target accepted no connection, so nothing ran",
+	"broken":        "the connection to the target broke after the request was sent",
+	"silent":        "the target stayed silent for longer than its answers take",
+	"truncated":     "the target's answer was cut off",
+	"stream_cut":    "the target broke the stream off",
+	"not_sealed":    "the answer was not the target's own",
+	"false_promise": "the target answered with a status that promises what it does not know",
+	"too_large":     "the answer was too large",
+	"target_error":  "the target answered with a failure of its own",
+	"turned_away":   "the target turned it away without running it",
+	"wrong_target":  "another target has the address",
+	"deadline":      "the target did not answer before the deadline",
+}
+
+func (e Entry) why() string {
+	text, ok := reasons[e.Why]
+	if !ok {
+		text = e.Why
+	}
+	text = e.Target + ": " + text
+	if e.Error != "" {
+		text += " (" + e.Error + ")"
+	}
+	return text
+}
+
+// Cause names the cause of a request's outcome in one sentence.
+func Cause(request string, entries []Entry) string {
+	if len(entries) == 0 {
+		return fmt.Sprintf("no router logged %s: no router read it whole, or its route or key was refused before it had a route", request)
+	}
+	var last, failure, end *Entry
+	for i := range entries {
+		switch e := &entries[i]; e.Event {
+		case eventlog.Placed.Name:
+			last = e
+		case eventlog.AttemptFailed.Name, eventlog.NotAdmitted.Name, eventlog.RepeatDenied.Name:
+			failure = e
+		case eventlog.Finished.Name, eventlog.Failed.Name:
+			end = e
+		}
+	}
+	switch {
+	case end == nil && last != nil:
+		return fmt.Sprintf("router %s ended while attempt %d was at %s: it was killed, lost power or is frozen", last.Router, last.Attempt, last.Target)
+	case end == nil:
+		return fmt.Sprintf("router %s ended before the request did", entries[len(entries)-1].Router)
+	case end.Event == eventlog.Finished.Name:
+		return finished(end, last, failure)
+	case code.Code(end.Code) == code.CallerGone:
+		return fmt.Sprintf("the caller left after %.0f ms%s", end.Total, at(last))
+	case failure != nil:
+		return fmt.Sprintf("%s; ended as %s", strings.TrimSpace(failure.describe()), end.Name)
+	}
+	return fmt.Sprintf("ended as %s%s", end.Name, at(last))
+}
+
+func at(placed *Entry) string {
+	if placed == nil {
+		return ""
+	}
+	return ", while it was at " + placed.Target
+}
+
+func finished(end, last, failure *Entry) string {
+	if end.Status >= 400 {
+		return fmt.Sprintf("the answer with status %d is the target's own%s", end.Status, at(last))
+	}
+	if failure != nil {
+		return fmt.Sprintf("answered after %.0f ms, because %s", end.First, failure.describe())
+	}
+	return fmt.Sprintf("answered; the first byte came after %.0f ms%s with %d open there", end.First, at(last), last.openOr0())
+}
+
+func (e *Entry) openOr0() int {
+	if e == nil {
+		return 0
+	}
+	return e.Open
+}
--- /dev/null
+++ b/internal/explain/explain_test.go
@@ -0,0 +1,55 @@
+package explain_test
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/hemlockdyke/hemlockdyke/internal/explain"
+	"github.com/hemlockdyke/hemlockdyke/internal/testkit"
+)
+
+func TestSuite(t *testing.T) { testkit.Run(t, "explain") }
+
+const lines = `
+  8.0010 front-a-1 {"level":"info","router":"front-a-1","event":"placed","request":"r1","route":"x","attempt":1,"target":"i-1","rule":"home","open":3,"bound":8.5,"loads_age":41.2,"version":7,"time":"2026-04-21T22:03:05Z"}
+  8.0020 front-a-1 {"level":"warn","router":"front-a-1","event":"attempt_failed","request":"r1","route":"x","attempt":1,"target":"i-1","why":"not_sent","error":"refused","after":2.5,"time":"2026-04-21T22:03:05Z"}
+{"level":"info","router":"front-a-1","event":"placed","request":"r1","route":"x","attempt":2,"target":"i-2","rule":"spill","time":"2026-04-21T22:03:06Z"}
+{"level":"info","router":"front-a-1","event":"finished","request":"r1","route":"x","code":0,"status":200,"first":812,"total":900,"time":"2026-04-21T22:03:07Z"}
+{"level":"info","router":"front-b-1","event":"placed","request":"r2","attempt":1,"target":"i-9","time":"2026-04-21T22:03:07Z"}
+{"level":"warn","router":"front-b-1","event":"not_admitted","request":"r3","target":"i-9","wait":700,"left":900,"open":80,"rank":2,"time":"2026-04-21T22:03:07Z"}
+{"level":"warn","router":"front-b-1","event":"failed","request":"r3","code":2002,"name":"queue_full","ran":"no","time":"2026-04-21T22:03:07Z"}
+{"level":"info","router":"front-b-1","event":"placed","request":"r4","attempt":1,"target":"i-9","time":"2026-04-21T22:03:07Z"}
+{"level":"warn","router":"front-b-1","event":"failed","request":"r4","code":3006,"name":"caller_gone","total":300,"time":"2026-04-21T22:03:08Z"}
+{"level":"info","router":"front-b-1","event":"finished","request":"r5","status":500,"time":"2026-04-21T22:03:08Z"}
+not a line of ours, r1
+{"request": broken r1
+`
+
+var _ = Describe("the explanation of a request", func() {
+	DescribeTable("names the cause",
+		func(request, want string) {
+			entries, err := explain.Read(strings.NewReader(lines), request)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(explain.Cause(request, entries)).To(ContainSubstring(want))
+		},
+		Entry("late", "r1", "answered after 812 ms, because attempt 1 failed after 2 ms: i-1: the target accepted no connection"),
+		Entry("the router was lost", "r2", "front-b-1 ended while attempt 1 was at i-9"),
+		Entry("refused", "r3", "a wait of 700 ms expected behind 80 open"),
+		Entry("the caller left", "r4", "the caller left after 300 ms, while it was at i-9"),
+		Entry("a target's own failure", "r5", "status 500 is the target's own"),
+		Entry("never logged", "r6", "no router logged r6"),
+	)
+
+	It("prints the chain in order, over collectors' prefixes and foreign lines", func() {
+		entries, err := explain.Read(strings.NewReader(lines), "r1")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(entries).To(HaveLen(4))
+		var out bytes.Buffer
+		explain.Print(&out, "r1", entries)
+		Expect(out.String()).To(MatchRegexp(`(?s)attempt 1 goes to i-1 by rule home: 3 open.*attempt 1 failed.*attempt 2 goes to i-2.*answered with status 200.*cause: `))
+	})
+})
