--- a/internal/app/gateway/control.go
+++ b/internal/app/gateway/control.go
@@ -296,6 +296,13 @@
 	c.post(ctx, fleet.Leave{})
 }
 
+// FinishBy begins the last phase of a graceful shutdown: only requests that end by a
+// time are begun from now on.
+func (c *Control) FinishBy(by time.Time) { c.view.finishing.Store(&by) }
+
+// Early returns the number of open requests that came before FinishBy.
+func (c *Control) Early() int64 { return c.view.early.Load() }
+
 // Reload puts the bounds of new settings in force.
 func (c *Control) Reload(s Settings) {
 	c.view.mu.Lock()
--- a/internal/app/gateway/relay.go
+++ b/internal/app/gateway/relay.go
@@ -62,6 +62,9 @@
 	// jitter: other routers serve at once, a restarted target takes a second.
 	retryNotReady = 250 * time.Millisecond
 	retryNoTarget = 500 * time.Millisecond
+	// retryElsewhere is when callers come back that a stopping router sends away: at
+	// once, since another router gets them.
+	retryElsewhere = 20 * time.Millisecond
 	// defaultBudget applies to callers that do not say how long they wait, on
 	// routes without a timeout.
 	defaultBudget = 30 * time.Second
@@ -125,7 +128,9 @@
 func (r *Relay) RetryAfter(c code.Code) time.Duration {
 	base := time.Duration(0)
 	switch c {
-	case code.NotReady, code.ShuttingDown, code.StaleConfig:
+	case code.ShuttingDown:
+		base = retryElsewhere
+	case code.NotReady, code.StaleConfig:
 		base = retryNotReady
 	case code.NoTarget, code.TargetRefused, code.QueueFull:
 		base = retryNoTarget
@@ -180,6 +185,17 @@
 			Idempotent: m.route.Repeatable(), MaxAttempts: max(m.route.MaxAttempts, 1), MaxUnrun: maxUnrun,
 		}),
 	}
+	if by := r.view.finishing.Load(); by != nil {
+		// Nothing that may outlast the process begins: it would be cut. Short requests
+		// still come while the balancer has too few other routers, and are served.
+		if x.ends.After(*by) {
+			x.finish(code.ShuttingDown)
+			return
+		}
+	} else {
+		r.view.early.Add(1)
+		defer r.view.early.Add(-1)
+	}
 	x.stream.last = m.call.ResumeAfter
 	var cancel context.CancelFunc
 	x.ctx, cancel = context.WithDeadline(ctx, x.ends.Add(answerAfterDeadline))
--- a/internal/app/gateway/view.go
+++ b/internal/app/gateway/view.go
@@ -18,8 +18,13 @@
 type view struct {
 	table   atomic.Pointer[route.Table]
 	leaving atomic.Bool
-	ready   atomic.Bool
-	listed  atomic.Bool // in the store's list of routers
+	// finishing is set once the balancer has noticed that the router leaves: the time
+	// at which it has to end, nil before.
+	finishing atomic.Pointer[time.Time]
+	// early are the open requests that came before finishing was set.
+	early  atomic.Int64
+	ready  atomic.Bool
+	listed atomic.Bool // in the store's list of routers
 
 	mu      sync.Mutex
 	board   *placement.Board
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -37,7 +37,9 @@
 	gatewayPeerTimeout = 500 * time.Millisecond
 	// balancerLag is how long the balancer goes on sending new connections after the
 	// first failed check: it asks every second and takes a router out after two misses.
-	balancerLag = 2500 * time.Millisecond
+	balancerLag = 2100 * time.Millisecond
+	// drainPoll is the pause between looks whether the long requests have ended.
+	drainPoll = 20 * time.Millisecond
 	// graceMargin is kept between the end of a graceful shutdown and the kill.
 	graceMargin = 500 * time.Millisecond
 	// headerTimeout and idleTimeout bound slow and idle callers. Callers reuse
@@ -173,15 +175,22 @@
 // Failed receives an error when a listener breaks.
 func (g *Gateway) Failed() <-chan error { return g.failed }
 
-// Shutdown stops gracefully: unready at once, serving until the balancer has
-// noticed, then ending with the last open request.
+// Shutdown stops gracefully: unready at once, serving until the balancer has noticed,
+// then only what ends in time, and ending with the last request that came before. The
+// callers' port stays open until then: while few routers are ready the balancer sends
+// to stopping ones as well, and a closed port would cost those callers a try.
 func (g *Gateway) Shutdown(ctx context.Context) {
 	began := time.Now()
 	g.log.Line(eventlog.Stopping).Msg("")
 	g.control.Leave(ctx)
 	sleep(ctx, balancerLag)
-	graceful, cancel := context.WithDeadline(ctx, began.Add(g.settings.Grace-graceMargin))
+	by := began.Add(g.settings.Grace - graceMargin)
+	graceful, cancel := context.WithDeadline(ctx, by)
 	defer cancel()
+	g.control.FinishBy(by)
+	for g.control.Early() > 0 && graceful.Err() == nil {
+		sleep(graceful, drainPoll)
+	}
 	if err := g.servers[0].Shutdown(graceful); err != nil {
 		g.log.Line(eventlog.RequestsCut).Err(err).Msg("")
 	}
