--- a/internal/app/gateway/view.go
+++ b/internal/app/gateway/view.go
@@ -35,9 +35,10 @@
 	updated time.Time // when the fleet's loads were last heard of
 }
 
-// place chooses a target and decides whether the request is sent there. ok is false
-// if the pool has no target.
-func (v *view) place(now time.Time, a placement.Ask, q admission.Ask) (c placement.Choice, verdict admission.Verdict, ok bool) {
+// place chooses a target and decides whether the request is sent there. One that a
+// target has run in part is always sent: what was done for it would be lost. ok is
+// false if the pool has no target.
+func (v *view) place(now time.Time, a placement.Ask, q admission.Ask, begun bool) (c placement.Choice, verdict admission.Verdict, ok bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	c, ok = v.board.Place(now, a)
@@ -46,12 +47,12 @@
 	}
 	gate := v.gate(a.Pool)
 	verdict = gate.Decide(now, q, admission.Load{Open: c.Open, Slots: c.Target.Slots})
-	if verdict.Code != code.OK {
+	if verdict.Code != code.OK && !begun {
 		v.board.Done(now, c.Target.UID, placement.Neutral)
 		return c, verdict, true
 	}
 	gate.Began(q.Team)
-	return c, verdict, true
+	return c, admission.Verdict{Code: code.OK}, true
 }
 
 // done takes an attempt off its target, after it held a place there for a while.
--- a/internal/eventlog/eventlog_test.go
+++ b/internal/eventlog/eventlog_test.go
@@ -34,6 +34,14 @@
 	return s.buf.Write(p)
 }
 
+// recording keeps each write.
+type recording struct{ writes []string }
+
+func (r *recording) Write(p []byte) (int, error) {
+	r.writes = append(r.writes, string(p))
+	return len(p), nil
+}
+
 var _ = Describe("the event log", func() {
 	It("bounds the lines of a kind and second, and counts what it leaves out", func() {
 		var out bytes.Buffer
@@ -66,6 +74,25 @@
 		Expect(out.buf.String()).To(MatchRegexp(`"event":"left_out","kind":"any","count":\d{4}`))
 	})
 
+	// Symptom: the line that ends a request is missing although the router wrote it.
+	// Sequence: a crash ends many requests at once. Cause: all lines went in one write, of
+	// which a reader of the pipe took a part.
+	It("writes whole lines, not more at once than a pipe takes whole", func() {
+		out := &recording{}
+		w := eventlog.NewWriter(out)
+		for i := range 300 {
+			fmt.Fprintf(w, "{\"i\":%d,\"text\":%q}\n", i, strings.Repeat("x", 150))
+		}
+		w.Close()
+		lines := 0
+		for _, p := range out.writes {
+			Expect(len(p)).To(BeNumerically("<=", 4096))
+			Expect(p).To(HaveSuffix("\n"))
+			lines += strings.Count(p, "\n")
+		}
+		Expect(lines).To(Equal(300))
+	})
+
 	It("is described by docs/LOGS.md, line by line", func() {
 		page, err := os.ReadFile("../../docs/LOGS.md")
 		Expect(err).NotTo(HaveOccurred())
--- a/internal/eventlog/writer.go
+++ b/internal/eventlog/writer.go
@@ -10,8 +10,9 @@
 	// queued is how many lines wait for a slow writer: about two seconds of a busy
 	// router, some 300 KB.
 	queued = 1024
-	// batch is how many bytes are written at once.
-	batch = 16 << 10
+	// batch is the most that is written at once, but for a longer single line. Pipes take
+	// that much whole; of more, a reader may get a part and lose the rest of a line.
+	batch = 4 << 10
 )
 
 // Writer passes lines on to a slow writer without ever blocking: while that one
@@ -52,28 +53,29 @@
 	defer close(w.closed)
 	buffer := make([]byte, 0, batch)
 	for line := range w.lines {
-		buffer = append(buffer[:0], line...)
-		buffer = w.gather(buffer)
+		buffer = w.append(buffer, line)
+		for waiting := len(w.lines); waiting > 0; waiting-- {
+			if line, ok := <-w.lines; ok {
+				buffer = w.append(buffer, line)
+			}
+		}
 		if n := w.dropped.Swap(0); n > 0 {
-			buffer = fmt.Appendf(buffer, "{\"level\":\"warn\",\"event\":%q,\"kind\":\"any\",\"count\":%d}\n", LeftOut.Name, n)
+			buffer = w.append(buffer, fmt.Appendf(nil, "{\"level\":\"warn\",\"event\":%q,\"kind\":\"any\",\"count\":%d}\n", LeftOut.Name, n))
 		}
-		// A log that can't be written has nowhere to be reported.
-		_, _ = w.out.Write(buffer)
+		buffer = w.flush(buffer)
 	}
 }
 
-// gather appends the lines that wait already.
-func (w *Writer) gather(buffer []byte) []byte {
-	for len(buffer) < batch {
-		select {
-		case line, ok := <-w.lines:
-			if !ok {
-				return buffer
-			}
-			buffer = append(buffer, line...)
-		default:
-			return buffer
-		}
+// append adds a line to the buffer, which is written first if it has no room.
+func (w *Writer) append(buffer, line []byte) []byte {
+	if len(buffer) > 0 && len(buffer)+len(line) > batch {
+		buffer = w.flush(buffer)
 	}
-	return buffer
+	return append(buffer, line...)
+}
+
+func (w *Writer) flush(buffer []byte) []byte {
+	// A log that can't be written has nowhere to be reported.
+	_, _ = w.out.Write(buffer)
+	return buffer[:0]
 }
