One caller of the platform's store; the stand-in's adapter has a name of its own

Cause: two clients of the store had the same send, the same read limit and the same rule for calls without an answer, and two packages were named platform. Change: internal/adapter/storecall makes the calls of both; internal/adapter/platform is internal/adapter/tableservice.

--- a/internal/adapter/platform/platform.go
+++ b/internal/adapter/tableservice/tableservice.go
@@ -1,29 +1,22 @@
-// Package platform reaches the platform's table service, object store and VM
-// list over HTTP.
-package platform
+// Package tableservice reaches the table service, object store and VM list of the
+// brief over HTTP, as the stand-in speaks them.
+package tableservice
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"net/url"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/hemlockdyke/hemlockdyke/internal/adapter/storecall"
 	"github.com/hemlockdyke/hemlockdyke/internal/port"
 )
 
-// maxReply bounds what is read of one reply: a snapshot of 31,000 teams has about 6 MB.
-const maxReply = 64 << 20
-
 // Client implements port.Table, port.ObjectStore and port.VMList.
-type Client struct {
-	base   string
-	client *http.Client
-}
+type Client struct{ caller storecall.Caller }
 
 var (
 	_ port.Table       = (*Client)(nil)
@@ -33,7 +26,7 @@
 
 // New returns a Client for the service at base; timeout bounds each call.
 func New(base string, timeout time.Duration) *Client {
-	return &Client{base: base, client: &http.Client{Timeout: timeout}}
+	return &Client{storecall.Caller{Base: base, Client: &http.Client{Timeout: timeout}}}
 }
 
 // Get returns one row.
@@ -63,6 +56,9 @@
 
 // PutObject stores one object.
 func (c *Client) PutObject(ctx context.Context, name string, data []byte) error {
+	if data == nil {
+		data = []byte{} // an empty object is a write as well
+	}
 	return c.write(ctx, http.MethodPut, "/objects/"+name, data)
 }
 
@@ -79,19 +75,11 @@
 }
 
 func (c *Client) write(ctx context.Context, method, path string, body []byte) error {
-	req, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
-	if err != nil {
-		return errors.Wrap(err, "make request")
-	}
-	// Without GetBody the transport can't send the write again on its own when
-	// a connection breaks; only the caller may decide that.
-	req.GetBody = nil
-	resp, err := c.client.Do(req)
+	status, _, err := c.caller.Call(ctx, method, path, body)
 	if err != nil {
-		return errors.Mark(errors.Wrap(err, "write"), port.ErrOutcomeUnknown)
+		return err
 	}
-	defer drain(resp)
-	switch resp.StatusCode {
+	switch status {
 	case http.StatusNoContent:
 		return nil
 	case http.StatusConflict:
@@ -99,7 +87,7 @@
 	case http.StatusServiceUnavailable:
 		return port.ErrUnavailable
 	default:
-		return errors.Newf("platform answered %d", resp.StatusCode)
+		return errors.Newf("table service answered %d", status)
 	}
 }
 
@@ -112,30 +100,16 @@
 }
 
 func (c *Client) fetch(ctx context.Context, path string) ([]byte, error) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.base+path, nil)
-	if err != nil {
-		return nil, errors.Wrap(err, "make request")
-	}
-	resp, err := c.client.Do(req)
+	status, reply, err := c.caller.Call(ctx, http.MethodGet, path, nil)
 	if err != nil {
-		return nil, errors.Mark(errors.Wrap(err, "read"), port.ErrUnavailable)
+		return nil, err
 	}
-	defer drain(resp)
-	switch resp.StatusCode {
+	switch status {
 	case http.StatusOK:
-		data, err := io.ReadAll(io.LimitReader(resp.Body, maxReply))
-		if err != nil {
-			return nil, errors.Mark(errors.Wrap(err, "read"), port.ErrUnavailable)
-		}
-		return data, nil
+		return reply, nil
 	case http.StatusNotFound:
 		return nil, port.ErrNotFound
 	default:
-		return nil, errors.Mark(errors.Newf("platform answered %d", resp.StatusCode), port.ErrUnavailable)
+		return nil, errors.Mark(errors.Newf("table service answered %d", status), port.ErrUnavailable)
 	}
 }
-
-func drain(resp *http.Response) {
-	_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, maxReply))
-	_ = resp.Body.Close()
-}
--- a/internal/daemon/controller.go
+++ b/internal/daemon/controller.go
@@ -11,7 +11,7 @@
 
 	"github.com/hemlockdyke/hemlockdyke/internal/adapter/operatorhttp"
 	"github.com/hemlockdyke/hemlockdyke/internal/adapter/peer"
-	"github.com/hemlockdyke/hemlockdyke/internal/adapter/platform"
+	"github.com/hemlockdyke/hemlockdyke/internal/adapter/tableservice"
 	"github.com/hemlockdyke/hemlockdyke/internal/adapter/target"
 	"github.com/hemlockdyke/hemlockdyke/internal/app/configstore"
 	"github.com/hemlockdyke/hemlockdyke/internal/app/controller"
@@ -41,7 +41,7 @@
 
 // StartController starts a controller.
 func StartController(s settings.Controller, log zerolog.Logger) (*Controller, error) {
-	store := platform.New(s.Platform.URL, s.Platform.Timeout.Std())
+	store := tableservice.New(s.Platform.URL, s.Platform.Timeout.Std())
 	ids := make([]uint32, len(s.Peers))
 	for i, p := range s.Peers {
 		ids[i] = p.ID
--- a/internal/daemon/router.go
+++ b/internal/daemon/router.go
@@ -13,7 +13,7 @@
 	"github.com/hemlockdyke/hemlockdyke/internal/adapter/callerhttp"
 	"github.com/hemlockdyke/hemlockdyke/internal/adapter/metrics"
 	"github.com/hemlockdyke/hemlockdyke/internal/adapter/peer"
-	"github.com/hemlockdyke/hemlockdyke/internal/adapter/platform"
+	"github.com/hemlockdyke/hemlockdyke/internal/adapter/tableservice"
 	"github.com/hemlockdyke/hemlockdyke/internal/adapter/target"
 	"github.com/hemlockdyke/hemlockdyke/internal/app/configstore"
 	"github.com/hemlockdyke/hemlockdyke/internal/app/router"
@@ -51,7 +51,7 @@
 		settings: s, log: log, requests: metrics.NewRequests(), bytes: &metrics.Traffic{},
 		failed: make(chan error, 3), stop: stop,
 	}
-	store := platform.New(s.Platform.URL, s.Platform.Timeout.Std())
+	store := tableservice.New(s.Platform.URL, s.Platform.Timeout.Std())
 	r.control = router.NewControl(
 		core.New(time.Now(), coreSettings(s, incarnation)),
 		peer.NewCaller(addresses(s.Peers), peerTimeout, r.bytes.Wrap),
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -166,7 +166,7 @@
 	case end.Event == eventlog.Finished.Name:
 		return finished(end, last, failure)
 	case code.Code(end.Code) == code.CallerGone:
-		return fmt.Sprintf("the caller left after %.0f ms%s", end.Total, at(last))
+		return fmt.Sprintf("the caller's connection ended after %.0f ms%s: it left, or the connection was reset", end.Total, at(last))
 	case failure != nil:
 		return fmt.Sprintf("%s; ended as %s", strings.TrimSpace(failure.describe()), end.Name)
 	}
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -39,7 +39,7 @@
 		Entry("late", "r1", "answered after 812 ms, because attempt 1 failed after 2 ms: i-1: the target accepted no connection"),
 		Entry("the router was lost", "r2", "front-b-1 ended while attempt 1 was at i-9"),
 		Entry("refused", "r3", "a wait of 700 ms expected behind 80 open"),
-		Entry("the caller left", "r4", "the caller left after 300 ms, while it was at i-9"),
+		Entry("the caller left", "r4", "the caller's connection ended after 300 ms, while it was at i-9"),
 		Entry("a target's own failure", "r5", "status 500 is the target's own"),
 		Entry("never logged", "r6", "no router logged r6"),
 	)
