A paused router and a slow caller are not a target's silence

Cause 1: after a freeze all timers fire before the answers that wait are read; every repeatable attempt would end as silent and all targets be suspended. Change: the watch stops while a part is passed on.

--- a/internal/app/gateway/answer.go
+++ b/internal/app/gateway/answer.go
@@ -89,12 +89,13 @@
 	for {
 		n, err := answer.Read(chunk)
 		if n > 0 {
+			t.timer.Stop()
 			pending = append(pending, chunk[:n]...)
-			t.heard()
 			rest, action := t.passEvents(answer, pending)
 			if action.Kind == attempt.Finish {
 				return action
 			}
+			t.listen()
 			pending = append(pending[:0], rest...)
 		}
 		if err != nil {
@@ -188,17 +189,33 @@
 // watchFirst starts to watch for the first byte of the answer.
 func (t *try) watchFirst() {
 	wait := patience(t.run.match.route.Objective, patienceFirst)
-	t.watch = time.AfterFunc(wait, t.silent)
+	t.silence.Until(t.began.Add(wait))
+	t.timer = time.AfterFunc(wait, t.fired)
 }
 
-// heard starts to watch for the next part of a stream.
-func (t *try) heard() {
-	t.watch.Reset(patience(t.run.match.route.GapObjective, patienceGap))
+// listen starts to watch for the next part of a stream. While a part is passed on to
+// the caller nobody listens, and the target's silence does not count.
+func (t *try) listen() {
+	wait := patience(t.run.match.route.GapObjective, patienceGap)
+	t.mu.Lock()
+	t.silence.Until(t.run.relay.now().Add(wait))
+	t.mu.Unlock()
+	t.timer.Reset(wait)
 }
 
-// silent runs when the target has said nothing for too long.
-func (t *try) silent() {
+// fired runs when the timer ends.
+func (t *try) fired() {
 	x := t.run
+	t.mu.Lock()
+	silent := t.silence.Silent(x.relay.now())
+	if !silent {
+		t.silence.Until(x.relay.now().Add(patienceLeast))
+	}
+	t.mu.Unlock()
+	if !silent {
+		t.timer.Reset(patienceLeast) // this process was paused: look again
+		return
+	}
 	if x.relay.view.silent(x.relay.now(), t.choice.Target.UID) {
 		x.note(eventlog.TargetSuspended).Str("target", t.choice.Target.ID).Str("why", "silent").Msg("")
 	}
--- a/internal/app/gateway/relay.go
+++ b/internal/app/gateway/relay.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -328,8 +329,10 @@
 
 	ctx    context.Context
 	cancel context.CancelCauseFunc
-	// watch ends the attempt, or tells of it, when the target stays silent.
-	watch *time.Timer
+	// timer fires when the target may have been silent for too long.
+	timer   *time.Timer
+	mu      sync.Mutex // guards silence
+	silence attempt.Watch
 }
 
 // errSilent ends an attempt whose target has been silent for too long.
@@ -341,7 +344,7 @@
 	t.ctx, t.cancel = context.WithCancelCause(x.ctx)
 	defer t.cancel(nil)
 	t.watchFirst()
-	defer func() { t.watch.Stop() }()
+	defer func() { t.timer.Stop() }()
 	answer, err := x.relay.upstream.Do(t.ctx, t.request())
 	if err != nil {
 		return t.sendFailed(err)
--- /dev/null
+++ b/internal/core/attempt/silence_test.go
@@ -0,0 +1,25 @@
+package attempt_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/hemlockdyke/hemlockdyke/internal/core/attempt"
+)
+
+var _ = Describe("the watch for silence", func() {
+	// Symptom: after a freeze a router sends every stream again and suspends all targets.
+	// Sequence: the process stands still for four seconds; when it wakes all its timers
+	// fire before the answers that wait are read. Cause: the timers were believed.
+	It("does not take the pause of its own process for a target's silence", func() {
+		start := time.Unix(1000, 0)
+		var w attempt.Watch
+		Expect(w.Silent(start)).To(BeFalse())
+		w.Until(start.Add(time.Second))
+		Expect(w.Silent(start.Add(900 * time.Millisecond))).To(BeFalse())
+		Expect(w.Silent(start.Add(1010 * time.Millisecond))).To(BeTrue())
+		Expect(w.Silent(start.Add(5 * time.Second))).To(BeFalse())
+	})
+})
