--- a/internal/app/gateway/relay.go
+++ b/internal/app/gateway/relay.go
@@ -156,7 +156,6 @@
 	repeats int
 	// retryAfter is when there is room again, 0 if the code alone says it.
 	retryAfter time.Duration
-	choice     placement.Choice // the last one
 	first      time.Time
 	status     int
 	// kept is a target's own failure that is passed on if no other target answers.
