Waits and graces follow the platform's bounds; hosts are compared as names are

Cause: the first reader's wait and the use of a vanished target were fitted to the two seconds of today's sites; another deployment may allow less. Change: half of the time in which a desired state has to be in force, and 0.35 of that in which a leaving target has to be left, from the settings file. A host header with a port or in capitals finds its route.

--- a/internal/app/gateway/control.go
+++ b/internal/app/gateway/control.go
@@ -25,6 +25,10 @@
 	// ReadsAtOnce is false for routers that start together with others that read the
 	// store and pass on what they read.
 	ReadsAtOnce bool
+	// InForceWithin is the time in which a desired state has to be in force, LeftWithin
+	// that in which a leaving target has to be left alone.
+	InForceWithin time.Duration
+	LeftWithin    time.Duration
 	// RetryRatio, RetrySlack and RetryWindow are the fleet's budget of repeats.
 	RetryRatio  float64
 	RetrySlack  float64
@@ -35,12 +39,11 @@
 }
 
 const (
-	// goneGrace is how long a target is used after it left the list, and
-	// goneGraceStoreAway the same while the store is or was away: entries that
-	// expired are back about two seconds after its return. Leaving targets have to
-	// be left alone after two seconds; the short grace and the spread of the news
-	// fit in.
-	goneGrace          = 700 * time.Millisecond
+	// goneShare is the part of LeftWithin for which a target is used after it left the
+	// list. The rest is for the spread of the news.
+	goneShare = 0.35
+	// goneGraceStoreAway is the same while the store is or was away: entries that
+	// expired are back about two seconds after its return.
 	goneGraceStoreAway = 2500 * time.Millisecond
 	// registerPause is the pause between looks whether this router has to be listed
 	// or to look for others. Two seconds after a start the readers are settled.
@@ -91,6 +94,7 @@
 		inbox: make(chan func(time.Time), inboxSize), stopped: make(chan struct{}),
 		core: fleet.New(now(), fleet.Settings{
 			Self: fleet.Address(s.Address), Incarnation: incarnation, Seed: rand.Uint64(), StartsFirst: s.ReadsAtOnce,
+			InForceWithin: s.InForceWithin,
 		}),
 		roster: placement.NewRoster(),
 	}
@@ -125,7 +129,7 @@
 	c.view.mu.Lock()
 	c.view.board.Expire(now)
 	c.view.mu.Unlock()
-	grace := goneGrace
+	grace := time.Duration(goneShare * float64(c.settings.LeftWithin))
 	if c.core.StoreAway(now) {
 		grace = goneGraceStoreAway
 	}
--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -33,14 +33,14 @@
 	// readers is how many routers follow the store. Two may fail at the same moment
 	// before a change is delayed by silentAfter.
 	readers = 3
-	// briefWait is how long the first reader waits for a change of the desired state,
-	// longWait every other call. A reader that is cut off in silence hears nothing and
-	// can't tell that from a store without news; the first one notices within
-	// briefWait and the call's margin, and the next router in rank begins to read,
-	// all within the two seconds in which a change has to be in force. Brief waits
-	// of all readers would be three times the calls, which are paid for.
-	briefWait = time.Second
-	longWait  = 15 * time.Second
+	// briefShare is the part of InForceWithin for which the first reader waits for a
+	// change of the desired state, longWait the wait of every other call. A reader that
+	// is cut off in silence hears nothing and can't tell that from a store without news;
+	// the first one notices after its wait and the call's margin, and the next router
+	// in rank begins to read, all before a change has to be in force. Brief waits of all
+	// readers would be three times the calls, which are paid for.
+	briefShare = 0.5
+	longWait   = 15 * time.Second
 	// joinPatience is how long routers leave those that rank before them the time to
 	// replace a reader: the time for a call and a digest, and little of the two
 	// seconds in which a change has to be in force.
@@ -71,6 +71,8 @@
 	// StartsFirst routers read the store as soon as they start. The others leave
 	// them a moment to pass on what they read.
 	StartsFirst bool
+	// InForceWithin is the time in which a desired state has to be in force.
+	InForceWithin time.Duration
 }
 
 // reader is the state of following one table at the store.
--- a/internal/core/fleet/store.go
+++ b/internal/core/fleet/store.go
@@ -123,7 +123,7 @@
 	case !r.ok:
 		wait = 0 // the answer shows at once that the store is within reach
 	case c.first && t == Desired:
-		wait = briefWait
+		wait = time.Duration(briefShare * float64(c.settings.InForceWithin))
 	}
 	c.emit(Follow{Table: t, After: r.position, Wait: wait})
 }
--- a/internal/core/route/route.go
+++ b/internal/core/route/route.go
@@ -110,7 +110,8 @@
 	}
 	for i := range s.Routes {
 		r := &s.Routes[i]
-		t.byHost[r.Host] = append(t.byHost[r.Host], r)
+		host := hostName(r.Host)
+		t.byHost[host] = append(t.byHost[host], r)
 	}
 	for _, routes := range t.byHost {
 		slices.SortStableFunc(routes, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
@@ -127,8 +128,9 @@
 }
 
 // Match returns the route of a host with the longest prefix that begins the path.
+// Hosts are compared as names are: without a port, in either case.
 func (t *Table) Match(host, path string) (*Route, bool) {
-	for _, r := range t.byHost[host] {
+	for _, r := range t.byHost[hostName(host)] {
 		if strings.HasPrefix(path, r.Prefix) {
 			return r, true
 		}
@@ -136,6 +138,14 @@
 	return nil, false
 }
 
+// hostName returns the host of a Host header as routes are found by it.
+func hostName(host string) string {
+	if name, port, ok := strings.Cut(host, ":"); ok && !strings.Contains(port, ":") {
+		host = name
+	}
+	return strings.ToLower(host)
+}
+
 // Pool returns the pool with a name.
 func (t *Table) Pool(name string) (Pool, bool) {
 	p, ok := t.pools[name]
--- a/internal/core/route/route_test.go
+++ b/internal/core/route/route_test.go
@@ -37,6 +37,8 @@
 		Entry("a prefix ends with a slash", "a.example", "/x/yy", "short"),
 		Entry("no part of a segment", "a.example", "/xy/", ""),
 		Entry("another host", "b.example", "/x/y/2f", "other"),
+		Entry("a host with a port", "a.example:8080", "/x/z", "short"),
+		Entry("a host in capitals", "A.Example", "/x/z", "short"),
 		Entry("no host", "c.example", "/x/", ""),
 	)
 
