Connections of a target are counted; metrics tell what a router holds

Cause: nothing kept all routers together below the connections that a target accepts; metrics lacked the age of the desired state and the list, open requests by target, peers. Change: a target takes no more than nine tenths of its limit; gauges at the metrics port, which deploy/system.toml names.

--- a/internal/adapter/metrics/gateway.go
+++ b/internal/adapter/metrics/gateway.go
@@ -3,7 +3,9 @@
 import (
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 
@@ -88,16 +90,40 @@
 	return fmt.Sprintf("%s{%s=%q}", name, label, value)
 }
 
-// Handler serves the metrics as text.
-func (g *Gateway) Handler() http.Handler {
+// Handler serves the metrics as text; status tells what the router holds now.
+func (g *Gateway) Handler(status func() gateway.Status) http.Handler {
 	r := mux.NewRouter()
 	r.HandleFunc("/metrics", func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "text/plain; version=0.0.4")
+		writeStatus(w, status())
 		g.write(w)
 	})
 	return r
 }
 
+func writeStatus(w io.Writer, s gateway.Status) {
+	for _, one := range []struct {
+		name  string
+		value float64
+	}{
+		{"ready", boolean(s.Ready)}, {"store_reading", boolean(s.Reading)}, {"desired_state_version", float64(s.Version)},
+		{"desired_state_age_seconds", s.DesiredAge.Seconds()}, {"targets_age_seconds", s.TargetsAge.Seconds()},
+		{"peers_alive", float64(s.Peers)},
+	} {
+		fmt.Fprintf(w, "hemlockdyke_%s %g\n", one.name, one.value)
+	}
+	for _, id := range slices.Sorted(maps.Keys(s.OpenAt)) {
+		fmt.Fprintf(w, "hemlockdyke_open_requests{target=%q} %d\n", id, s.OpenAt[id])
+	}
+}
+
+func boolean(b bool) float64 {
+	if b {
+		return 1
+	}
+	return 0
+}
+
 func (g *Gateway) write(w io.Writer) {
 	g.registry.Each(func(key string, metric any) {
 		switch m := metric.(type) {
--- a/internal/app/gateway/control.go
+++ b/internal/app/gateway/control.go
@@ -73,6 +73,8 @@
 	followCtx  context.Context
 	version    uint64 // of the desired state in force
 	routers    int    // the most that were alive at once
+	inForceAt  time.Time
+	targetsAt  time.Time
 }
 
 // inboxSize is how many events may wait. Senders block when it is full.
@@ -244,7 +246,7 @@
 		case err != nil:
 			c.log.Line(eventlog.DesiredStateRejected).Uint64("row", a.Version).Str("source", a.Source).Err(err).Msg("")
 		case state != nil:
-			c.putInForce(state, a)
+			c.putInForce(now, state, a)
 		}
 		return
 	}
@@ -253,18 +255,24 @@
 		c.log.Line(eventlog.TargetRejected).Uint64("row", a.Version).Str("source", a.Source).Err(err).Msg("")
 	}
 	c.roster.Update(now, targets)
+	c.targetsAt = now
 	c.publishTargets(now)
 	c.log.Line(eventlog.TargetsChanged).Uint64("row", a.Version).Str("source", a.Source).Int("rows", len(rows)).Msg("")
 }
 
 // putInForce swaps the routing table. Versions only rise within one process, by
 // whichever way a state comes.
-func (c *Control) putInForce(state *route.State, a fleet.Changed) {
+func (c *Control) putInForce(now time.Time, state *route.State, a fleet.Changed) {
 	if state.Version <= c.version {
 		return
 	}
 	c.version = state.Version
-	c.view.table.Store(route.Build(state))
+	table := route.Build(state)
+	c.view.table.Store(table)
+	c.view.mu.Lock()
+	c.view.board.SetConnections(table.Connections())
+	c.view.mu.Unlock()
+	c.inForceAt = now
 	c.updateReady()
 	c.log.Line(eventlog.DesiredState).Uint64("version", state.Version).Uint64("row", a.Version).
 		Str("source", a.Source).Int("routes", len(state.Routes)).Msg("")
@@ -366,6 +374,32 @@
 	return c.store.Unregister(ctx, c.settings.Address)
 }
 
+// Status is what a router tells of itself in its metrics.
+type Status struct {
+	Ready      bool
+	Reading    bool // the store
+	Version    uint64
+	DesiredAge time.Duration // since the desired state came in force
+	TargetsAge time.Duration // since the list of targets changed
+	Peers      int           // other routers alive
+	OpenAt     map[string]int
+}
+
+// Status returns the router's status.
+func (c *Control) Status() Status {
+	var s Status
+	c.query(func(now time.Time) {
+		s = Status{
+			Ready: c.Ready(), Reading: c.core.Reading(), Version: c.version,
+			DesiredAge: now.Sub(c.inForceAt), TargetsAge: now.Sub(c.targetsAt), Peers: c.core.Alive(now),
+		}
+	})
+	c.view.mu.Lock()
+	defer c.view.mu.Unlock()
+	s.OpenAt = c.view.board.OpenAt()
+	return s
+}
+
 // query runs f on the control goroutine and waits for it.
 func (c *Control) query(f func(now time.Time)) {
 	done := make(chan struct{})
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -5,6 +5,7 @@
 package placement
 
 import (
+	"math"
 	"math/rand/v2"
 	"time"
 
@@ -94,6 +95,8 @@
 
 type pool struct {
 	targets []*target
+	// maxOpen is what each target may have open, by the connections it accepts.
+	maxOpen float64
 }
 
 type peerLoads struct {
@@ -106,6 +109,7 @@
 	settings Settings
 	rand     *rand.Rand
 	pools    map[string]*pool
+	maxConns map[string]int
 	byUID    map[uint64]*target
 	peers    map[uint32]*peerLoads
 }
@@ -113,11 +117,32 @@
 // New returns an empty Board.
 func New(s Settings, rnd *rand.Rand) *Board {
 	return &Board{
-		settings: s, rand: rnd, pools: make(map[string]*pool),
+		settings: s, rand: rnd, pools: make(map[string]*pool), maxConns: make(map[string]int),
 		byUID: make(map[uint64]*target), peers: make(map[uint32]*peerLoads),
 	}
 }
 
+// connectionShare is the part of the connections that a target accepts which requests
+// may use: one that ends holds its connection for a moment more, and beyond the limit a
+// target resets connections with requests on them.
+const connectionShare = 0.9
+
+// SetConnections puts the connections that one target of each pool accepts in force;
+// 0 means that it is not known.
+func (b *Board) SetConnections(byPool map[string]int) {
+	b.maxConns = byPool
+	for name, p := range b.pools {
+		p.maxOpen = b.maxOpen(name)
+	}
+}
+
+func (b *Board) maxOpen(pool string) float64 {
+	if limit := b.maxConns[pool]; limit > 0 {
+		return connectionShare * float64(limit)
+	}
+	return math.Inf(1)
+}
+
 // SetTargets puts the targets of all pools in force. A target that is gone keeps
 // its count until its last request ends.
 func (b *Board) SetTargets(now time.Time, pools map[string][]Target) {
@@ -128,7 +153,7 @@
 	b.pools = make(map[string]*pool, len(pools))
 	listed := make(map[uint64]bool)
 	for name, targets := range pools {
-		p := &pool{}
+		p := &pool{maxOpen: b.maxOpen(name)}
 		for _, t := range targets {
 			known, ok := b.byUID[t.UID]
 			if !ok {
@@ -218,6 +243,17 @@
 	return out
 }
 
+// OpenAt returns what the fleet has open at each listed target, by its id.
+func (b *Board) OpenAt() map[string]int {
+	out := make(map[string]int)
+	for _, p := range b.pools {
+		for _, t := range p.targets {
+			out[t.ID] = t.open()
+		}
+	}
+	return out
+}
+
 // Place chooses a target and counts the request there; false if the pool has none.
 func (b *Board) Place(now time.Time, a Ask) (Choice, bool) {
 	p, ok := b.pools[a.Pool]
@@ -317,7 +353,7 @@
 	}
 	for i := range top.Len {
 		t := p.targets[top.Index[i]]
-		if skip(t) || float64(t.open()+1) > bound {
+		if skip(t) || float64(t.open()+1) > min(bound, p.maxOpen) {
 			continue
 		}
 		if i == 0 {
@@ -334,7 +370,7 @@
 	var best *target
 	bestCost := 0.0
 	for _, t := range p.targets {
-		if t.Leaving || a.excludes(t.UID) || skip(t) {
+		if t.Leaving || a.excludes(t.UID) || skip(t) || float64(t.open()+1) > p.maxOpen {
 			continue
 		}
 		cost := b.cost(t)
--- a/internal/core/placement/placement_test.go
+++ b/internal/core/placement/placement_test.go
@@ -176,6 +176,18 @@
 		Expect(place(b, start, 0).Target.DataCentre).To(Equal("a"))
 	})
 
+	// Symptom: requests are reset at a target that is not down. Sequence: all routers
+	// together open more connections than it accepts. Cause: nobody counted them.
+	It("stays below the connections that a target accepts", func() {
+		b := board(targets(2)...)
+		b.SetConnections(map[string]int{pool: 10})
+		for range 18 {
+			place(b, start, 0)
+		}
+		_, ok := b.Place(start, placement.Ask{Pool: pool})
+		Expect(ok).To(BeFalse())
+	})
+
 	It("excludes the targets that a request names", func() {
 		b := board(targets(2)...)
 		for range 20 {
--- a/internal/core/route/route.go
+++ b/internal/core/route/route.go
@@ -138,6 +138,15 @@
 	return nil, false
 }
 
+// Connections returns what one target of each pool accepts.
+func (t *Table) Connections() map[string]int {
+	out := make(map[string]int, len(t.pools))
+	for name, p := range t.pools {
+		out[name] = p.MaxConnections
+	}
+	return out
+}
+
 // hostName returns the host of a Host header as routes are found by it.
 func hostName(host string) string {
 	if name, port, ok := strings.Cut(host, ":"); ok && !strings.Contains(port, ":") {
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -145,7 +145,7 @@
 		{g.settings.Callers, &http.Server{Handler: front, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader}, nil},
 		{g.settings.Readiness, &http.Server{Handler: server.Readiness(g.settings.ReadinessPath)}, nil},
 		{g.settings.Gateway.Address, &http.Server{Handler: peerMux, Protocols: peer.Protocols()}, peer.Listen},
-		{g.settings.Metrics, &http.Server{Handler: m.Handler()}, nil},
+		{g.settings.Metrics, &http.Server{Handler: m.Handler(g.control.Status)}, nil},
 	} {
 		l, err := listen(one.address)
 		if err != nil {
