--- a/internal/app/gateway/control.go
+++ b/internal/app/gateway/control.go
@@ -342,64 +342,6 @@
 	}
 }
 
-// register lists this router in the store if it is a reader, and looks for others
-// there if it hears none: seeds may be out of date, and then a router that starts
-// would take itself for the only one. Digests carry who runs from then on.
-func (c *Control) register(ctx context.Context) {
-	listed := false
-	for pause(ctx, registerPause) {
-		var reading, alone bool
-		c.query(func(now time.Time) { reading, alone = c.core.Reading(), c.core.Alive(now) == 0 })
-		if !alone && (listed || !reading) {
-			continue
-		}
-		call, cancel := context.WithTimeout(ctx, callTimeout)
-		found, err := c.store.Register(call, c.settings.Address)
-		cancel()
-		if err != nil {
-			c.log.Line(eventlog.ListFailed).Err(err).Msg("")
-			continue
-		}
-		listed = true
-		c.view.listed.Store(true)
-		c.post(ctx, fleet.Found{Addresses: addresses(found)})
-	}
-}
-
-// Unlist takes this router out of the store's list if it is there.
-func (c *Control) Unlist(ctx context.Context) error {
-	if !c.view.listed.Load() {
-		return nil
-	}
-	return c.store.Unregister(ctx, c.settings.Address)
-}
-
-// Status is what a router tells of itself in its metrics.
-type Status struct {
-	Ready      bool
-	Reading    bool // the store
-	Version    uint64
-	DesiredAge time.Duration // since the desired state came in force
-	TargetsAge time.Duration // since the list of targets changed
-	Peers      int           // other routers alive
-	OpenAt     map[string]int
-}
-
-// Status returns the router's status.
-func (c *Control) Status() Status {
-	var s Status
-	c.query(func(now time.Time) {
-		s = Status{
-			Ready: c.Ready(), Reading: c.core.Reading(), Version: c.version,
-			DesiredAge: now.Sub(c.inForceAt), TargetsAge: now.Sub(c.targetsAt), Peers: c.core.Alive(now),
-		}
-	})
-	c.view.mu.Lock()
-	defer c.view.mu.Unlock()
-	s.OpenAt = c.view.board.OpenAt()
-	return s
-}
-
 // query runs f on the control goroutine and waits for it.
 func (c *Control) query(f func(now time.Time)) {
 	done := make(chan struct{})
@@ -413,18 +355,6 @@
 	}
 }
 
-// pause waits for about d and reports whether ctx still runs.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(time.Duration(float64(d) * (0.5 + rand.Float64())))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 func addresses(in []string) []fleet.Address {
 	out := make([]fleet.Address, len(in))
 	for i, a := range in {
--- /dev/null
+++ b/internal/app/gateway/try.go
@@ -0,0 +1,118 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/hemlockdyke/hemlockdyke/internal/adapter/upstream"
+	"github.com/hemlockdyke/hemlockdyke/internal/core/attempt"
+	"github.com/hemlockdyke/hemlockdyke/internal/core/placement"
+	"github.com/hemlockdyke/hemlockdyke/internal/core/route"
+)
+
+// try is one attempt at a target.
+type try struct {
+	run     *run
+	choice  placement.Choice
+	number  int
+	began   time.Time
+	outcome placement.Outcome
+	failure string // why it failed, for the log; empty if it did not
+	err     error
+
+	ctx    context.Context
+	cancel context.CancelCauseFunc
+	// timer fires when the target may have been silent for too long.
+	timer   *time.Timer
+	mu      sync.Mutex // guards silence
+	silence attempt.Watch
+}
+
+// errSilent ends an attempt whose target has been silent for too long.
+var errSilent = errors.New("target is silent")
+
+// make sends the request and passes the answer on.
+func (t *try) make() attempt.Action {
+	x := t.run
+	t.ctx, t.cancel = context.WithCancelCause(x.ctx)
+	defer t.cancel(nil)
+	t.watchFirst()
+	defer func() { t.timer.Stop() }()
+	answer, err := x.relay.upstream.Do(t.ctx, t.request())
+	if err != nil {
+		return t.sendFailed(err)
+	}
+	defer answer.Close()
+	reply := x.relay.wire.Reply(answer.Status, answer.Header)
+	switch {
+	case reply.Unrun:
+		return t.turnedAway(reply)
+	case x.match.route.Kind == route.Stream && answer.Status == http.StatusOK && reply.Sealed:
+		return t.relayStream(answer)
+	}
+	return t.relayWhole(answer, reply)
+}
+
+func (t *try) request() upstream.Request {
+	x := t.run
+	call := x.match.call
+	a := Attempt{
+		Left: x.ends.Sub(t.began), TargetID: t.choice.Target.ID, ResumeFrom: x.stream.last,
+		Source: t.choice.Source, Team: x.match.teamName(), Priority: x.match.rank(),
+	}
+	return upstream.Request{
+		Target: t.choice.Target.UID, Address: t.choice.Target.Address,
+		Method: call.Method, URI: call.URI, Host: call.Host, Header: x.relay.wire.Prepare(call, a), Body: x.body,
+		Echoes: func(h http.Header) bool { return x.relay.wire.Echoes(call, h) },
+		Sent:   func() { x.machine.Step(attempt.Wrote{Attempt: t.number}) },
+	}
+}
+
+// fail records why the attempt failed and what that says of the target.
+func (t *try) fail(why string, err error) {
+	t.failure, t.err, t.outcome = why, err, placement.Failed
+}
+
+func (t *try) sendFailed(err error) attempt.Action {
+	x := t.run
+	if x.ctx.Err() != nil {
+		return t.ended()
+	}
+	if errors.Is(err, upstream.ErrNotSent) {
+		t.fail("not_sent", err)
+		t.outcome = placement.Unreachable
+		return x.machine.Step(attempt.NotSent{Attempt: t.number})
+	}
+	t.fail(t.brokenBy("broken"), err)
+	return x.machine.Step(attempt.Broken{Attempt: t.number})
+}
+
+// brokenBy names silence as the cause if that ended the attempt.
+func (t *try) brokenBy(otherwise string) string {
+	if errors.Is(context.Cause(t.ctx), errSilent) {
+		return "silent"
+	}
+	return otherwise
+}
+
+// ended is the end of an attempt whose caller left or whose deadline came. A
+// target that let the deadline pass without a word counts as failed.
+func (t *try) ended() attempt.Action {
+	x := t.run
+	if !errors.Is(context.Cause(x.ctx), context.Canceled) {
+		t.fail("deadline", nil)
+	}
+	return x.gaveUp()
+}
+
+func (t *try) turnedAway(reply Reply) attempt.Action {
+	t.failure, t.outcome = "turned_away", placement.Refused
+	if reply.WrongTarget {
+		t.fail("wrong_target", nil)
+	}
+	return t.run.machine.Step(attempt.TurnedAway{Attempt: t.number})
+}
--- /dev/null
+++ b/internal/core/placement/choose.go
@@ -0,0 +1,120 @@
+package placement
+
+import (
+	"time"
+
+	"github.com/hemlockdyke/hemlockdyke/internal/core/rendezvous"
+)
+
+// bound is the highest count that a placement may bring a target to. The mean is
+// over all targets, leaving ones as well: those still hold requests and receive none.
+func (b *Board) bound(p *pool) float64 {
+	if len(p.targets) == 0 {
+		return 0
+	}
+	open := 0
+	for _, t := range p.targets {
+		open += t.open()
+	}
+	mean := float64(open) / float64(len(p.targets))
+	return max(b.settings.Multiple*mean+b.settings.Slack-b.settings.Margin, 1)
+}
+
+// panicShare is the share of suspended targets from which suspensions are passed
+// over, but for targets that accept no connection. If most of a pool fails, the few
+// left would be overrun and the caches of the others lost, and often the cause is none
+// of theirs.
+const panicShare = 0.5
+
+// passedOver returns which targets get no new work for now.
+func passedOver(now time.Time, p *pool) func(*target) bool {
+	staying, suspended := 0, 0
+	for _, t := range p.targets {
+		if t.Leaving || (t.health.unreachable && t.health.suspended(now)) {
+			continue
+		}
+		staying++
+		if t.health.suspended(now) {
+			suspended++
+		}
+	}
+	panicking := staying > 0 && float64(suspended) >= panicShare*float64(staying)
+	return func(t *target) bool {
+		return t.health.suspended(now) && (t.health.unreachable || !panicking)
+	}
+}
+
+func (b *Board) choose(now time.Time, p *pool, a Ask, bound float64) (*target, Rule) {
+	skip := passedOver(now, p)
+	if a.Chat != 0 {
+		if t, rule := b.byChat(p, a, bound, skip); t != nil {
+			return t, rule
+		}
+	}
+	if t := b.leastLoaded(p, a, skip); t != nil {
+		return t, RuleLeast
+	}
+	return b.leastLoaded(p, a, func(*target) bool { return false }), RuleSuspect
+}
+
+// byChat returns the first target in the chat's rendezvous order that is below
+// the bound. Every router computes the same order, so a chat that spills finds
+// its second target whichever router it comes to.
+func (b *Board) byChat(p *pool, a Ask, bound float64, skip func(*target) bool) (*target, Rule) {
+	var top rendezvous.Top
+	for i, t := range p.targets {
+		if !t.Leaving && !a.excludes(t.UID) {
+			top.Offer(int32(i), rendezvous.Mix(a.Chat, t.seed), rendezvous.MaxTop)
+		}
+	}
+	for i := range top.Len {
+		t := p.targets[top.Index[i]]
+		if skip(t) || float64(t.open()+1) > min(bound, p.maxOpen) {
+			continue
+		}
+		if i == 0 {
+			return t, RuleHome
+		}
+		return t, RuleSpill
+	}
+	return nil, ""
+}
+
+// leastLoaded returns the target with the fewest open requests, of equal ones one
+// in this data centre.
+func (b *Board) leastLoaded(p *pool, a Ask, skip func(*target) bool) *target {
+	var best *target
+	bestCost := 0.0
+	for _, t := range p.targets {
+		if t.Leaving || a.excludes(t.UID) || skip(t) || float64(t.open()+1) > p.maxOpen {
+			continue
+		}
+		cost := b.cost(t)
+		if best == nil || cost < bestCost {
+			best, bestCost = t, cost
+		}
+	}
+	return best
+}
+
+// remoteCost is what another data centre adds to a target's count: two requests
+// more in the own one are answered as soon as none across the link, and bytes
+// between data centres are paid for.
+const remoteCost = 1.5
+
+func (b *Board) cost(t *target) float64 {
+	cost := float64(t.open()) + b.rand.Float64()
+	if t.DataCentre != b.settings.DataCentre {
+		cost += remoteCost
+	}
+	return cost
+}
+
+func (a *Ask) excludes(uid uint64) bool {
+	for _, e := range a.Excluded {
+		if e == uid {
+			return true
+		}
+	}
+	return false
+}
