Routers that have just started share the slack of repeats with eight others

Cause: a router that hears nobody yet took the whole slack of the fleet's budget; nine that restart together could pass it nine times. Found by reading.

--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -14,8 +14,8 @@
 const Protocol = 2
 
 // TickInterval is how often the core expects a Tick, in which it sends a digest if
-// loads changed. A tenth of a second holds about two new requests for each target
-// of a pool of twelve at today's rate, which is the placement's margin.
+// loads changed. In a tenth of a second one or two new requests come for each target of
+// a pool of twelve at today's rate, about the placement's margin.
 const TickInterval = 100 * time.Millisecond
 
 const (
--- a/internal/core/placement/choose.go
+++ b/internal/core/placement/choose.go
@@ -44,6 +44,7 @@
 	}
 }
 
+// choose returns the target for an ask and the rule that chose it, nil if there is none.
 func (b *Board) choose(now time.Time, p *pool, a Ask, bound float64) (*target, Rule) {
 	skip := passedOver(now, p)
 	if a.Chat != 0 {
--- a/internal/core/retry/window.go
+++ b/internal/core/retry/window.go
@@ -25,9 +25,14 @@
 type Limits struct {
 	Ratio   float64
 	Slack   float64
-	Routers int // that share the slack
+	Routers int // that share the slack, as far as this one knows
 }
 
+// leastRouters is how many routers share the slack at least. One that has just started
+// hears nobody yet, and many may start at once; each taking all of it would pass the
+// budget many times over.
+const leastRouters = 8
+
 // ratioHeadroom and slackHeadroom are the parts of the budget that are used. The
 // budget is kept in any window, by the requests of that window or of the one that
 // begins half a window before it. A router's last ten seconds lie within these two,
@@ -49,7 +54,7 @@
 func (w *Window) Repeat(now time.Time, l Limits) bool {
 	current := w.at(now)
 	requests, repeats := w.sum(now)
-	allowed := ratioHeadroom*l.Ratio*float64(requests) + slackHeadroom*l.Slack/float64(max(l.Routers, 1))
+	allowed := ratioHeadroom*l.Ratio*float64(requests) + slackHeadroom*l.Slack/float64(max(l.Routers, leastRouters))
 	if float64(repeats+1) > allowed {
 		return false
 	}
--- a/internal/core/retry/window_test.go
+++ b/internal/core/retry/window_test.go
@@ -65,10 +65,25 @@
 		})
 	})
 
+	// Symptom: a service gets many times the repeats that it may. Sequence: all routers
+	// restart at once, and targets fail. Cause: each took itself for the only one.
+	It("is kept by routers that have started at once and know of nobody", func() {
+		start := time.Unix(1000, 0)
+		l := retry.Limits{Ratio: 0.2, Slack: 58, Routers: 1}
+		repeats := 0
+		for range 8 {
+			w := retry.NewWindow(start, 10*time.Second)
+			for w.Repeat(start, l) {
+				repeats++
+			}
+		}
+		Expect(repeats).To(BeNumerically("<=", 58))
+	})
+
 	It("has room again after the window", func() {
 		start := time.Unix(1000, 0)
 		w := retry.NewWindow(start, 10*time.Second)
-		l := retry.Limits{Ratio: 0.2, Slack: 4, Routers: 2}
+		l := retry.Limits{Ratio: 0.2, Slack: 16, Routers: 9}
 		Expect(w.Repeat(start, l)).To(BeTrue())
 		Expect(w.Repeat(start, l)).To(BeFalse())
 		Expect(w.Repeat(start.Add(9*time.Second), l)).To(BeFalse())
