--- a/internal/adapter/upstream/conn.go
+++ b/internal/adapter/upstream/conn.go
@@ -16,7 +16,6 @@
 	reader *bufio.Reader
 	// usable is until when the target keeps the connection while it idles.
 	usable time.Time
-	reused bool
 }
 
 // Connections go silent for good without a reset while new ones work, and a VM
--- a/internal/adapter/upstream/upstream.go
+++ b/internal/adapter/upstream/upstream.go
@@ -84,13 +84,9 @@
 type Answer struct {
 	Status int
 	Header http.Header
-	// Length is the body's, -1 if it is not announced.
-	Length int64
 	// Framed says that the body's end is marked, by a length or by chunks. Without,
 	// the end of the connection is all there is.
 	Framed bool
-	// Reused says that the connection had carried a request before.
-	Reused bool
 
 	body    io.ReadCloser
 	client  *Client
@@ -109,7 +105,7 @@
 	if err != nil {
 		return nil, errors.Mark(err, ErrNotSent)
 	}
-	a := &Answer{client: c, target: r.Target, conn: cn, Reused: cn.reused}
+	a := &Answer{client: c, target: r.Target, conn: cn}
 	a.stop = context.AfterFunc(ctx, func() { _ = cn.Close() })
 	if r.Sent != nil {
 		r.Sent()
@@ -132,7 +128,6 @@
 			break
 		}
 		if c.now().Before(cn.usable) && cn.quiet() {
-			cn.reused = true
 			return cn, nil
 		}
 		_ = cn.Close()
@@ -246,7 +241,7 @@
 }
 
 func (a *Answer) take(resp *http.Response) {
-	a.Status, a.Header, a.Length, a.body = resp.StatusCode, resp.Header, resp.ContentLength, resp.Body
+	a.Status, a.Header, a.body = resp.StatusCode, resp.Header, resp.Body
 	a.Framed = framed(resp)
 	a.closing = resp.Close || !a.Framed
 }
--- a/internal/core/route/route.go
+++ b/internal/core/route/route.go
@@ -51,7 +51,6 @@
 	Priority int
 
 	Public    bool // needs no key
-	Affinity  bool // requests name the prompt parts that a target may have cached
 	Resumable bool // streams may go on at another target
 }
 
@@ -60,19 +59,11 @@
 	return r.Kind == Safe || (r.Kind == Stream && r.Resumable)
 }
 
-// Engine describes the model workers of a pool.
-type Engine struct {
-	Slots    int // requests in one batch
-	KVTokens int // memory for running requests and cached parts
-}
-
 // Pool is a service that requests are sent to.
 type Pool struct {
 	Name string
 	// MaxConnections is what one target accepts from all routers together; 0 if unknown.
 	MaxConnections int
-	// Engine is nil for plain services.
-	Engine *Engine
 }
 
 // Team is whoever a request is charged to.
@@ -155,12 +146,6 @@
 	return strings.ToLower(host)
 }
 
-// Pool returns the pool with a name.
-func (t *Table) Pool(name string) (Pool, bool) {
-	p, ok := t.pools[name]
-	return p, ok
-}
-
 // HasTeams reports whether requests need a key at all.
 func (t *Table) HasTeams() bool { return len(t.byKey) > 0 }
 
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -7,7 +7,6 @@
 	"runtime/debug"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/proto"
 
 	peerv1 "github.com/hemlockdyke/hemlockdyke/gen/hemlockdyke/peer/v1"
@@ -130,20 +129,16 @@
 	return g.control.Copy(ctx, req)
 }
 
-func (g *Gateway) listen(front http.Handler, m *metrics.Gateway) error {
+func (g *Gateway) listen(front *gatewayhttp.Server, m *metrics.Gateway) error {
 	peerMux := http.NewServeMux()
 	peerMux.Handle(peer.NewHandler(g))
-	server, ok := front.(*gatewayhttp.Server)
-	if !ok {
-		return errors.New("no readiness")
-	}
 	for _, one := range []struct {
 		address string
 		server  *http.Server
 		wrap    func(net.Listener) net.Listener
 	}{
 		{g.settings.Callers, &http.Server{Handler: front, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader}, nil},
-		{g.settings.Readiness, &http.Server{Handler: server.Readiness(g.settings.ReadinessPath)}, nil},
+		{g.settings.Readiness, &http.Server{Handler: front.Readiness(g.settings.ReadinessPath)}, nil},
 		{g.settings.Gateway.Address, &http.Server{Handler: peerMux, Protocols: peer.Protocols()}, peer.Listen},
 		{g.settings.Metrics, &http.Server{Handler: m.Handler(g.control.Status)}, nil},
 	} {
