--- a/internal/app/gateway/view.go
+++ b/internal/app/gateway/view.go
@@ -13,8 +13,8 @@
 )
 
 // view is what traffic reads and changes: the routing table, swapped whole, and the
-// board of open requests. A placement takes a microsecond under the lock, less
-// than handing it to another goroutine would.
+// board of open requests. A placement takes 0.6 us at 12 targets and 3.5 us at
+// 120 (BenchmarkPlace).
 type view struct {
 	table   atomic.Pointer[route.Table]
 	leaving atomic.Bool
--- a/internal/core/admission/admission.go
+++ b/internal/core/admission/admission.go
@@ -40,8 +40,8 @@
 	waitShare = 0.6
 	// objectiveShare is the same of its objective. A pool works off as many requests
 	// behind a short queue as behind a long one, but behind a long one all are late. On a
-	// day with four times the load 15,640 were answered in time, with a half 15,520,
-	// with the whole 15,240, without any admission 14,130.
+	// day with four times the load 15,640 were answered in time, with a half 15,530,
+	// with the whole 15,140, without any admission 14,130.
 	objectiveShare = 0.25
 	// retryShare is the part of its time after which a refused caller comes back at the
 	// earliest. Overload lasts for seconds; a caller that has time is better off later.
--- a/internal/core/placement/source.go
+++ b/internal/core/placement/source.go
@@ -13,8 +13,8 @@
 // source returns the address of the target that the chat's requests went to before
 // they go to t: the first in the chat's order without t, if t is young, and the
 // first of all, a leaving one as well, if t is not that. Fetching a cached part
-// from there takes a quarter of the time of reading it again and a tenth of its
-// price (qls-recall: 19 ms against 75 ms for 10,000 tokens).
+// from there takes about a quarter of the time of reading it again and a tenth
+// of its price (19 ms against 71 ms for 10,000 tokens, by the figures of today's engines).
 func source(now time.Time, p *pool, a Ask, t *target) string {
 	if a.Chat == 0 {
 		return ""
