Latencies by route and team class, service levels by pool and team; a burn report from routers' metrics

Cause: on the platform the on-call engineers have logs and metrics only. Latency stood by pool, its quantiles could not be added up over routers, and the burn report asked a controller, which does not run there.

One Sum and one Report for both ways. The tracker numbered its slots by the wall clock; spans now go by the steady clock, and a check refuses numbers of the wall clock in decisions (seen failing on the old tracker). `repeats_total` counted requests, it counts repeats now; `repeats_denied_total` is new.

Ruled out: reading metrics in the router's binary; the parser is linked into hemlockctl only.

--- a/cmd/hemlockdyke-router/main.go
+++ b/cmd/hemlockdyke-router/main.go
@@ -51,7 +51,7 @@
 		again, err := platform.LoadSettings(os.Getenv(platform.SettingsVariable))
 		return again.Gateway, err
 	}
-	m := metrics.NewGateway()
+	m := metrics.NewGateway(time.Now)
 	gateway, err := daemon.StartGateway(s.Gateway, daemon.Platform{
 		Store: platform.NewStore(s.StoreAddress, m.StoreCall), Decoder: platform.Decoder{}, Wire: platform.Wire{},
 	}, m, log)
--- a/internal/adapter/metrics/gateway.go
+++ b/internal/adapter/metrics/gateway.go
@@ -8,41 +8,90 @@
 	"slices"
 	"strings"
 	"sync"
+	"time"
 
 	"github.com/gorilla/mux"
 	gometrics "github.com/rcrowley/go-metrics"
 
 	"github.com/hemlockdyke/hemlockdyke/internal/app/gateway"
+	"github.com/hemlockdyke/hemlockdyke/internal/core/burn"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/code"
 )
 
+// prefix begins the name of every metric.
+const prefix = "hemlockdyke_"
+
+// maxLatencies bounds the latency histograms, 250 bytes each, and maxLevels the pairs of
+// pool and team whose service level is kept, 20 KB each: a VM has 184 MB at the least.
+const (
+	maxLatencies = 1000
+	maxLevels    = 200
+)
+
 // Gateway counts what a gateway does. It is safe for concurrent use.
 type Gateway struct {
-	mu       sync.Mutex
-	registry gometrics.Registry
-	series   int
+	now func() time.Time
+
+	mu        sync.Mutex
+	registry  gometrics.Registry
+	series    int
+	latencies map[latencyKey]*latency
+	levels    *burn.Tracker
 }
 
+type latencyKey struct{ name, route, class string }
+
 // NewGateway returns empty counters.
-func NewGateway() *Gateway { return &Gateway{registry: gometrics.NewRegistry()} }
+func NewGateway(now func() time.Time) *Gateway {
+	return &Gateway{
+		now: now, registry: gometrics.NewRegistry(), latencies: make(map[latencyKey]*latency),
+		levels: burn.NewTracker(now(), maxLevels),
+	}
+}
 
 // Observe records how a request ended.
 func (g *Gateway) Observe(r gateway.Result) {
-	g.count("requests_total", "code", r.Code.Lookup().Name)
+	g.add("requests_total", "code", r.Code.Lookup().Name, 1)
 	if r.Repeats > 0 {
-		g.count("repeats_total", "pool", r.Pool)
+		g.add("repeats_total", "pool", r.Pool, r.Repeats)
+	}
+	if r.Denied {
+		g.add("repeats_denied_total", "pool", r.Pool, 1)
 	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
 	if r.Code == code.OK {
-		g.histogram("first_byte_ms", r.Pool).Update(r.First.Milliseconds())
-		g.histogram("total_ms", r.Pool).Update(r.Total.Milliseconds())
+		g.latency("first_byte_ms", r).observe(r.First)
+		g.latency("total_ms", r).observe(r.Total)
+	}
+	if r.Code == code.CallerGone {
+		return // says nothing of the service
+	}
+	answered := r.Code == code.OK && r.Status < http.StatusInternalServerError
+	g.levels.Observe(g.now(), burn.Key{Pool: r.Pool, Team: r.Team}, burn.Good(answered, r.First, r.Objective), r.First)
+}
+
+// latency returns the histogram of a request's route and team class. Beyond the bound
+// all share one.
+func (g *Gateway) latency(name string, r gateway.Result) *latency {
+	key := latencyKey{name: name, route: r.Route, class: r.Class}
+	l, ok := g.latencies[key]
+	if !ok && len(g.latencies) >= maxLatencies {
+		key.route, key.class = "other", "other"
+		l, ok = g.latencies[key]
+	}
+	if !ok {
+		l = newLatency()
+		g.latencies[key] = l
 	}
+	return l
 }
 
 // Refused counts a refusal before a route was known.
-func (g *Gateway) Refused(c code.Code) { g.count("refused_total", "code", c.Lookup().Name) }
+func (g *Gateway) Refused(c code.Code) { g.add("refused_total", "code", c.Lookup().Name, 1) }
 
 // Dialed counts a new connection to a target.
-func (g *Gateway) Dialed() { g.count("dials_total", "", "") }
+func (g *Gateway) Dialed() { g.add("dials_total", "", "", 1) }
 
 // StoreCall counts a call to the platform's store.
 func (g *Gateway) StoreCall(kind string, err error) {
@@ -50,10 +99,10 @@
 	if err != nil {
 		outcome = "failed"
 	}
-	g.count("store_calls_total", "call", strings.TrimPrefix(kind, "/")+"_"+outcome)
+	g.add("store_calls_total", "call", strings.TrimPrefix(kind, "/")+"_"+outcome, 1)
 }
 
-func (g *Gateway) count(name, label, value string) {
+func (g *Gateway) add(name, label, value string, n int) {
 	key := seriesName(name, label, value)
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -63,24 +112,7 @@
 		}
 		g.series++
 	}
-	gometrics.GetOrRegisterCounter(key, g.registry).Inc(1)
-}
-
-// sampleSize is how many values a histogram keeps.
-const sampleSize = 256
-
-func (g *Gateway) histogram(name, pool string) gometrics.Histogram {
-	key := seriesName(name, "pool", pool)
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	h := g.registry.GetOrRegister(key, func() gometrics.Histogram {
-		return gometrics.NewHistogram(gometrics.NewUniformSample(sampleSize))
-	})
-	found, ok := h.(gometrics.Histogram)
-	if !ok {
-		return gometrics.NilHistogram{}
-	}
-	return found
+	gometrics.GetOrRegisterCounter(key, g.registry).Inc(int64(n))
 }
 
 func seriesName(name, label, value string) string {
@@ -110,10 +142,10 @@
 		{"desired_state_age_seconds", s.DesiredAge.Seconds()}, {"targets_age_seconds", s.TargetsAge.Seconds()},
 		{"peers_alive", float64(s.Peers)},
 	} {
-		fmt.Fprintf(w, "hemlockdyke_%s %g\n", one.name, one.value)
+		fmt.Fprintf(w, "%s%s %g\n", prefix, one.name, one.value)
 	}
 	for _, id := range slices.Sorted(maps.Keys(s.OpenAt)) {
-		fmt.Fprintf(w, "hemlockdyke_open_requests{target=%q} %d\n", id, s.OpenAt[id])
+		fmt.Fprintf(w, "%sopen_requests{target=%q} %d\n", prefix, id, s.OpenAt[id])
 	}
 }
 
@@ -124,18 +156,27 @@
 	return 0
 }
 
+// write prints counters, latencies and service levels. All lines of one name stand
+// together, as scrapers expect them.
 func (g *Gateway) write(w io.Writer) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	counts := make(map[string]int64)
 	g.registry.Each(func(key string, metric any) {
-		switch m := metric.(type) {
-		case gometrics.Counter:
-			fmt.Fprintf(w, "hemlockdyke_%s %d\n", key, m.Count())
-		case gometrics.Histogram:
-			s := m.Snapshot()
-			name, labels, _ := strings.Cut(key, "{")
-			for _, q := range []float64{0.5, 0.95, 0.99} {
-				fmt.Fprintf(w, "hemlockdyke_%s{quantile=\"%g\",%s %g\n", name, q, labels, s.Percentile(q))
-			}
-			fmt.Fprintf(w, "hemlockdyke_%s_count{%s %d\n", name, labels, s.Count())
+		if c, ok := metric.(gometrics.Counter); ok {
+			counts[key] = c.Count()
 		}
 	})
+	for _, key := range slices.Sorted(maps.Keys(counts)) {
+		fmt.Fprintf(w, "%s%s %d\n", prefix, key, counts[key])
+	}
+	for _, name := range []string{"first_byte_ms", "total_ms"} {
+		fmt.Fprintf(w, "# TYPE %s%s histogram\n", prefix, name)
+		for key, l := range g.latencies {
+			if key.name == name {
+				l.write(w, name, fmt.Sprintf("route=%q,class=%q", key.route, key.class))
+			}
+		}
+	}
+	writeLevels(w, g.levels.Samples(g.now()))
 }
--- a/internal/app/controller/burn.go
+++ b/internal/app/controller/burn.go
@@ -2,9 +2,6 @@
 
 import (
 	"context"
-	"fmt"
-	"sort"
-	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
@@ -14,47 +11,14 @@
 	"github.com/hemlockdyke/hemlockdyke/internal/core/ticket"
 )
 
-// BurnReport is the service-level burn of the fleet.
-type BurnReport struct {
-	// Routers is how many of the listed routers answered; the others' requests are missing.
-	Routers int       `json:"routers"`
-	Listed  int       `json:"listed"`
-	Lines   []BurnRow `json:"lines"`
-}
-
-// BurnRow is the service level of one team in one pool.
-type BurnRow struct {
-	Pool             string       `json:"pool"`
-	Team             string       `json:"team"`
-	ObjectivePercent float64      `json:"objectivePercent"`
-	Windows          []BurnWindow `json:"windows"`
-	FirstTokenP50    int64        `json:"firstTokenP50Ms"`
-	FirstTokenP95    int64        `json:"firstTokenP95Ms"`
-	FirstTokenP99    int64        `json:"firstTokenP99Ms"`
-}
-
-// BurnWindow is the burn over one window.
-type BurnWindow struct {
-	Window string  `json:"window"`
-	Good   uint64  `json:"good"`
-	Bad    uint64  `json:"bad"`
-	Rate   float64 `json:"rate"`
-}
-
-// merged is the sum of one series over the routers.
-type merged struct {
-	counts    []burn.Count
-	histogram *hdrhistogram.Histogram
-}
-
 // Burn collects the counts of every reachable router.
-func (c *Controller) Burn(ctx context.Context) (BurnReport, error) {
+func (c *Controller) Burn(ctx context.Context) (burn.Report, error) {
 	objectives, err := c.objectives(ctx)
 	if err != nil {
-		return BurnReport{}, err
+		return burn.Report{}, err
 	}
-	report := BurnReport{Listed: len(c.routers), Lines: []BurnRow{}}
-	sums := make(map[burn.Key]*merged)
+	report := burn.Report{Listed: len(c.routers)}
+	sum := burn.NewSum()
 	for _, reply := range c.replies(ctx, c.routers, &peerv1.BurnRequest{Protocol: ticket.Protocol}) {
 		resp, ok := reply.(*peerv1.BurnResponse)
 		if !ok {
@@ -62,16 +26,10 @@
 		}
 		report.Routers++
 		for _, s := range resp.GetSeries() {
-			merge(sums, s)
+			sum.Add(sampleOf(s))
 		}
 	}
-	for key, sum := range sums {
-		report.Lines = append(report.Lines, sum.row(key, objectives[key.Team]))
-	}
-	sort.Slice(report.Lines, func(i, j int) bool {
-		x, y := report.Lines[i], report.Lines[j]
-		return x.Pool < y.Pool || (x.Pool == y.Pool && x.Team < y.Team)
-	})
+	report.Lines = sum.Rows(func(team string) float64 { return objectives[team] })
 	return report, nil
 }
 
@@ -90,48 +48,15 @@
 	return out, nil
 }
 
-// merge adds one router's series. A histogram that does not decode is left out;
+// sampleOf decodes one router's series. A histogram that does not decode is left out;
 // its counts still hold.
-func merge(sums map[burn.Key]*merged, s *peerv1.BurnSeries) {
-	key := burn.Key{Pool: s.GetPool(), Team: s.GetTeam()}
-	sum, ok := sums[key]
-	if !ok {
-		sum = &merged{counts: make([]burn.Count, len(burn.Windows()))}
-		sums[key] = sum
+func sampleOf(s *peerv1.BurnSeries) burn.Sample {
+	out := burn.Sample{Key: burn.Key{Pool: s.GetPool(), Team: s.GetTeam()}}
+	for i := range min(len(s.GetGood()), len(s.GetBad())) {
+		out.Counts = append(out.Counts, burn.Count{Good: s.GetGood()[i], Bad: s.GetBad()[i]})
 	}
-	for i := range min(len(sum.counts), len(s.GetGood()), len(s.GetBad())) {
-		sum.counts[i].Good += s.GetGood()[i]
-		sum.counts[i].Bad += s.GetBad()[i]
-	}
-	h, err := hdrhistogram.Decode(s.GetHistogram())
-	switch {
-	case err != nil:
-	case sum.histogram == nil:
-		sum.histogram = h
-	default:
-		sum.histogram.Merge(h)
-	}
-}
-
-func (m *merged) row(key burn.Key, objective float64) BurnRow {
-	row := BurnRow{Pool: key.Pool, Team: key.Team, ObjectivePercent: objective}
-	for i, w := range burn.Windows() {
-		row.Windows = append(row.Windows, BurnWindow{
-			Window: shortDuration(w), Good: m.counts[i].Good, Bad: m.counts[i].Bad,
-			Rate: burn.Rate(m.counts[i], objective),
-		})
-	}
-	if m.histogram != nil {
-		row.FirstTokenP50 = m.histogram.ValueAtQuantile(50)
-		row.FirstTokenP95 = m.histogram.ValueAtQuantile(95)
-		row.FirstTokenP99 = m.histogram.ValueAtQuantile(99)
-	}
-	return row
-}
-
-func shortDuration(d time.Duration) string {
-	if d >= time.Hour {
-		return fmt.Sprintf("%dh", int(d.Hours()))
+	if h, err := hdrhistogram.Decode(s.GetHistogram()); err == nil {
+		out.Histogram = h
 	}
-	return fmt.Sprintf("%dm", int(d.Minutes()))
+	return out
 }
--- a/internal/app/gateway/relay.go
+++ b/internal/app/gateway/relay.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -27,12 +28,18 @@
 type Result struct {
 	Route    string
 	Pool     string
+	Team     string // empty if the request has none
+	Class    string // of the team, see Match.class
 	Code     code.Code
 	Status   int // of the answer that was passed on; 0 if none
 	Attempts int
 	Repeats  int
-	First    time.Duration // to the first byte of the answer; 0 if none
-	Total    time.Duration
+	// Denied: one more repeat would have been made, but the budget had no room.
+	Denied bool
+	First  time.Duration // to the first byte of the answer; 0 if none
+	Total  time.Duration
+	// Objective is the time to the first byte that the route aims at; 0 if none.
+	Objective time.Duration
 }
 
 // Relay carries requests. It is safe for concurrent use.
@@ -90,6 +97,23 @@
 	return m.team.Name
 }
 
+// The classes of teams that have no rank of their own.
+const (
+	classNoTeam  = "no_team"
+	classDefault = "default"
+)
+
+// class groups teams by their own rank: there are too many to count each alone.
+func (m *Match) class() string {
+	switch {
+	case m.team == nil:
+		return classNoTeam
+	case m.team.Priority == nil:
+		return classDefault
+	}
+	return "rank_" + strconv.Itoa(*m.team.Priority)
+}
+
 // rank returns how urgent the request is: its team's rank, or else the route's.
 func (m *Match) rank() int {
 	if m.team != nil && m.team.Priority != nil {
@@ -152,6 +176,7 @@
 	ends    time.Time // when the caller gets a final answer at the latest
 
 	repeats int
+	denied  bool
 	// retryAfter is when there is room again, 0 if the code alone says it.
 	retryAfter time.Duration
 	first      time.Time
@@ -210,6 +235,7 @@
 func (x *run) again() attempt.Action {
 	r := x.relay
 	if !r.view.allowRepeat(r.now(), x.match.pool) {
+		x.denied = true
 		x.note(eventlog.RepeatDenied).Msg("")
 		return x.machine.Step(attempt.Refused{Code: code.TargetRefused})
 	}
@@ -277,8 +303,9 @@
 	}
 	now := r.now()
 	res := Result{
-		Route: x.match.route.Name, Pool: x.match.pool, Code: c, Status: x.status,
-		Attempts: x.machine.Attempts(), Repeats: x.repeats, Total: now.Sub(x.match.began),
+		Route: x.match.route.Name, Pool: x.match.pool, Team: x.match.teamName(), Class: x.match.class(),
+		Code: c, Status: x.status, Objective: x.match.route.Objective,
+		Attempts: x.machine.Attempts(), Repeats: x.repeats, Denied: x.denied, Total: now.Sub(x.match.began),
 	}
 	if !x.first.IsZero() {
 		res.First = x.first.Sub(x.match.began)
--- a/internal/app/router/burn.go
+++ b/internal/app/router/burn.go
@@ -30,7 +30,7 @@
 
 // NewBurn returns an empty Burn.
 func NewBurn(control *Control, self uint32, log zerolog.Logger, now func() time.Time) *Burn {
-	return &Burn{tracker: burn.NewTracker(maxBurnSeries), control: control, self: self, log: log, now: now}
+	return &Burn{tracker: burn.NewTracker(now(), maxBurnSeries), control: control, self: self, log: log, now: now}
 }
 
 // Observe counts how a request ended. One whose caller left says nothing of the
@@ -39,11 +39,11 @@
 	if result.Code == code.CallerGone {
 		return
 	}
-	good := result.Code == code.OK
-	team, ok := b.control.Table().Team(req.Team)
-	if expected := time.Duration(team.Spec.FirstTokenMillis) * time.Millisecond; ok && expected > 0 {
-		good = good && result.FirstPart <= expected
+	var objective time.Duration
+	if team, ok := b.control.Table().Team(req.Team); ok {
+		objective = time.Duration(team.Spec.FirstTokenMillis) * time.Millisecond
 	}
+	good := burn.Good(result.Code == code.OK, result.FirstPart, objective)
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.tracker.Observe(b.now(), burn.Key{Pool: req.Pool.Name, Team: req.Team}, good, result.FirstPart)
--- a/internal/cli/burn.go
+++ b/internal/cli/burn.go
@@ -12,12 +12,13 @@
 	"gonum.org/v1/plot/plotter"
 	"gonum.org/v1/plot/vg"
 
-	"github.com/hemlockdyke/hemlockdyke/internal/app/controller"
+	"github.com/hemlockdyke/hemlockdyke/internal/core/burn"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/code"
 )
 
-func (a *App) burn(page string) error {
-	report, err := a.client.Burn()
+// burn reports by a controller, or by the metrics of routers if their URLs are given.
+func (a *App) burn(page string, routers []string, objective float64) error {
+	report, err := a.burnReport(routers, objective)
 	if err != nil {
 		return err
 	}
@@ -29,7 +30,17 @@
 	return a.print(report, func(w io.Writer) { printBurn(w, report) })
 }
 
-func printBurn(w io.Writer, report controller.BurnReport) {
+func (a *App) burnReport(routers []string, objective float64) (burn.Report, error) {
+	if len(routers) == 0 {
+		return a.client.Burn()
+	}
+	if objective <= 0 || objective >= 100 {
+		return burn.Report{}, code.New(code.BadUsage, "--objective: %v is not above 0 and below 100", objective)
+	}
+	return a.scrapeBurn(routers, objective)
+}
+
+func printBurn(w io.Writer, report burn.Report) {
 	fmt.Fprintf(w, "from %d of %d routers\n", report.Routers, report.Listed)
 	fmt.Fprintln(w, "POOL\tTEAM\tOBJECTIVE\tWINDOW\tGOOD\tBAD\tBURN\tP50\tP95\tP99")
 	for _, l := range report.Lines {
@@ -54,15 +65,15 @@
 {{range .Plots}}<div>{{.}}</div>
 {{end}}`))
 
-func writePage(path string, report controller.BurnReport) error {
+func writePage(path string, report burn.Report) error {
 	var plots []template.HTML
 	if len(report.Lines) > 0 {
 		for _, p := range []struct {
 			title string
-			value func(controller.BurnRow) float64
+			value func(burn.Row) float64
 		}{
-			{"Burn rate, short window", func(l controller.BurnRow) float64 { return l.Windows[0].Rate }},
-			{"First token, 95th percentile, ms", func(l controller.BurnRow) float64 { return float64(l.FirstTokenP95) }},
+			{"Burn rate, short window", func(l burn.Row) float64 { return l.Windows[0].Rate }},
+			{"First token, 95th percentile, ms", func(l burn.Row) float64 { return float64(l.FirstTokenP95) }},
 		} {
 			svg, err := bars(p.title, report.Lines, p.value)
 			if err != nil {
@@ -73,7 +84,7 @@
 	}
 	var out bytes.Buffer
 	err := pageTemplate.Execute(&out, struct {
-		Report controller.BurnReport
+		Report burn.Report
 		Plots  []template.HTML
 	}{report, plots})
 	if err != nil {
@@ -86,7 +97,7 @@
 }
 
 // bars draws one bar per pool and team as an SVG image.
-func bars(title string, lines []controller.BurnRow, value func(controller.BurnRow) float64) (template.HTML, error) {
+func bars(title string, lines []burn.Row, value func(burn.Row) float64) (template.HTML, error) {
 	p := plot.New()
 	p.Title.Text = title
 	var values plotter.Values
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -30,6 +30,7 @@
 // App is one invocation of hemlockctl.
 type App struct {
 	out    io.Writer
+	errOut io.Writer // for what goes wrong beside the result
 	client *Client
 	output string
 }
@@ -41,7 +42,7 @@
 	servers := app.Flag("server", "Base URL of a controller; may be repeated.").
 		Envar("HEMLOCKCTL_SERVER").Default("http://127.0.0.1:7301").Strings()
 	output := app.Flag("output", "table, json or yaml.").Short('o').Default("table").Enum("table", "json", "yaml")
-	a := &App{out: out}
+	a := &App{out: out, errOut: errOut}
 	commands := a.commands(app)
 	selected, err := app.Parse(args)
 	if err != nil {
@@ -103,6 +104,9 @@
 	report := app.Command("report", "Reports.")
 	burnReport := report.Command("burn", "How fast teams use up their error budgets.")
 	page := burnReport.Flag("html", "Also write a page with plots to this file.").String()
+	scrape := burnReport.Flag("metrics", "Metrics URL of a router on the platform, in place of a controller; may be repeated.").Strings()
+	objective := burnReport.Flag("objective", "Percent of requests that must meet the objective of their route; with --metrics.").
+		Default("99").Float64()
 
 	why := app.Command("explain", "Say how a request ended and why, from routers' logs; or why a chat goes where it goes.")
 	pool, team, chat := why.Flag("pool", "Pool.").String(), why.Flag("team", "Team.").String(), why.Flag("chat", "Chat.").String()
@@ -117,7 +121,7 @@
 		drain.FullCommand():      func() error { return a.drain(*drainTarget) },
 		watch.FullCommand():      func() error { return a.watch(*after, *count) },
 		op.FullCommand():         func() error { return a.operation(*opName) },
-		burnReport.FullCommand(): func() error { return a.burn(*page) },
+		burnReport.FullCommand(): func() error { return a.burn(*page, *scrape, *objective) },
 		why.FullCommand(): func() error {
 			if *request != "" {
 				return a.explainRequest(*request, *logs)
--- a/internal/cli/client.go
+++ b/internal/cli/client.go
@@ -14,6 +14,7 @@
 
 	"github.com/hemlockdyke/hemlockdyke/internal/adapter/operatorhttp"
 	"github.com/hemlockdyke/hemlockdyke/internal/app/controller"
+	"github.com/hemlockdyke/hemlockdyke/internal/core/burn"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/code"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/resource"
 	"github.com/hemlockdyke/hemlockdyke/internal/wire"
@@ -75,8 +76,8 @@
 }
 
 // Burn returns the service-level burn of the fleet.
-func (c *Client) Burn() (controller.BurnReport, error) {
-	var out controller.BurnReport
+func (c *Client) Burn() (burn.Report, error) {
+	var out burn.Report
 	err := c.call(http.MethodGet, "/v1/burn", nil, &out)
 	return out, err
 }
--- a/internal/core/burn/burn.go
+++ b/internal/core/burn/burn.go
@@ -31,7 +31,7 @@
 }
 
 type bucket struct {
-	number    int64 // of the slot since the epoch; tells an old bucket
+	number    int64 // of the slot since the tracker's start; tells an old bucket
 	good, bad uint64
 }
 
@@ -40,8 +40,8 @@
 	buckets [slots]bucket
 }
 
-func (w *window) add(now time.Time, good bool) {
-	number := now.UnixNano() / int64(w.slot)
+func (w *window) add(age time.Duration, good bool) {
+	number := w.number(age)
 	b := &w.buckets[number%slots]
 	if b.number != number {
 		*b = bucket{number: number}
@@ -53,8 +53,12 @@
 	}
 }
 
-func (w *window) sum(now time.Time) (good, bad uint64) {
-	oldest := now.UnixNano()/int64(w.slot) - slots
+// number counts slots from one window before the start, so that an empty bucket
+// never looks like a present one.
+func (w *window) number(age time.Duration) int64 { return int64(age/w.slot) + slots }
+
+func (w *window) sum(age time.Duration) (good, bad uint64) {
+	oldest := w.number(age) - slots
 	for _, b := range w.buckets {
 		if b.number > oldest {
 			good += b.good
@@ -64,6 +68,10 @@
 	return good, bad
 }
 
+// NewHistogram returns an empty histogram of first-token times in milliseconds, of
+// the shape that all samples share.
+func NewHistogram() *hdrhistogram.Histogram { return hdrhistogram.New(lowest, highest, digits) }
+
 // series is the state of one key.
 type series struct {
 	windows   []window
@@ -72,6 +80,7 @@
 
 // Tracker counts the requests of one router. It is not safe for concurrent use.
 type Tracker struct {
+	start  time.Time // spans count from here: the time of day may jump
 	max    int
 	series map[Key]*series
 }
@@ -81,15 +90,15 @@
 
 // NewTracker returns an empty Tracker of at most max series: at 31,000 teams one
 // series for each would outgrow the memory of a small VM.
-func NewTracker(max int) *Tracker {
-	return &Tracker{max: max, series: make(map[Key]*series)}
+func NewTracker(now time.Time, max int) *Tracker {
+	return &Tracker{start: now, max: max, series: make(map[Key]*series)}
 }
 
 // Observe counts one request. firstToken is 0 if it had none.
 func (t *Tracker) Observe(now time.Time, key Key, good bool, firstToken time.Duration) {
 	s := t.get(key)
 	for i := range s.windows {
-		s.windows[i].add(now, good)
+		s.windows[i].add(now.Sub(t.start), good)
 	}
 	if firstToken > 0 {
 		ms := min(max(firstToken.Milliseconds(), lowest), highest)
@@ -107,7 +116,7 @@
 			return s
 		}
 	}
-	s := &series{histogram: hdrhistogram.New(lowest, highest, digits)}
+	s := &series{histogram: NewHistogram()}
 	for _, w := range Windows() {
 		s.windows = append(s.windows, window{slot: w / slots})
 	}
@@ -134,7 +143,7 @@
 	for key, s := range t.series {
 		sample := Sample{Key: key, Histogram: s.histogram}
 		for i := range s.windows {
-			good, bad := s.windows[i].sum(now)
+			good, bad := s.windows[i].sum(now.Sub(t.start))
 			sample.Counts = append(sample.Counts, Count{Good: good, Bad: bad})
 		}
 		out = append(out, sample)
@@ -142,6 +151,12 @@
 	return out
 }
 
+// Good reports whether a request met its service level: it was answered, and its
+// first part came within the objective; 0 means that none is set.
+func Good(answered bool, first, objective time.Duration) bool {
+	return answered && (objective <= 0 || first <= objective)
+}
+
 // Rate returns how many times faster than allowed the error budget of an
 // objective, in percent, is used up. 1 uses it up exactly over its period.
 func Rate(c Count, objectivePercent float64) float64 {
--- /dev/null
+++ b/internal/core/burn/burn_test.go
@@ -0,0 +1,93 @@
+package burn_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/hemlockdyke/hemlockdyke/internal/core/burn"
+	"github.com/hemlockdyke/hemlockdyke/internal/testkit"
+)
+
+var _ = Describe("the tracker of service levels", func() {
+	key := burn.Key{Pool: "chat", Team: "t"}
+
+	counts := func(t *burn.Tracker, now time.Time) []burn.Count {
+		samples := t.Samples(now)
+		if len(samples) == 0 {
+			return make([]burn.Count, len(burn.Windows()))
+		}
+		return samples[0].Counts
+	}
+
+	It("counts the requests of each window", func() {
+		start := time.Unix(1000, 0)
+		t := burn.NewTracker(start, 10)
+		t.Observe(start, key, true, 20*time.Millisecond)
+		t.Observe(start, key, false, 0)
+		Expect(counts(t, start)).To(Equal([]burn.Count{{Good: 1, Bad: 1}, {Good: 1, Bad: 1}}))
+		later := start.Add(6 * time.Minute)
+		Expect(counts(t, later)).To(Equal([]burn.Count{{}, {Good: 1, Bad: 1}}))
+		Expect(counts(t, start.Add(2*time.Hour))).To(Equal([]burn.Count{{}, {}}))
+	})
+
+	It("counts from its first moment, whatever the clock shows then", func() {
+		for _, start := range []time.Time{{}, time.Unix(0, 0), time.Unix(1<<33, 0)} {
+			t := burn.NewTracker(start, 10)
+			t.Observe(start, key, true, 0)
+			Expect(counts(t, start.Add(time.Second))[0]).To(Equal(burn.Count{Good: 1}))
+		}
+	})
+
+	It("keeps no more series than it is allowed, and none of their requests is lost", func() {
+		start := time.Unix(1000, 0)
+		t := burn.NewTracker(start, 3)
+		for _, team := range []string{"a", "b", "c", "d", "e"} {
+			t.Observe(start, burn.Key{Pool: "chat", Team: team}, true, 0)
+		}
+		samples := t.Samples(start)
+		Expect(samples).To(HaveLen(4))
+		sum := uint64(0)
+		for _, s := range samples {
+			sum += s.Counts[0].Good
+		}
+		Expect(sum).To(Equal(uint64(5)))
+	})
+
+	It("adds up routers as if one had seen all requests", func() {
+		testkit.Check("100", func(t *rapid.T) {
+			start := time.Unix(1000, 0)
+			whole := burn.NewTracker(start, 100)
+			parts := []*burn.Tracker{burn.NewTracker(start, 100), burn.NewTracker(start, 100), burn.NewTracker(start, 100)}
+			for range rapid.IntRange(0, 60).Draw(t, "requests") {
+				k := burn.Key{Pool: "chat", Team: rapid.SampledFrom([]string{"a", "b"}).Draw(t, "team")}
+				good := rapid.Bool().Draw(t, "good")
+				first := time.Duration(rapid.IntRange(1, 2000).Draw(t, "ms")) * time.Millisecond
+				whole.Observe(start, k, good, first)
+				parts[rapid.IntRange(0, 2).Draw(t, "router")].Observe(start, k, good, first)
+			}
+			one, many := burn.NewSum(), burn.NewSum()
+			for _, s := range whole.Samples(start) {
+				one.Add(s)
+			}
+			for _, p := range parts {
+				for _, s := range p.Samples(start) {
+					many.Add(s)
+				}
+			}
+			objective := func(string) float64 { return 99 }
+			Expect(many.Rows(objective)).To(Equal(one.Rows(objective)))
+		})
+	})
+
+	It("says how fast an error budget is used up", func() {
+		Expect(burn.Rate(burn.Count{Good: 99, Bad: 1}, 99)).To(BeNumerically("~", 1, 0.001))
+		Expect(burn.Rate(burn.Count{Good: 90, Bad: 10}, 99)).To(BeNumerically("~", 10, 0.001))
+		Expect(burn.Rate(burn.Count{}, 99)).To(BeZero())
+		Expect(burn.Good(true, time.Second, 0)).To(BeTrue())
+		Expect(burn.Good(true, time.Second, 999*time.Millisecond)).To(BeFalse())
+		Expect(burn.Good(false, 0, time.Second)).To(BeFalse())
+	})
+})
--- /dev/null
+++ b/internal/core/burn/suite_test.go
@@ -0,0 +1,9 @@
+package burn_test
+
+import (
+	"testing"
+
+	"github.com/hemlockdyke/hemlockdyke/internal/testkit"
+)
+
+func TestSuite(t *testing.T) { testkit.Run(t, "burn") }
--- a/internal/core/code/code.go
+++ b/internal/core/code/code.go
@@ -77,6 +77,7 @@
 	BadProtocol     Code = 7001
 	UnknownRouter   Code = 7002
 	OldIncarnation  Code = 7003
+	RouterSilent    Code = 7004
 )
 
 // Info describes one code.
@@ -127,6 +128,7 @@
 	BadProtocol:      {"bad_protocol", 400, RanNo, "Run the same release on every VM."},
 	UnknownRouter:    {"unknown_router", 403, RanNo, "List the router in settings.peers."},
 	OldIncarnation:   {"old_incarnation", 409, RanNo, "None; an earlier process of the router spoke late."},
+	RouterSilent:     {"router_silent", 0, RanNo, "Check the URL, and that the router runs; the report lacks its requests."},
 }
 
 // Lookup returns the description of c. Unlisted codes are described as unknown
--- a/internal/core/imports_test.go
+++ b/internal/core/imports_test.go
@@ -19,23 +19,16 @@
 
 // TestImports also refuses calls that read the wall clock or wait.
 func TestImports(t *testing.T) {
-	err := filepath.WalkDir(".", func(path string, d fs.DirEntry, err error) error {
-		if err != nil || d.IsDir() || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
-			return err
-		}
+	for _, path := range sources(t, ".") {
 		file, err := parser.ParseFile(token.NewFileSet(), path, nil, 0)
 		if err != nil {
-			return err
+			t.Fatal(err)
 		}
 		checkImports(t, path, file)
 		ast.Inspect(file, func(n ast.Node) bool {
 			checkCall(t, path, n)
 			return true
 		})
-		return nil
-	})
-	if err != nil {
-		t.Fatal(err)
 	}
 }
 
@@ -57,6 +50,48 @@
 	}
 }
 
+// Symptom: a report shows a burn that no request explains; budgets and suspensions end
+// early or never. Sequence: the time of day jumps on a machine. Cause: a span was taken
+// from numbers of the wall clock. Differences of two time.Time go by the steady clock, which
+// can't jump, as long as nobody turns one of them into a number first.
+func TestSpansGoByTheSteadyClock(t *testing.T) {
+	for _, root := range []string{".", "../app/gateway", "../adapter/upstream"} {
+		for _, path := range sources(t, root) {
+			file, err := parser.ParseFile(token.NewFileSet(), path, nil, 0)
+			if err != nil {
+				t.Fatal(err)
+			}
+			ast.Inspect(file, func(n ast.Node) bool {
+				call, ok := n.(*ast.CallExpr)
+				if !ok || len(call.Args) > 0 {
+					return true
+				}
+				sel, ok := call.Fun.(*ast.SelectorExpr)
+				if ok && strings.HasPrefix(sel.Sel.Name, "Unix") {
+					t.Errorf("%s turns a time into a number of the wall clock by %s", path, sel.Sel.Name)
+				}
+				return true
+			})
+		}
+	}
+}
+
+// sources returns the Go files below a folder, without tests.
+func sources(t *testing.T, root string) []string {
+	t.Helper()
+	var out []string
+	err := filepath.WalkDir(root, func(path string, d fs.DirEntry, err error) error {
+		if err == nil && !d.IsDir() && strings.HasSuffix(path, ".go") && !strings.HasSuffix(path, "_test.go") {
+			out = append(out, path)
+		}
+		return err
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return out
+}
+
 func checkCall(t *testing.T, path string, n ast.Node) {
 	t.Helper()
 	sel, ok := n.(*ast.SelectorExpr)
