Callers that meet a pool without targets come back after a quarter of their time

The half second was the time that a restarted target takes, whatever time the caller had.

Change: `admission.ComeBack` decides when refused callers come back, by the code and the time left, next to the gate, which has the same share; the constants in the gateway are gone.

Ruled out: the age of the outage as the estimate: the first callers of it would lose.

--- a/internal/adapter/gatewayhttp/gatewayhttp.go
+++ b/internal/adapter/gatewayhttp/gatewayhttp.go
@@ -50,7 +50,7 @@
 	call := s.decoder.Call(r)
 	match, refusal := s.relay.Match(call)
 	if refusal != code.OK {
-		s.refuse(out, refusal)
+		s.refuse(out, call, refusal)
 		return
 	}
 	limit := match.MaxBodyBytes
@@ -60,10 +60,10 @@
 	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
 	switch {
 	case err != nil:
-		s.refuse(out, code.BadBody)
+		s.refuse(out, call, code.BadBody)
 		return
 	case int64(len(body)) > limit:
-		s.refuse(out, code.BodyTooLarge)
+		s.refuse(out, call, code.BodyTooLarge)
 		return
 	}
 	s.relay.Serve(r.Context(), match, body, out)
@@ -72,9 +72,9 @@
 	}
 }
 
-func (s *Server) refuse(out *responder, c code.Code) {
+func (s *Server) refuse(out *responder, call *gateway.Call, c code.Code) {
 	s.refused(c)
-	out.Refuse(c, s.relay.RetryAfter(c))
+	out.Refuse(c, gateway.RetryAfter(c, call.Budget))
 }
 
 // Readiness serves the balancer's check at a path.
--- a/internal/app/gateway/relay.go
+++ b/internal/app/gateway/relay.go
@@ -64,13 +64,6 @@
 	// answerAfterDeadline is how long after the deadline a target's own answer may
 	// still arrive before the router gives its final one.
 	answerAfterDeadline = 60 * time.Millisecond
-	// retryNotReady and retryNoTarget are when callers are told to come back, before
-	// jitter: other routers serve at once, a restarted target takes a second.
-	retryNotReady = 250 * time.Millisecond
-	retryNoTarget = 500 * time.Millisecond
-	// retryElsewhere is when callers come back that a stopping router sends away: at
-	// once, since another router gets them.
-	retryElsewhere = 20 * time.Millisecond
 	// defaultBudget applies to callers that do not say how long they wait, on
 	// routes without a timeout.
 	defaultBudget = 30 * time.Second
@@ -146,21 +139,13 @@
 	return m, code.OK
 }
 
-// RetryAfter returns when a caller that is refused with a code should come back,
-// with jitter: callers refused together would return together.
-func (r *Relay) RetryAfter(c code.Code) time.Duration {
-	base := time.Duration(0)
-	switch c {
-	case code.ShuttingDown:
-		base = retryElsewhere
-	case code.NotReady, code.StaleConfig:
-		base = retryNotReady
-	case code.NoTarget, code.TargetRefused, code.QueueFull:
-		base = retryNoTarget
-	}
-	return jittered(base)
+// RetryAfter returns when a caller that is refused with a code and has a time left
+// should come back, with jitter.
+func RetryAfter(c code.Code, left time.Duration) time.Duration {
+	return jittered(admission.ComeBack(c, left))
 }
 
+// jittered spreads a time to come back: callers refused together would return together.
 func jittered(d time.Duration) time.Duration {
 	return time.Duration(float64(d) * (0.5 + rand.Float64()))
 }
@@ -293,11 +278,11 @@
 		// A target's own failure is the better answer: it is the caller's to read.
 		x.whole(x.kept.status, x.kept.header, x.kept.body)
 	case x.first.IsZero():
-		after := r.RetryAfter(c)
-		if x.retryAfter > 0 {
-			after = jittered(x.retryAfter)
+		after := x.retryAfter
+		if after == 0 {
+			after = admission.ComeBack(c, x.ends.Sub(r.now()))
 		}
-		x.out.Refuse(c, after)
+		x.out.Refuse(c, jittered(after))
 	default:
 		x.out.Cut()
 	}
