The fleet's evidence of failing targets travels in digests: grey targets are found in a second or two

Cause: a target that loses a third of its answers passes its liveness checks, and each router sees about one request a second go there, two of three of which succeed. Judged by each router alone it kept its work, and every lost answer is a request that may not be repeated.

Change: routers tell, for targets that somebody saw failing, how many requests ended there lately and how many failed, weighted by recency. The sum decides: a target rests for 1 to 4 s if it fails 0.3 of what it gets (a lost answer counts twice) and 1.5 times the mean of the others in its pool. Silence is counted when it is noticed, not again at the deadline. This replaces each router's moving share; one mechanism for failures, refusals with room and lost answers.

--- a/internal/app/gateway/answer.go
+++ b/internal/app/gateway/answer.go
@@ -216,6 +216,9 @@
 		t.timer.Reset(patienceLeast) // this process was paused: look again
 		return
 	}
+	t.mu.Lock()
+	t.blamed = true
+	t.mu.Unlock()
 	if x.relay.view.silent(x.relay.now(), t.choice.Target.UID) {
 		x.note(eventlog.TargetSuspended).Str("target", t.choice.Target.ID).Str("why", "silent").Msg("")
 	}
--- a/internal/app/gateway/control.go
+++ b/internal/app/gateway/control.go
@@ -127,7 +127,8 @@
 }
 
 func (c *Control) tick(ctx context.Context, now time.Time) {
-	c.step(ctx, now, fleet.Tick{Loads: c.view.loads()})
+	loads, evidence := c.view.toTell(now)
+	c.step(ctx, now, fleet.Tick{Loads: loads, Evidence: evidence})
 	c.view.mu.Lock()
 	c.view.board.Expire(now)
 	c.view.mu.Unlock()
@@ -182,9 +183,12 @@
 		c.changed(now, a)
 	case fleet.LoadsHeard:
 		c.view.mu.Lock()
-		c.view.board.Heard(now, a.Router, a.Loads)
+		resting := c.view.board.Heard(now, a.Router, a.Loads, a.Evidence)
 		c.view.updated = now
 		c.view.mu.Unlock()
+		for _, id := range resting {
+			c.log.Line(eventlog.TargetSuspended).Str("target", id).Str("why", "fleet_evidence").Msg("")
+		}
 	case fleet.PeerUp:
 		c.log.Line(eventlog.PeerUp).Str("peer", string(a.Peer)).Bool("restarted", a.Restarted).Msg("")
 	case fleet.PeerDown:
--- a/internal/app/gateway/relay.go
+++ b/internal/app/gateway/relay.go
@@ -252,7 +252,7 @@
 	x.notePlaced(a, r.view.loadsAge(now))
 	action = a.make()
 	took := r.now().Sub(now)
-	if r.view.done(r.now(), x.match.pool, x.match.teamName(), choice.Target.UID, a.outcome, took) {
+	if r.view.done(r.now(), x.match.pool, x.match.teamName(), choice.Target.UID, a.says(), took) {
 		x.note(eventlog.TargetSuspended).Str("target", choice.Target.ID).Str("why", a.failure).Msg("")
 	}
 	if a.failure != "" {
--- a/internal/app/gateway/try.go
+++ b/internal/app/gateway/try.go
@@ -28,13 +28,26 @@
 	cancel context.CancelCauseFunc
 	// timer fires when the target may have been silent for too long.
 	timer   *time.Timer
-	mu      sync.Mutex // guards silence
+	mu      sync.Mutex // guards what follows
 	silence attempt.Watch
+	blamed  bool // the target's silence has been counted
 }
 
 // errSilent ends an attempt whose target has been silent for too long.
 var errSilent = errors.New("target is silent")
 
+// says returns what the attempt says of its target now that it has ended. Silence was
+// counted when it was noticed; counted again at the deadline, seconds later, it would speak
+// against a target that has recovered.
+func (t *try) says() placement.Outcome {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.blamed && t.outcome == placement.Failed {
+		return placement.Neutral
+	}
+	return t.outcome
+}
+
 // make sends the request and passes the answer on.
 func (t *try) make() attempt.Action {
 	x := t.run
--- a/internal/app/gateway/view.go
+++ b/internal/app/gateway/view.go
@@ -112,8 +112,10 @@
 	return now.Sub(v.updated)
 }
 
-func (v *view) loads() []placement.Load {
+// toTell returns what this router tells the others: what it has open, and what it saw of
+// failing targets.
+func (v *view) toTell(now time.Time) ([]placement.Load, []placement.Evidence) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return v.board.Own()
+	return v.board.Own(), v.board.Evidence(now)
 }
--- a/internal/core/fleet/events.go
+++ b/internal/core/fleet/events.go
@@ -73,7 +73,10 @@
 	// Found: addresses at which routers may run.
 	Found struct{ Addresses []Address }
 	// Tick: time has passed. The core expects one every TickInterval.
-	Tick struct{ Loads []placement.Load }
+	Tick struct {
+		Loads    []placement.Load
+		Evidence []placement.Evidence
+	}
 	// Leave: this router is to stop.
 	Leave struct{}
 )
@@ -121,10 +124,11 @@
 		// Source is "store" or the router that it came from.
 		Source string
 	}
-	// LoadsHeard passes on what a router has open.
+	// LoadsHeard passes on what a router has open, and what it saw of failing targets.
 	LoadsHeard struct {
-		Router uint32
-		Loads  []placement.Load
+		Router   uint32
+		Loads    []placement.Load
+		Evidence []placement.Evidence
 	}
 	// PeerUp, PeerDown and StoreChanged are for the log.
 	PeerUp struct {
--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -108,6 +108,7 @@
 	sequence   uint64
 	lastDigest time.Time
 	lastLoads  []placement.Load
+	evidence   []placement.Evidence
 	news       bool // something that the others should hear at once
 	introduce  bool // a router came up: tell who else runs
 	copying    [Tables]time.Time
@@ -195,6 +196,7 @@
 func (c *Core) tick(now time.Time, ev Tick) {
 	c.expirePeers(now)
 	c.watchStore(now)
+	c.evidence = ev.Evidence
 	if !equalLoads(ev.Loads, c.lastLoads) || now.Sub(c.lastDigest) >= heartbeatEvery {
 		c.digest(now, ev.Loads)
 	}
@@ -233,6 +235,11 @@
 		d.LoadTarget = append(d.LoadTarget, l.Target)
 		d.LoadOpen = append(d.LoadOpen, uint32(l.Open))
 	}
+	for _, e := range c.evidence {
+		d.EvidenceTarget = append(d.EvidenceTarget, e.Target)
+		d.EvidenceEnded = append(d.EvidenceEnded, float32(e.Ended))
+		d.EvidenceFailed = append(d.EvidenceFailed, float32(e.Failed))
+	}
 	to := c.addressees(now)
 	if c.sequence%knownEvery == 1 || c.introduce {
 		c.introduce = false
--- a/internal/core/fleet/peers.go
+++ b/internal/core/fleet/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -50,7 +51,7 @@
 		c.news, c.introduce = true, true // it hears at once who runs
 		c.emit(PeerUp{Peer: ev.From, Restarted: restarted})
 	}
-	c.emit(LoadsHeard{Router: RouterID(ev.From), Loads: loadsOf(d)})
+	c.emit(LoadsHeard{Router: RouterID(ev.From), Loads: loadsOf(d), Evidence: evidenceOf(d)})
 	for _, a := range d.GetKnown() {
 		c.peer(now, Address(a))
 	}
@@ -82,6 +83,20 @@
 	return out
 }
 
+func evidenceOf(d *peerv1.Digest) []placement.Evidence {
+	n := min(len(d.GetEvidenceTarget()), len(d.GetEvidenceEnded()), len(d.GetEvidenceFailed()))
+	out := make([]placement.Evidence, 0, n)
+	for i := range n {
+		e := placement.Evidence{
+			Target: d.GetEvidenceTarget()[i], Ended: float64(d.GetEvidenceEnded()[i]), Failed: float64(d.GetEvidenceFailed()[i]),
+		}
+		if e.Ended >= 0 && e.Failed >= 0 && !math.IsInf(e.Ended, 1) { // neither is no number
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
 func (c *Core) peer(now time.Time, a Address) *peer {
 	p, ok := c.peers[a]
 	if !ok {
--- a/internal/core/placement/health.go
+++ b/internal/core/placement/health.go
@@ -34,29 +34,16 @@
 	suspendMax  = 4 * time.Second
 )
 
-// health is what the answers of a target say about it. Liveness checks don't
-// enter: a target may pass them and fail part of its requests.
+// health is what the last answers of a target to this router say about it. Liveness checks
+// don't enter: a target may pass them and fail part of its requests.
 type health struct {
 	failures    int // in a row
 	suspensions int // since the last answer
 	until       time.Time
-	trial       bool    // the one request after a suspension is under way
-	unreachable bool    // since the last answer
-	errors      float64 // share of own failures among the answers, moving average
+	trial       bool // the one request after a suspension is under way
+	unreachable bool // since the last answer
 }
 
-// errorWeight is the weight of one answer in the share of errors: about the last
-// twelve count.
-const errorWeight = 0.08
-
-// greyShare is the share of errors above which a target counts as failing: plain
-// services answer up to 0.14 of some requests with a failure of their own.
-const greyShare = 0.3
-
-// greySuspend is how long a target that fails part of its requests rests. It is
-// short, since a single request in it is all that shows that it has recovered.
-const greySuspend = time.Second
-
 func (h *health) suspended(now time.Time) bool {
 	return h.until.After(now) || (h.suspensions > 0 && h.trial)
 }
@@ -68,18 +55,9 @@
 func (h *health) observe(now time.Time, o Outcome) bool {
 	before := h.until
 	switch o {
-	case Answered:
+	case Answered, Errored:
 		h.failures, h.suspensions = 0, 0
 		h.unreachable = false
-		h.errors -= errorWeight * h.errors
-	case Errored:
-		h.failures, h.suspensions = 0, 0
-		h.unreachable = false
-		h.errors += errorWeight * (1 - h.errors)
-		if h.errors > greyShare {
-			h.until = now.Add(greySuspend)
-			h.errors = greyShare - errorWeight
-		}
 	case Failed:
 		if h.failures++; h.failures >= suspendAfter {
 			h.suspend(now)
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -89,10 +89,20 @@
 	own    int
 	peers  int // of all other routers, from their last digests
 	health health
+
+	pool  *pool
+	tally tally // what came of this router's requests
+	rest  rest
+	// judged is the fleet's evidence that led to the last rest; it says nothing of the time
+	// after it.
+	judged tally
 }
 
 func (t *target) open() int { return t.own + t.peers }
 
+// resting reports whether the fleet's evidence keeps new work away from the target.
+func (t *target) resting(now time.Time) bool { return t.rest.until.After(now) }
+
 // hasRoom reports whether the target has places free as far as the fleet knows.
 func (t *target) hasRoom() bool { return t.Slots > 0 && t.open() < t.Slots }
 
@@ -102,9 +112,11 @@
 	maxOpen float64
 }
 
-type peerLoads struct {
-	heard time.Time
-	loads []Load
+// peerView is what another router told last.
+type peerView struct {
+	heard    time.Time
+	loads    []Load
+	evidence map[uint64]Evidence
 }
 
 // Board counts the open requests of the fleet. It is not safe for concurrent use.
@@ -114,14 +126,14 @@
 	pools    map[string]*pool
 	maxConns map[string]int
 	byUID    map[uint64]*target
-	peers    map[uint32]*peerLoads
+	peers    map[uint32]*peerView
 }
 
 // New returns an empty Board.
 func New(s Settings, rnd *rand.Rand) *Board {
 	return &Board{
 		settings: s, rand: rnd, pools: make(map[string]*pool), maxConns: make(map[string]int),
-		byUID: make(map[uint64]*target), peers: make(map[uint32]*peerLoads),
+		byUID: make(map[uint64]*target), peers: make(map[uint32]*peerView),
 	}
 }
 
@@ -163,7 +175,7 @@
 				known = &target{joined: joined, seed: rendezvous.Hash(t.ID)}
 				b.byUID[t.UID] = known
 			}
-			known.Target = t
+			known.Target, known.pool = t, p
 			listed[t.UID] = true
 			p.targets = append(p.targets, known)
 		}
@@ -182,11 +194,12 @@
 	b.settings.Multiple, b.settings.Slack = multiple, slack
 }
 
-// Heard takes in what another router has open, in place of what it said before.
-func (b *Board) Heard(now time.Time, router uint32, loads []Load) {
+// Heard takes in what another router has open and what it saw of failing targets, in place
+// of what it said before, and returns the targets that rest from now on.
+func (b *Board) Heard(now time.Time, router uint32, loads []Load, evidence []Evidence) (resting []string) {
 	p, ok := b.peers[router]
 	if !ok {
-		p = &peerLoads{}
+		p = &peerView{}
 		b.peers[router] = p
 	}
 	for _, l := range p.loads {
@@ -196,6 +209,16 @@
 	for _, l := range p.loads {
 		b.addPeer(l, 1)
 	}
+	p.evidence = make(map[uint64]Evidence, len(evidence))
+	for _, e := range evidence {
+		p.evidence[e.Target] = e
+	}
+	for _, e := range evidence {
+		if t, ok := b.byUID[e.Target]; ok && b.judge(now, t) {
+			resting = append(resting, t.ID)
+		}
+	}
+	return resting
 }
 
 func (b *Board) addPeer(l Load, sign int) {
@@ -285,7 +308,18 @@
 	if o == Refused && t.hasRoom() {
 		o = Errored // it turns requests away for a reason of its own
 	}
-	return t.health.observe(now, o)
+	return b.observe(now, t, o)
+}
+
+// observe learns from an outcome and reports whether new work is kept away from now on.
+func (b *Board) observe(now time.Time, t *target, o Outcome) bool {
+	suspended := t.health.observe(now, o)
+	weight, counts := weightOf(o)
+	if !counts {
+		return suspended
+	}
+	t.tally.add(now, weight)
+	return suspended || (weight > 0 && b.judge(now, t))
 }
 
 // Silent takes note of a target that leaves a request unanswered for longer than
@@ -293,5 +327,5 @@
 // before the request's deadline, and more would be sent there meanwhile.
 func (b *Board) Silent(now time.Time, uid uint64) (suspended bool) {
 	t, ok := b.byUID[uid]
-	return ok && t.health.observe(now, Failed)
+	return ok && b.observe(now, t, Failed)
 }
--- a/internal/core/placement/placement_test.go
+++ b/internal/core/placement/placement_test.go
@@ -81,7 +81,7 @@
 				for i, b := range boards {
 					for j := range boards {
 						if i != j {
-							boards[j].Heard(now, uint32(i+1), b.Own())
+							boards[j].Heard(now, uint32(i+1), b.Own(), nil)
 						}
 					}
 				}
@@ -168,9 +168,9 @@
 	It("counts what other routers have open, and forgets those that fall silent", func() {
 		b := board(targets(3)...)
 		for _, t := range targets(3)[:2] {
-			b.Heard(start, 9, []placement.Load{{Target: t.UID, Open: 10}})
+			b.Heard(start, 9, []placement.Load{{Target: t.UID, Open: 10}}, nil)
 		}
-		b.Heard(start, 8, []placement.Load{{Target: targets(3)[0].UID, Open: 10}})
+		b.Heard(start, 8, []placement.Load{{Target: targets(3)[0].UID, Open: 10}}, nil)
 		Expect(place(b, start, 0).Target.UID).To(Equal(targets(3)[2].UID))
 		b.Expire(start.Add(time.Minute))
 		Expect(place(b, start, 0).Target.DataCentre).To(Equal("a"))
@@ -331,7 +331,7 @@
 		}
 		for range 20 {
 			Expect(b.Done(start, pool[0].UID, placement.Refused)).To(BeFalse())
-			b.Heard(start, 9, []placement.Load{{Target: pool[0].UID, Open: 30}})
+			b.Heard(start, 9, []placement.Load{{Target: pool[0].UID, Open: 30}}, nil)
 		}
 	})
 
