--- a/internal/core/placement/evidence_test.go
+++ b/internal/core/placement/evidence_test.go
@@ -14,10 +14,10 @@
 // what they get for ten of fifteen seconds.
 type greyDay struct {
 	failing int               // targets; one if 0
-	share  float64           // of its requests that it fails
-	as     placement.Outcome // how
-	others float64           // share that every target fails, as its own failure
-	alone  bool              // routers don't tell each other
+	share   float64           // of its requests that it fails
+	as      placement.Outcome // how
+	others  float64           // share that every target fails, as its own failure
+	alone   bool              // routers don't tell each other
 }
 
 // play returns how many requests the failing targets spoiled, and how many were kept away
