Every router is in the store's list from its start to its stop; the list is swept

Cause: only routers that read the store listed themselves. One that starts with out-of-date seeds after those have ended hears nobody and takes itself for the only one, until the next readers have listed themselves; entries of VMs that are lost for good stayed for ever.

Change: each router writes its entry once, under the condition that there is none, so a restart or a lost answer writes nothing more and nothing has to be read first.

Ruled out: heartbeats in the store: all calls are paid for, and 400 writes a second are all there is.

--- a/internal/app/gateway/control.go
+++ b/internal/app/gateway/control.go
@@ -45,9 +45,6 @@
 	// goneGraceStoreAway is the same while the store is or was away: entries that
 	// expired are back about two seconds after its return.
 	goneGraceStoreAway = 2500 * time.Millisecond
-	// registerPause is the pause between looks whether this router has to be listed
-	// or to look for others. Two seconds after a start the readers are settled.
-	registerPause = 2 * time.Second
 	// callTimeout bounds the calls that do not wait for changes.
 	callTimeout = 2 * time.Second
 )
@@ -107,7 +104,7 @@
 	defer close(c.stopped)
 	c.followCtx, c.stopFollow = context.WithCancel(ctx)
 	defer func() { c.stopFollow() }()
-	go c.register(ctx)
+	go c.keepListed(ctx)
 	if len(c.settings.Seeds) > 0 {
 		c.step(ctx, c.now(), fleet.Found{Addresses: addresses(c.settings.Seeds)})
 	}
--- a/internal/app/gateway/listing.go
+++ b/internal/app/gateway/listing.go
@@ -3,33 +3,114 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/hemlockdyke/hemlockdyke/internal/core/fleet"
 	"github.com/hemlockdyke/hemlockdyke/internal/eventlog"
 )
 
-// register lists this router in the store if it is a reader, and looks for others
-// there if it hears none: seeds may be out of date, and then a router that starts
-// would take itself for the only one. Digests carry who runs from then on.
-func (c *Control) register(ctx context.Context) {
-	listed := false
-	for pause(ctx, registerPause) {
-		var reading, alone bool
-		c.query(func(now time.Time) { reading, alone = c.core.Reading(), c.core.Alive(now) == 0 })
-		if !alone && (listed || !reading) {
-			continue
-		}
+const (
+	// listPause is the pause between looks whether there is something to do at the store's list.
+	// A router that starts has heard of the others by then, or is alone.
+	listPause = 2 * time.Second
+	// listRetryMax bounds the pause after failed writes, which doubles: calls to the store are
+	// paid for, refused ones too.
+	listRetryMax = 16 * time.Second
+	// sweepInterval is how often the first reader looks through the list. Two sweeps in a row
+	// without a sign of a router end its entry, so an entry outlives its VM by ten minutes.
+	sweepInterval = 5 * time.Minute
+)
+
+// listing keeps the store's list of routers. Every router is in it from its start to its stop, so
+// that one that starts with out-of-date seeds finds somebody, whoever has ended meanwhile.
+type listing struct {
+	control *Control
+	listed  bool
+	retryAt time.Time
+	retry   time.Duration
+	sweptAt time.Time
+	sweep   fleet.Sweep
+}
+
+// keepListed runs until ctx ends.
+func (c *Control) keepListed(ctx context.Context) {
+	l := &listing{control: c, retry: listPause, sweptAt: c.now()}
+	for pause(ctx, listPause) {
+		l.look(ctx)
+	}
+}
+
+func (l *listing) look(ctx context.Context) {
+	c := l.control
+	var alone, first bool
+	c.query(func(now time.Time) { alone, first = c.core.Alive(now) == 0, c.core.First() })
+	now := c.now()
+	if !l.listed && !now.Before(l.retryAt) {
+		l.list(ctx, now)
+	}
+	switch {
+	case alone:
+		_, _ = l.find(ctx) // logged there; the next look tries again
+	case first && now.Sub(l.sweptAt) >= sweepInterval:
+		l.sweptAt = now
+		l.removeStale(ctx)
+	}
+}
+
+// list writes this router's entry. One of an earlier process at the same address will do.
+func (l *listing) list(ctx context.Context, now time.Time) {
+	c := l.control
+	call, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	if err := c.store.Register(call, c.settings.Address); err != nil {
+		c.log.Line(eventlog.ListFailed).Err(err).Msg("")
+		l.retryAt = now.Add(l.retry)
+		l.retry = min(2*l.retry, listRetryMax)
+		return
+	}
+	l.listed = true
+	c.view.listed.Store(true)
+}
+
+// find reads who is listed, and tells the core.
+func (l *listing) find(ctx context.Context) ([]fleet.Address, error) {
+	c := l.control
+	call, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	listed, err := c.store.Registered(call)
+	if err != nil {
+		c.log.Line(eventlog.ListFailed).Err(err).Msg("")
+		return nil, err
+	}
+	// Others take an entry out if they have heard nothing of its router for long.
+	l.listed = l.listed && slices.Contains(listed, c.settings.Address)
+	found := addresses(listed)
+	c.post(ctx, fleet.Found{Addresses: found})
+	return found, nil
+}
+
+// removeStale takes routers out of the list that nobody has heard of for long. A VM that is
+// lost for good can't do it, and the list would grow for ever. Those that are cut off from this
+// one learn of it from the list as well: two halves of a fleet that had forgotten each other
+// meet again.
+func (l *listing) removeStale(ctx context.Context) {
+	c := l.control
+	heard := make(map[fleet.Address]bool)
+	c.query(func(time.Time) { heard = c.core.Heard() })
+	found, err := l.find(ctx)
+	if err != nil {
+		return
+	}
+	for _, a := range l.sweep.Stale(found, heard) {
 		call, cancel := context.WithTimeout(ctx, callTimeout)
-		found, err := c.store.Register(call, c.settings.Address)
+		err := c.store.Unregister(call, string(a))
 		cancel()
 		if err != nil {
-			c.log.Line(eventlog.ListFailed).Err(err).Msg("")
+			c.log.Line(eventlog.ListFailed).Str("peer", string(a)).Err(err).Msg("")
 			continue
 		}
-		listed = true
-		c.view.listed.Store(true)
-		c.post(ctx, fleet.Found{Addresses: addresses(found)})
+		c.log.Line(eventlog.PeerUnlisted).Str("peer", string(a)).Msg("")
 	}
 }
 
--- a/internal/app/gateway/ports.go
+++ b/internal/app/gateway/ports.go
@@ -30,9 +30,11 @@
 	// position, without rows if there was none within wait. It fails with
 	// ErrHistoryLost if the changes are no longer to be had.
 	Follow(ctx context.Context, t fleet.Table, after uint64, wait time.Duration) (position uint64, rows []replica.Row, err error)
-	// Register lists this router's address, and returns those of all routers.
-	Register(ctx context.Context, address string) ([]string, error)
-	// Unregister ends that.
+	// Register lists a router's address; one that is listed already stays as it is.
+	Register(ctx context.Context, address string) error
+	// Registered returns the addresses of all routers that are listed.
+	Registered(ctx context.Context) ([]string, error)
+	// Unregister takes a router's address out of the list.
 	Unregister(ctx context.Context, address string) error
 }
 
--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -140,6 +140,9 @@
 // Reading reports whether this router reads the store, or tries to.
 func (c *Core) Reading() bool { return c.reading }
 
+// First reports whether this router is the first of those that read the store, as far as it knows.
+func (c *Core) First() bool { return c.reading && c.first }
+
 // StoreAway reports whether no router reads the store, or none did a moment ago.
 // Entries of targets expire while the store is away, so a removal says less then.
 // A store that refuses some routers and serves others is not away.
--- a/internal/core/fleet/peers.go
+++ b/internal/core/fleet/peers.go
@@ -148,6 +148,17 @@
 	return out
 }
 
+// Heard returns the routers of which there was a sign within forgetAfter, this one included.
+func (c *Core) Heard() map[Address]bool {
+	out := map[Address]bool{c.settings.Self: true}
+	for a, p := range c.peers {
+		if !p.heard.IsZero() {
+			out[a] = true
+		}
+	}
+	return out
+}
+
 // Alive returns the number of other routers that are alive.
 func (c *Core) Alive(now time.Time) int {
 	n := 0
--- a/internal/eventlog/kinds.go
+++ b/internal/eventlog/kinds.go
@@ -46,6 +46,7 @@
 	ListFailed           = Kind{"list_failed", zerolog.WarnLevel, 20, "the store's list of routers could not be read or written"}
 	PeerUp               = Kind{"peer_up", zerolog.InfoLevel, 100, "another router was heard for the first time, or again"}
 	PeerDown             = Kind{"peer_down", zerolog.WarnLevel, 100, "another router has been silent for too long; its requests no longer count"}
+	PeerUnlisted         = Kind{"peer_unlisted", zerolog.InfoLevel, 20, "a router of which there was no sign for long was taken out of the store's list"}
 	TargetSuspended      = Kind{"target_suspended", zerolog.WarnLevel, 100, "a target gets no new work for a while, and what it did; `fleet_evidence`: what all routers saw"}
 	LeftOut              = Kind{"left_out", zerolog.WarnLevel, 100, "lines of a kind that were not written, and how many"}
 )
@@ -56,6 +57,6 @@
 		Placed, AttemptFailed, RepeatDenied, NotAdmitted, Finished, Failed,
 		Started, Stopping, Stopped, Reloaded, ReloadRejected, RequestsCut, ReadyChanged, DesiredState,
 		DesiredStateRejected, TargetsChanged, TargetRejected, StoreChanged, StoreReadFailed, CopyFailed, ListFailed,
-		PeerUp, PeerDown, TargetSuspended, LeftOut,
+		PeerUp, PeerDown, PeerUnlisted, TargetSuspended, LeftOut,
 	}
 }
