--- a/internal/app/gateway/answer.go
+++ b/internal/app/gateway/answer.go
@@ -55,12 +55,11 @@
 // errored is a target's own failure. A request that may run again goes to another
 // target; the answer is kept for the case that none takes it.
 func (t *try) errored(answer *upstream.Answer, body []byte) attempt.Action {
-	t.outcome = placement.Errored
+	t.outcome, t.failure = placement.Errored, "target_error"
 	x := t.run
 	if !x.match.route.Repeatable() {
 		return t.pass(answer, body)
 	}
-	t.failure = "target_error"
 	x.kept = &kept{status: answer.Status, header: answer.Header, body: body}
 	return x.machine.Step(attempt.Broken{Attempt: t.number})
 }
