--- a/internal/app/gateway/answer.go
+++ b/internal/app/gateway/answer.go
@@ -216,7 +216,7 @@
 		return
 	}
 	t.mu.Lock()
-	t.blamed = true
+	t.silenceCounted = true
 	t.mu.Unlock()
 	if x.relay.view.silent(x.relay.now(), t.choice.Target.UID) {
 		x.note(eventlog.TargetSuspended).Str("target", t.choice.Target.ID).Str("why", "silent").Msg("")
--- a/internal/app/gateway/control.go
+++ b/internal/app/gateway/control.go
@@ -124,8 +124,8 @@
 }
 
 func (c *Control) tick(ctx context.Context, now time.Time) {
-	loads, evidence := c.view.toTell(now)
-	c.step(ctx, now, fleet.Tick{Loads: loads, Evidence: evidence})
+	loads, outcomes := c.view.toTell(now)
+	c.step(ctx, now, fleet.Tick{Loads: loads, Outcomes: outcomes})
 	c.view.mu.Lock()
 	c.view.board.Expire(now)
 	c.view.mu.Unlock()
@@ -180,11 +180,11 @@
 		c.changed(now, a)
 	case fleet.LoadsHeard:
 		c.view.mu.Lock()
-		resting := c.view.board.Heard(now, a.Router, a.Loads, a.Evidence)
+		ejected := c.view.board.Heard(now, a.Router, a.Loads, a.Outcomes)
 		c.view.updated = now
 		c.view.mu.Unlock()
-		for _, id := range resting {
-			c.log.Line(eventlog.TargetSuspended).Str("target", id).Str("why", "fleet_evidence").Msg("")
+		for _, id := range ejected {
+			c.log.Line(eventlog.TargetSuspended).Str("target", id).Str("why", "outlier").Msg("")
 		}
 	case fleet.PeerUp:
 		c.log.Line(eventlog.PeerUp).Str("peer", string(a.Peer)).Bool("restarted", a.Restarted).Msg("")
--- a/internal/app/gateway/relay.go
+++ b/internal/app/gateway/relay.go
@@ -142,7 +142,7 @@
 // RetryAfter returns when a caller that is refused with a code and has a time left
 // should come back, with jitter.
 func RetryAfter(c code.Code, left time.Duration) time.Duration {
-	return jittered(admission.ComeBack(c, left))
+	return jittered(admission.RetryAfter(c, left))
 }
 
 // jittered spreads a time to come back: callers refused together would return together.
@@ -252,7 +252,7 @@
 	x.notePlaced(a, r.view.loadsAge(now))
 	action = a.make()
 	took := r.now().Sub(now)
-	if r.view.done(r.now(), x.match.pool, x.match.teamName(), choice.Target.UID, a.says(), took) {
+	if r.view.done(r.now(), x.match.pool, x.match.teamName(), choice.Target.UID, a.finalOutcome(), took) {
 		x.note(eventlog.TargetSuspended).Str("target", choice.Target.ID).Str("why", a.failure).Msg("")
 	}
 	if a.failure != "" {
@@ -280,7 +280,7 @@
 	case x.first.IsZero():
 		after := x.retryAfter
 		if after == 0 {
-			after = admission.ComeBack(c, x.ends.Sub(r.now()))
+			after = admission.RetryAfter(c, x.ends.Sub(r.now()))
 		}
 		x.out.Refuse(c, jittered(after))
 	default:
--- a/internal/app/gateway/try.go
+++ b/internal/app/gateway/try.go
@@ -27,22 +27,22 @@
 	ctx    context.Context
 	cancel context.CancelCauseFunc
 	// timer fires when the target may have been silent for too long.
-	timer   *time.Timer
-	mu      sync.Mutex // guards what follows
-	silence attempt.Watch
-	blamed  bool // the target's silence has been counted
+	timer          *time.Timer
+	mu             sync.Mutex // guards what follows
+	silence        attempt.Watch
+	silenceCounted bool // the target's silence has been counted
 }
 
 // errSilent ends an attempt whose target has been silent for too long.
 var errSilent = errors.New("target is silent")
 
-// says returns what the attempt says of its target now that it has ended. Silence was
+// finalOutcome returns what the attempt says of its target now that it has ended. Silence was
 // counted when it was noticed; counted again at the deadline, seconds later, it would speak
 // against a target that has recovered.
-func (t *try) says() placement.Outcome {
+func (t *try) finalOutcome() placement.Outcome {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.blamed && t.outcome == placement.Failed {
+	if t.silenceCounted && t.outcome == placement.Failed {
 		return placement.Neutral
 	}
 	return t.outcome
--- a/internal/app/gateway/view.go
+++ b/internal/app/gateway/view.go
@@ -114,8 +114,8 @@
 
 // toTell returns what this router tells the others: what it has open, and what it saw of
 // failing targets.
-func (v *view) toTell(now time.Time) ([]placement.Load, []placement.Evidence) {
+func (v *view) toTell(now time.Time) ([]placement.Load, []placement.Outcomes) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return v.board.Own(), v.board.Evidence(now)
+	return v.board.Own(), v.board.Outcomes(now)
 }
--- a/internal/core/admission/admission_test.go
+++ b/internal/core/admission/admission_test.go
@@ -30,7 +30,7 @@
 // outcome counts what the callers of one kind got.
 type outcome struct{ asked, inTime, late, refused int }
 
-func (o outcome) share() float64 { return float64(o.inTime) / float64(max(o.asked, 1)) }
+func (o outcome) failureRate() float64 { return float64(o.inTime) / float64(max(o.asked, 1)) }
 
 // timers is a heap of ends.
 type end struct {
@@ -105,7 +105,7 @@
 	It("refuses nothing while places are free", func() {
 		got := play(admission.NewGate(), slots, []kind{{team: "a", rank: 2, perSec: 200, budget: time.Second, work: work}})
 		Expect(got[0].refused).To(BeZero())
-		Expect(got[0].share()).To(BeNumerically(">", 0.98))
+		Expect(got[0].failureRate()).To(BeNumerically(">", 0.98))
 	})
 
 	// Symptom: under twice the load nobody is answered in time. Sequence: each request
@@ -115,8 +115,8 @@
 	It("serves what the target can work off at twice its load", func() {
 		kinds := []kind{{team: "a", rank: 2, perSec: 800, budget: time.Second, work: work}}
 		none, gated := play(nil, slots, kinds)[0], play(admission.NewGate(), slots, kinds)[0]
-		Expect(none.share()).To(BeNumerically("<", 0.35))
-		Expect(gated.share()).To(BeNumerically(">", 0.45))
+		Expect(none.failureRate()).To(BeNumerically("<", 0.35))
+		Expect(gated.failureRate()).To(BeNumerically(">", 0.45))
 		Expect(gated.late).To(BeZero())
 	})
 
@@ -124,7 +124,7 @@
 		got := play(admission.NewGate(), slots, []kind{
 			{team: "a", rank: 0, perSec: 200, budget: time.Second, work: work}, {team: "b", rank: 2, perSec: 800, budget: time.Second, work: work},
 		})
-		Expect(got[0].share()).To(BeNumerically(">", 0.95))
+		Expect(got[0].failureRate()).To(BeNumerically(">", 0.95))
 		Expect(got[1].refused).To(BeNumerically(">", 3000))
 	})
 
@@ -137,11 +137,11 @@
 		draft := kind{team: "a", rank: 1, perSec: 84, budget: 10 * time.Second, work: 600 * time.Millisecond, routeRank: 1, objective: 600 * time.Millisecond}
 		tag := kind{team: "a", rank: 1, perSec: 228, budget: 2500 * time.Millisecond, work: 80 * time.Millisecond, routeRank: 2, objective: 400 * time.Millisecond}
 		got := play(admission.NewGate(), 64, []kind{chat, draft, tag})
-		fmt.Fprintf(GinkgoWriter, "served: chat %.2f, draft %.2f, tag %.2f\n", got[0].share(), got[1].share(), got[2].share())
-		Expect(got[0].share()).To(BeNumerically(">", got[1].share()))
-		Expect(got[1].share()).To(BeNumerically(">", got[2].share()))
+		fmt.Fprintf(GinkgoWriter, "served: chat %.2f, draft %.2f, tag %.2f\n", got[0].failureRate(), got[1].failureRate(), got[2].failureRate())
+		Expect(got[0].failureRate()).To(BeNumerically(">", got[1].failureRate()))
+		Expect(got[1].failureRate()).To(BeNumerically(">", got[2].failureRate()))
 		all := float64(got[0].inTime+got[1].inTime+got[2].inTime) / float64(got[0].asked+got[1].asked+got[2].asked)
-		Expect(got[2].share()).To(BeNumerically(">", all/3), "none is starved")
+		Expect(got[2].failureRate()).To(BeNumerically(">", all/3), "none is starved")
 	})
 
 	// Symptom: one team's surge takes the places of all others. Sequence: it sends ten
@@ -150,9 +150,9 @@
 		got := play(admission.NewGate(), slots, []kind{
 			{team: "surge", rank: 2, perSec: 1000, budget: time.Second, work: work}, {team: "b", rank: 2, perSec: 60, budget: time.Second, work: work}, {team: "c", rank: 2, perSec: 60, budget: time.Second, work: work},
 		})
-		Expect(got[1].share()).To(BeNumerically(">", 0.85))
-		Expect(got[2].share()).To(BeNumerically(">", 0.85))
-		Expect(got[0].share()).To(BeNumerically("<", 0.5))
+		Expect(got[1].failureRate()).To(BeNumerically(">", 0.85))
+		Expect(got[2].failureRate()).To(BeNumerically(">", 0.85))
+		Expect(got[0].failureRate()).To(BeNumerically("<", 0.5))
 	})
 
 	It("tells when to come back, by the wait", func() {
--- a/internal/core/admission/comeback.go
+++ b/internal/core/admission/retryafter.go
@@ -7,15 +7,15 @@
 )
 
 const (
-	// comeBackElsewhere is when callers come back that a stopping router sends away: at
+	// retryElsewhere is when callers come back that a stopping router sends away: at
 	// once, since another router gets them.
-	comeBackElsewhere = 20 * time.Millisecond
-	// comeBackStarting is the same for a router that has just started: others serve at
+	retryElsewhere = 20 * time.Millisecond
+	// retryStarting is the same for a router that has just started: others serve at
 	// once, and it is ready itself within milliseconds of its first peer's digest.
-	comeBackStarting = 250 * time.Millisecond
+	retryStarting = 250 * time.Millisecond
 )
 
-// ComeBack returns when a caller that is refused with a code should come back, before
+// RetryAfter returns when a caller that is refused with a code should come back, before
 // jitter. left is the time that it has. It is 0 if coming back makes no sense.
 //
 // A pool without targets is away for seconds, and nobody knows for how many. Callers come
@@ -23,12 +23,12 @@
 // either way. Played with outages of two, four and eight seconds for callers that have eight
 // seconds and come back once, 87%, 49% and 24% are served at retryShare of the time left,
 // at half a second 25%, 12% and 6%.
-func ComeBack(c code.Code, left time.Duration) time.Duration {
+func RetryAfter(c code.Code, left time.Duration) time.Duration {
 	switch c {
 	case code.ShuttingDown:
-		return comeBackElsewhere
+		return retryElsewhere
 	case code.NotReady, code.StaleConfig:
-		return comeBackStarting
+		return retryStarting
 	case code.NoTarget, code.TargetRefused, code.QueueFull:
 		return time.Duration(retryShare * float64(left))
 	}
--- a/internal/core/admission/comeback_test.go
+++ b/internal/core/admission/retryafter_test.go
@@ -39,7 +39,7 @@
 		func(outage time.Duration, least float64) {
 			budget := 8 * time.Second
 			before := served(outage, budget, func(time.Duration) time.Duration { return 500 * time.Millisecond })
-			now := served(outage, budget, func(left time.Duration) time.Duration { return admission.ComeBack(code.NoTarget, left) })
+			now := served(outage, budget, func(left time.Duration) time.Duration { return admission.RetryAfter(code.NoTarget, left) })
 			fmt.Fprintf(GinkgoWriter, "outage of %s: %.2f, at half a second %.2f\n", outage, now, before)
 			Expect(now).To(BeNumerically(">", least))
 			Expect(now).To(BeNumerically(">", 2*before))
@@ -50,15 +50,15 @@
 	)
 
 	It("is soon if another router serves at once, and never if it would change nothing", func() {
-		Expect(admission.ComeBack(code.ShuttingDown, 8*time.Second)).To(BeNumerically("<", 50*time.Millisecond))
-		Expect(admission.ComeBack(code.NotReady, 8*time.Second)).To(BeNumerically("<", time.Second))
-		Expect(admission.ComeBack(code.NotFound, 8*time.Second)).To(BeZero())
-		Expect(admission.ComeBack(code.DeadlinePassed, 8*time.Second)).To(BeZero())
+		Expect(admission.RetryAfter(code.ShuttingDown, 8*time.Second)).To(BeNumerically("<", 50*time.Millisecond))
+		Expect(admission.RetryAfter(code.NotReady, 8*time.Second)).To(BeNumerically("<", time.Second))
+		Expect(admission.RetryAfter(code.NotFound, 8*time.Second)).To(BeZero())
+		Expect(admission.RetryAfter(code.DeadlinePassed, 8*time.Second)).To(BeZero())
 	})
 
 	It("leaves time to be served in", func() {
 		for _, left := range []time.Duration{0, 100 * time.Millisecond, time.Second, 10 * time.Second} {
-			Expect(admission.ComeBack(code.NoTarget, left)).To(BeNumerically("<=", left/2))
+			Expect(admission.RetryAfter(code.NoTarget, left)).To(BeNumerically("<=", left/2))
 		}
 	})
 })
--- a/internal/core/fleet/events.go
+++ b/internal/core/fleet/events.go
@@ -75,7 +75,7 @@
 	// Tick: time has passed. The core expects one every TickInterval.
 	Tick struct {
 		Loads    []placement.Load
-		Evidence []placement.Evidence
+		Outcomes []placement.Outcomes
 	}
 	// Leave: this router is to stop.
 	Leave struct{}
@@ -128,7 +128,7 @@
 	LoadsHeard struct {
 		Router   uint32
 		Loads    []placement.Load
-		Evidence []placement.Evidence
+		Outcomes []placement.Outcomes
 	}
 	// PeerUp, PeerDown and StoreChanged are for the log.
 	PeerUp struct {
--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -108,7 +108,7 @@
 	sequence   uint64
 	lastDigest time.Time
 	lastLoads  []placement.Load
-	evidence   []placement.Evidence
+	outcomes   []placement.Outcomes
 	news       bool // something that the others should hear at once
 	introduce  bool // a router came up: tell who else runs
 	copying    [Tables]time.Time
@@ -199,7 +199,7 @@
 func (c *Core) tick(now time.Time, ev Tick) {
 	c.expirePeers(now)
 	c.watchStore(now)
-	c.evidence = ev.Evidence
+	c.outcomes = ev.Outcomes
 	if !equalLoads(ev.Loads, c.lastLoads) || now.Sub(c.lastDigest) >= heartbeatEvery {
 		c.digest(now, ev.Loads)
 	}
@@ -238,10 +238,10 @@
 		d.LoadTarget = append(d.LoadTarget, l.Target)
 		d.LoadOpen = append(d.LoadOpen, uint32(l.Open))
 	}
-	for _, e := range c.evidence {
-		d.EvidenceTarget = append(d.EvidenceTarget, e.Target)
-		d.EvidenceEnded = append(d.EvidenceEnded, float32(e.Ended))
-		d.EvidenceFailed = append(d.EvidenceFailed, float32(e.Failed))
+	for _, e := range c.outcomes {
+		d.OutcomeTarget = append(d.OutcomeTarget, e.Target)
+		d.OutcomeEnded = append(d.OutcomeEnded, float32(e.Ended))
+		d.OutcomeFailed = append(d.OutcomeFailed, float32(e.Failed))
 	}
 	to := c.addressees(now)
 	if c.sequence%knownEvery == 1 || c.introduce {
--- a/internal/core/fleet/peers.go
+++ b/internal/core/fleet/peers.go
@@ -51,7 +51,7 @@
 		c.news, c.introduce = true, true // it hears at once who runs
 		c.emit(PeerUp{Peer: ev.From, Restarted: restarted})
 	}
-	c.emit(LoadsHeard{Router: RouterID(ev.From), Loads: loadsOf(d), Evidence: evidenceOf(d)})
+	c.emit(LoadsHeard{Router: RouterID(ev.From), Loads: loadsOf(d), Outcomes: outcomesOf(d)})
 	for _, a := range d.GetKnown() {
 		c.peer(now, Address(a))
 	}
@@ -83,12 +83,12 @@
 	return out
 }
 
-func evidenceOf(d *peerv1.Digest) []placement.Evidence {
-	n := min(len(d.GetEvidenceTarget()), len(d.GetEvidenceEnded()), len(d.GetEvidenceFailed()))
-	out := make([]placement.Evidence, 0, n)
+func outcomesOf(d *peerv1.Digest) []placement.Outcomes {
+	n := min(len(d.GetOutcomeTarget()), len(d.GetOutcomeEnded()), len(d.GetOutcomeFailed()))
+	out := make([]placement.Outcomes, 0, n)
 	for i := range n {
-		e := placement.Evidence{
-			Target: d.GetEvidenceTarget()[i], Ended: float64(d.GetEvidenceEnded()[i]), Failed: float64(d.GetEvidenceFailed()[i]),
+		e := placement.Outcomes{
+			Target: d.GetOutcomeTarget()[i], Ended: float64(d.GetOutcomeEnded()[i]), Failed: float64(d.GetOutcomeFailed()[i]),
 		}
 		if e.Ended >= 0 && e.Failed >= 0 && !math.IsInf(e.Ended, 1) { // neither is no number
 			out = append(out, e)
--- a/internal/core/placement/choose.go
+++ b/internal/core/placement/choose.go
@@ -26,13 +26,13 @@
 // of theirs. One of two is not most: the other one is known to answer.
 const panicShare = 0.5
 
-// restShare is the same for targets that rest by the fleet's evidence. It tells which ones are
-// worse than the others, so more of them may rest while the others take the load.
-const restShare = 0.75
+// ejectShare is the same for ejected targets. They are known to be worse than the others, so
+// more of them may go without work while the others take the load.
+const ejectShare = 0.75
 
 // passedOver returns which targets get no new work for now.
 func passedOver(now time.Time, p *pool) func(*target) bool {
-	staying, suspended, resting := 0, 0, 0
+	staying, suspended, ejected := 0, 0, 0
 	for _, t := range p.targets {
 		if t.Leaving || (t.health.unreachable && t.health.suspended(now)) {
 			continue
@@ -41,17 +41,17 @@
 		switch {
 		case t.health.suspended(now):
 			suspended++
-		case t.resting(now):
-			resting++
+		case t.ejected(now):
+			ejected++
 		}
 	}
 	suspend := float64(suspended) <= panicShare*float64(staying)
-	rest := float64(suspended+resting) <= restShare*float64(staying)
+	eject := float64(suspended+ejected) <= ejectShare*float64(staying)
 	return func(t *target) bool {
 		if t.health.suspended(now) {
 			return t.health.unreachable || suspend
 		}
-		return rest && t.resting(now)
+		return eject && t.ejected(now)
 	}
 }
 
--- /dev/null
+++ b/internal/core/placement/outlier.go
@@ -0,0 +1,172 @@
+package placement
+
+import (
+	"math"
+	"time"
+)
+
+// Outcomes is what came of the requests at a target, as one router saw it. Both counts decay:
+// what ended a half-life ago counts half.
+type Outcomes struct {
+	Target        uint64
+	Ended, Failed float64
+}
+
+const (
+	// outcomeHalfLife is long enough for a dozen requests at a target that gets ten a second
+	// from the whole fleet, and short enough to find one that fails a third within a second
+	// or two, and to forget it as soon.
+	outcomeHalfLife = 2 * time.Second
+	// minSamples is how many ends make a failure rate: of fewer, chance alone fails a third
+	// of the requests to plain services that answer one in seven with a failure of their own.
+	minSamples = 12
+	// ejectRate is the failure rate above which a target is ejected. Plain services answer up
+	// to 0.14 of some requests with a failure of their own.
+	ejectRate = 0.3
+	// outlierFactor is how many times the mean failure rate of the others in its pool a target
+	// has to reach. If all fail alike, ejecting some moves their chats and helps nobody.
+	outlierFactor = 1.5
+	// lostWeight is what a lost answer counts against one failure that the target owned up
+	// to: its caller waits for long, and a request that is not idempotent is lost.
+	lostWeight = 2
+	// ejectBase and ejectMax bound how long an ejection lasts. Trouble of this kind lasts for
+	// seconds; each ejection that follows soon after another is twice as long.
+	ejectBase = time.Second
+	ejectMax  = 4 * time.Second
+	// ejectionsForgotten is how long after an ejection the next one is short again.
+	ejectionsForgotten = 10 * time.Second
+	// reportMin is the decayed count of failures from which a router tells of a target.
+	reportMin = 0.5
+)
+
+// counts are outcomes that decay.
+type counts struct {
+	ended, failed float64
+	at            time.Time // until when they have decayed
+}
+
+// decay returns what is left of a count after a time.
+func decay(since time.Duration) float64 {
+	return math.Exp2(-since.Seconds() / outcomeHalfLife.Seconds())
+}
+
+func (c *counts) decay(now time.Time) {
+	if since := now.Sub(c.at); since > 0 {
+		left := decay(since)
+		c.ended *= left
+		c.failed *= left
+		c.at = now
+	}
+}
+
+// add counts one end, with the weight of its failure; 0 if it was none.
+func (c *counts) add(now time.Time, failed float64) {
+	c.decay(now)
+	c.ended++
+	c.failed += failed
+}
+
+// failureRate is 0 if next to nothing has ended.
+func (c *counts) failureRate() float64 {
+	if c.ended < 1 {
+		return 0
+	}
+	return c.failed / c.ended
+}
+
+// failureWeight returns what an outcome counts as a failure; false if it says nothing.
+func failureWeight(o Outcome) (weight float64, ok bool) {
+	switch o {
+	case Answered:
+		return 0, true
+	case Errored:
+		return 1, true
+	case Failed:
+		return lostWeight, true
+	default:
+		return 0, false
+	}
+}
+
+// ejection keeps new work away from a target for a while.
+type ejection struct {
+	times int // lately
+	until time.Time
+	// by are the outcomes that led to it; they say nothing of the time after it.
+	by counts
+}
+
+func (e *ejection) begin(now time.Time, by counts) {
+	if now.Sub(e.until) > ejectionsForgotten {
+		e.times = 0
+	}
+	e.until = now.Add(min(ejectBase<<min(e.times, 8), ejectMax))
+	e.times++
+	e.by = by
+}
+
+// ejected reports whether the fleet's outcomes keep new work away from the target.
+func (t *target) ejected(now time.Time) bool { return t.ejection.until.After(now) }
+
+// detect ejects a target if it is an outlier by the outcomes of the whole fleet, and reports
+// whether it did. A target that fails part of its requests passes its liveness checks, and one
+// router sees a sliver of its requests: alone it would take most of a minute to notice, and
+// every lost answer is one that its caller waits for in vain.
+func (b *Board) detect(now time.Time, t *target) bool {
+	if t.ejected(now) {
+		return false
+	}
+	all := b.outcomesAt(now, t)
+	t.ejection.by.decay(now)
+	since := counts{ended: all.ended - t.ejection.by.ended, failed: all.failed - t.ejection.by.failed}
+	rate := since.failureRate()
+	if since.ended < minSamples || rate <= ejectRate || rate <= outlierFactor*b.othersFailureRate(now, t) {
+		return false
+	}
+	t.ejection.begin(now, all)
+	return true
+}
+
+// othersFailureRate returns the mean failure rate of the other targets of a pool.
+func (b *Board) othersFailureRate(now time.Time, t *target) float64 {
+	sum, n := 0.0, 0
+	for _, o := range t.pool.targets {
+		if o != t {
+			all := b.outcomesAt(now, o)
+			sum += all.failureRate()
+			n++
+		}
+	}
+	return sum / float64(max(n, 1))
+}
+
+// outcomesAt adds up what this router and the others saw at a target.
+func (b *Board) outcomesAt(now time.Time, t *target) counts {
+	t.counts.decay(now)
+	sum := t.counts
+	for _, p := range b.peers {
+		if o, ok := p.outcomes[t.UID]; ok {
+			left := decay(now.Sub(p.heard))
+			sum.ended += left * o.Ended
+			sum.failed += left * o.Failed
+		}
+	}
+	return sum
+}
+
+// Outcomes returns what this router tells of the targets that it or another router has
+// seen failing: once one tells of a target all do, so that the successes count as well.
+func (b *Board) Outcomes(now time.Time) []Outcomes {
+	var out []Outcomes
+	for uid, t := range b.byUID {
+		reported := !t.reportedAt.IsZero() && now.Sub(t.reportedAt) < b.settings.LoadsExpire
+		if t.counts.failed < reportMin && !reported {
+			continue
+		}
+		t.counts.decay(now)
+		if t.counts.failed >= reportMin || (reported && t.counts.ended >= reportMin) {
+			out = append(out, Outcomes{Target: uid, Ended: t.counts.ended, Failed: t.counts.failed})
+		}
+	}
+	return out
+}
--- a/internal/core/placement/evidence_test.go
+++ b/internal/core/placement/outlier_test.go
@@ -39,7 +39,7 @@
 			for from := range boards {
 				for to := range boards {
 					if from != to {
-						boards[to].Heard(now, uint32(from), boards[from].Own(), boards[from].Evidence(now))
+						boards[to].Heard(now, uint32(from), boards[from].Own(), boards[from].Outcomes(now))
 					}
 				}
 			}
@@ -64,21 +64,21 @@
 	return spoiled, misplaced
 }
 
-var _ = Describe("the fleet's evidence of a failing target", func() {
+var _ = Describe("the detection of outliers by the whole fleet", func() {
 	// Symptom: for as long as a target loses the answers of a third of what it runs, owners
 	// who write to its chats wait for eight seconds and get nothing; such requests may not be
 	// repeated. Sequence: its liveness checks pass; each router sees one request a second go
-	// there and two in three succeed. Cause: a router judged by what it saw alone.
+	// there and two in three succeed. Cause: a router ejectedBy by what it saw alone.
 	It("finds in a second or two one that loses answers, where each router sees a sliver", func() {
 		alone, _ := greyDay{share: 0.3, as: placement.Failed, alone: true}.play()
 		together, _ := greyDay{share: 0.3, as: placement.Failed}.play()
-		Expect(together).To(BeNumerically("<", alone/2), "%d spoiled by the fleet's evidence, %d by each router's own", together, alone)
+		Expect(together).To(BeNumerically("<", alone/2), "%d spoiled by the fleet's outcomes, %d by each router's own", together, alone)
 	})
 
 	It("finds one that fails half of what it gets", func() {
 		alone, _ := greyDay{share: 0.5, as: placement.Errored, alone: true}.play()
 		together, _ := greyDay{share: 0.5, as: placement.Errored}.play()
-		Expect(together).To(BeNumerically("<", alone/2), "%d spoiled by the fleet's evidence, %d by each router's own", together, alone)
+		Expect(together).To(BeNumerically("<", alone/2), "%d spoiled by the fleet's outcomes, %d by each router's own", together, alone)
 	})
 
 	It("leaves chats at home while all targets fail some, as some services always do", func() {
@@ -94,7 +94,7 @@
 	It("finds seven of twelve that lose answers", func() {
 		alone, _ := greyDay{failing: 7, share: 0.3, as: placement.Failed, alone: true}.play()
 		together, _ := greyDay{failing: 7, share: 0.3, as: placement.Failed}.play()
-		Expect(together).To(BeNumerically("<", alone*2/3), "%d spoiled by the fleet's evidence, %d by each router's own", together, alone)
+		Expect(together).To(BeNumerically("<", alone*2/3), "%d spoiled by the fleet's outcomes, %d by each router's own", together, alone)
 	})
 
 	It("leaves chats at home where one answer in twenty is lost", func() {
@@ -102,8 +102,8 @@
 		Expect(misplaced).To(BeNumerically("<", 40), "of 1,950")
 	})
 
-	// Symptom: a target stays out of work for ever. Sequence: it rests, and the others go on
-	// telling what they saw before. Cause would be old evidence that ends in a new rest.
+	// Symptom: a target stays out of work for ever. Sequence: it is ejected, and the others go on
+	// telling what they saw before. Cause would be old outcomes that end in a new ejection.
 	It("gives a target that has recovered its work back", func() {
 		one, other := board(targets(6)...), board(targets(6)...)
 		home := place(one, start, 7).Target.UID
@@ -112,30 +112,30 @@
 			one.Done(start, home, placement.Neutral)
 		}
 		one.Done(start, home, placement.Errored)
-		told := other.Evidence(start)
+		told := other.Outcomes(start)
 		Expect(told).To(HaveLen(1))
-		Expect(one.Heard(start, 2, nil, told)).To(HaveLen(1), "rests by what it heard")
+		Expect(one.Heard(start, 2, nil, told)).To(HaveLen(1), "ejected by what it heard")
 		Expect(place(one, start, 7).Target.UID).NotTo(Equal(home))
 		for i := range 100 {
 			now := start.Add(time.Duration(i) * 100 * time.Millisecond)
-			one.Heard(now, 2, nil, other.Evidence(now))
+			one.Heard(now, 2, nil, other.Outcomes(now))
 		}
 		now := start.Add(10 * time.Second)
 		Expect(place(one, now, 7).Target.UID).To(Equal(home))
 	})
 
-	It("rests a target for longer if it fails again soon after", func() {
+	It("ejects a target for longer if it fails again soon after", func() {
 		b := board(targets(6)...)
 		home := place(b, start, 7).Target.UID
 		until := func(now time.Time) time.Duration {
 			for range 20 {
 				b.Done(now, home, placement.Errored)
 			}
-			rested := time.Duration(0)
-			for place(b, now.Add(rested), 7).Target.UID != home {
-				rested += 100 * time.Millisecond
+			ejected := time.Duration(0)
+			for place(b, now.Add(ejected), 7).Target.UID != home {
+				ejected += 100 * time.Millisecond
 			}
-			return rested
+			return ejected
 		}
 		first := until(start)
 		Expect(until(start.Add(2 * time.Second))).To(Equal(2 * first))
@@ -147,10 +147,10 @@
 		for range 50 {
 			b.Done(start, place(b, start, 7).Target.UID, placement.Answered)
 		}
-		Expect(b.Evidence(start)).To(BeEmpty())
+		Expect(b.Outcomes(start)).To(BeEmpty())
 	})
 
-	// Symptom: a target rests that fails three in a hundred. Sequence: the one router that saw
+	// Symptom: a target is ejected that fails three in a hundred. Sequence: the one router that saw
 	// the failures tells of them; those that saw successes only are silent. Cause would be
 	// failures that are counted over fewer ends than there were.
 	It("is told with its successes by all once one router tells of a failure", func() {
@@ -160,8 +160,8 @@
 		for range 30 {
 			other.Done(start, uid, placement.Answered)
 		}
-		Expect(other.Evidence(start)).To(BeEmpty())
-		other.Heard(start, 1, nil, one.Evidence(start))
-		Expect(other.Evidence(start)).To(Equal([]placement.Evidence{{Target: uid, Ended: 30}}))
+		Expect(other.Outcomes(start)).To(BeEmpty())
+		other.Heard(start, 1, nil, one.Outcomes(start))
+		Expect(other.Outcomes(start)).To(Equal([]placement.Outcomes{{Target: uid, Ended: 30}}))
 	})
 })
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -92,19 +92,15 @@
 	peers  int // of all other routers, from their last digests
 	health health
 
-	pool  *pool
-	tally tally // what came of this router's requests
-	rest  rest
-	// judged is the fleet's evidence that led to the last rest; it says nothing of the time
-	// after it.
-	judged tally
+	pool     *pool
+	counts   counts // of this router's requests
+	ejection ejection
+	// reportedAt is when another router told last that the target failed it.
+	reportedAt time.Time
 }
 
 func (t *target) open() int { return t.own + t.peers }
 
-// resting reports whether the fleet's evidence keeps new work away from the target.
-func (t *target) resting(now time.Time) bool { return t.rest.until.After(now) }
-
 // hasRoom reports whether the target has places free as far as the fleet knows.
 func (t *target) hasRoom() bool { return t.Slots > 0 && t.open() < t.Slots }
 
@@ -118,7 +114,7 @@
 type peerView struct {
 	heard    time.Time
 	loads    []Load
-	evidence map[uint64]Evidence
+	outcomes map[uint64]Outcomes
 }
 
 // Board counts the open requests of the fleet. It is not safe for concurrent use.
@@ -196,9 +192,9 @@
 	b.settings.Multiple, b.settings.Slack = multiple, slack
 }
 
-// Heard takes in what another router has open and what it saw of failing targets, in place
-// of what it said before, and returns the targets that rest from now on.
-func (b *Board) Heard(now time.Time, router uint32, loads []Load, evidence []Evidence) (resting []string) {
+// Heard takes in what another router has open and what came of its requests at failing targets, in place
+// of what it said before, and returns the ids of targets that are ejected by it.
+func (b *Board) Heard(now time.Time, router uint32, loads []Load, outcomes []Outcomes) (ejected []string) {
 	p, ok := b.peers[router]
 	if !ok {
 		p = &peerView{}
@@ -211,16 +207,23 @@
 	for _, l := range p.loads {
 		b.addPeer(l, 1)
 	}
-	p.evidence = make(map[uint64]Evidence, len(evidence))
-	for _, e := range evidence {
-		p.evidence[e.Target] = e
+	p.outcomes = make(map[uint64]Outcomes, len(outcomes))
+	for _, o := range outcomes {
+		p.outcomes[o.Target] = o
 	}
-	for _, e := range evidence {
-		if t, ok := b.byUID[e.Target]; ok && b.judge(now, t) {
-			resting = append(resting, t.ID)
+	for _, o := range outcomes {
+		t, ok := b.byUID[o.Target]
+		if !ok {
+			continue
+		}
+		if o.Failed >= reportMin {
+			t.reportedAt = now
+		}
+		if b.detect(now, t) {
+			ejected = append(ejected, t.ID)
 		}
 	}
-	return resting
+	return ejected
 }
 
 func (b *Board) addPeer(l Load, sign int) {
@@ -316,12 +319,12 @@
 // observe learns from an outcome and reports whether new work is kept away from now on.
 func (b *Board) observe(now time.Time, t *target, o Outcome) bool {
 	suspended := t.health.observe(now, o)
-	weight, counts := weightOf(o)
-	if !counts {
+	weight, ok := failureWeight(o)
+	if !ok {
 		return suspended
 	}
-	t.tally.add(now, weight)
-	return suspended || (weight > 0 && b.judge(now, t))
+	t.counts.add(now, weight)
+	return suspended || (weight > 0 && b.detect(now, t))
 }
 
 // Silent takes note of a target that leaves a request unanswered for longer than
--- a/internal/core/placement/placement_test.go
+++ b/internal/core/placement/placement_test.go
@@ -215,7 +215,7 @@
 
 	// Symptom: a target that passes its liveness checks fails half of what it gets, for
 	// as long as it lasts. Cause: single failures between answers suspend nothing.
-	It("rests one that fails much of what it gets", func() {
+	It("ejects one that fails much of what it gets", func() {
 		b := board(targets(6)...)
 		home := place(b, start, 7).Target.UID
 		for range 20 {
@@ -225,7 +225,7 @@
 		Expect(place(b, start, 7).Target.UID).NotTo(Equal(home))
 	})
 
-	It("does not rest one whose failures are a few in a hundred", func() {
+	It("does not eject one whose failures are a few in a hundred", func() {
 		b := board(targets(6)...)
 		home := place(b, start, 7).Target.UID
 		for i := range 200 {
@@ -297,7 +297,7 @@
 	// refused when the budget of repeats is spent, though two of three targets are idle.
 	// Sequence: one target turns most requests away while it has room, and looks the least
 	// loaded. Cause: a refusal was taken for a sign of load only.
-	It("rests a target that turns requests away though it has room", func() {
+	It("ejects a target that turns requests away though it has room", func() {
 		pool := targets(3)
 		for i := range pool {
 			pool[i].Slots = 6
--- a/internal/eventlog/kinds.go
+++ b/internal/eventlog/kinds.go
@@ -48,7 +48,7 @@
 	PeerUp               = Kind{"peer_up", zerolog.InfoLevel, 100, "another router was heard for the first time, or again"}
 	PeerDown             = Kind{"peer_down", zerolog.WarnLevel, 100, "another router has been silent for too long; its requests no longer count"}
 	PeerUnlisted         = Kind{"peer_unlisted", zerolog.InfoLevel, 20, "a router of which there was no sign for long was taken out of the store's list"}
-	TargetSuspended      = Kind{"target_suspended", zerolog.WarnLevel, 100, "a target gets no new work for a while, and what it did; `fleet_evidence`: what all routers saw"}
+	TargetSuspended      = Kind{"target_suspended", zerolog.WarnLevel, 100, "a target gets no new work for a while, and what it did; `outlier`: by what all routers saw"}
 	PeerCallFailed       = Kind{"peer_call_failed", zerolog.WarnLevel, 50, "a call to another router failed"}
 	ListenerFailed       = Kind{"listener_failed", zerolog.ErrorLevel, 10, "a listener broke; the process stops"}
 	ChangeAccepted       = Kind{"change_accepted", zerolog.InfoLevel, 100, "an operator's change is accepted: its operation and revision"}
