Tickets are counted in the metrics of the resource API's routers

Cause: the metrics page named tickets and no counter held them; refused ones are counted by their code. Change: one counter a pool, a ticket for each attempt. Nothing on the platform's path changes. Result: tests of the package pass.

--- a/internal/adapter/metrics/metrics.go
+++ b/internal/adapter/metrics/metrics.go
@@ -32,6 +32,7 @@
 func (m *Requests) Observe(req router.Request, result router.Result) {
 	pool := req.Pool.Name
 	m.counter("pool." + pool + ".code." + result.Code.Lookup().Name).Inc(1)
+	m.counter("pool." + pool + ".tickets").Inc(int64(result.Attempts)) // one for each attempt
 	if result.Code == code.OK {
 		m.timer("pool." + pool + ".first_part").Update(result.FirstPart)
 	}
