Outcomes of failing targets cost little where all of a large pool fails

Every digest of 80 routers told of 89 targets ten times a second, and each entry was looked up at every router and compared with the pool.

Change: the sum over routers is kept for each target and changes with each digest; a target is looked at ten times a second at the most when others tell of it; outcomes travel every 300 ms.

--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -25,6 +25,9 @@
 	// a row happen once in tens of thousands at 3% loss. Readers are replaced then,
 	// well within the two seconds in which a change has to be in force.
 	silentAfter = 1300 * time.Millisecond
+	// outcomesEvery is how often a router tells what came of its requests at failing targets. With
+	// every digest they would double its bytes where all of a large pool fails.
+	outcomesEvery = 300 * time.Millisecond
 	// forgetAfter is when a silent router is no longer sent digests. Until then they
 	// tell a process that starts at its address who else runs.
 	forgetAfter = 60 * time.Second
@@ -109,9 +112,11 @@
 	lastDigest time.Time
 	lastLoads  []placement.Load
 	outcomes   []placement.Outcomes
-	news       bool // something that the others should hear at once
-	introduce  bool // a router came up: tell who else runs
-	copying    [Tables]time.Time
+
+	toldOutcomes time.Time
+	news         bool // something that the others should hear at once
+	introduce    bool // a router came up: tell who else runs
+	copying      [Tables]time.Time
 
 	actions []Action
 }
@@ -238,10 +243,9 @@
 		d.LoadTarget = append(d.LoadTarget, l.Target)
 		d.LoadOpen = append(d.LoadOpen, uint32(l.Open))
 	}
-	for _, e := range c.outcomes {
-		d.OutcomeTarget = append(d.OutcomeTarget, e.Target)
-		d.OutcomeEnded = append(d.OutcomeEnded, float32(e.Ended))
-		d.OutcomeFailed = append(d.OutcomeFailed, float32(e.Failed))
+	if now.Sub(c.toldOutcomes) >= outcomesEvery {
+		c.toldOutcomes = now
+		c.tellOutcomes(d)
 	}
 	to := c.addressees(now)
 	if c.sequence%knownEvery == 1 || c.introduce {
@@ -255,6 +259,15 @@
 	}
 }
 
+func (c *Core) tellOutcomes(d *peerv1.Digest) {
+	d.TellsOutcomes = true
+	for _, o := range c.outcomes {
+		d.OutcomeTarget = append(d.OutcomeTarget, o.Target)
+		d.OutcomeEnded = append(d.OutcomeEnded, float32(o.Ended))
+		d.OutcomeFailed = append(d.OutcomeFailed, float32(o.Failed))
+	}
+}
+
 // changed passes a change of content on. The digest goes at once: the others copy
 // as soon as they hear of the version.
 func (c *Core) changed(t Table, source string) {
--- a/internal/core/fleet/peers.go
+++ b/internal/core/fleet/peers.go
@@ -84,6 +84,9 @@
 }
 
 func outcomesOf(d *peerv1.Digest) []placement.Outcomes {
+	if !d.GetTellsOutcomes() {
+		return nil
+	}
 	n := min(len(d.GetOutcomeTarget()), len(d.GetOutcomeEnded()), len(d.GetOutcomeFailed()))
 	out := make([]placement.Outcomes, 0, n)
 	for i := range n {
--- a/internal/core/placement/outlier.go
+++ b/internal/core/placement/outlier.go
@@ -35,6 +35,9 @@
 	ejectMax  = 4 * time.Second
 	// ejectionsForgotten is how long after an ejection the next one is short again.
 	ejectionsForgotten = 10 * time.Second
+	// detectEvery is how often a target is looked at when others tell of it. Looking costs a pass over
+	// its pool; where all of a large pool fails, every digest of every router tells of all.
+	detectEvery = 100 * time.Millisecond
 	// reportMin is the decayed count of failures from which a router tells of a target.
 	reportMin = 0.5
 )
@@ -143,15 +146,47 @@
 // outcomesAt adds up what this router and the others saw at a target.
 func (b *Board) outcomesAt(now time.Time, t *target) counts {
 	t.counts.decay(now)
-	sum := t.counts
-	for _, p := range b.peers {
-		if o, ok := p.outcomes[t.UID]; ok {
-			left := decay(now.Sub(p.heard))
-			sum.ended += left * o.Ended
-			sum.failed += left * o.Failed
+	t.peerCounts.decay(now)
+	return counts{ended: t.counts.ended + t.peerCounts.ended, failed: t.counts.failed + t.peerCounts.failed, at: now}
+}
+
+// told takes in what another router saw, in place of what it told before. The sum over all
+// routers is kept for each target: all parts of it decay alike.
+func (b *Board) told(now time.Time, p *peerView, outcomes []Outcomes) (ejected []string) {
+	b.takeBack(now, p)
+	p.told, p.outcomes = now, outcomes
+	for _, o := range outcomes {
+		t, ok := b.byUID[o.Target]
+		if !ok {
+			continue
+		}
+		t.peerCounts.decay(now)
+		t.peerCounts.ended += o.Ended
+		t.peerCounts.failed += o.Failed
+		if o.Failed >= reportMin {
+			t.reportedAt = now
+		}
+		if now.Sub(t.detectedAt) >= detectEvery {
+			t.detectedAt = now
+			if b.detect(now, t) {
+				ejected = append(ejected, t.ID)
+			}
+		}
+	}
+	return ejected
+}
+
+// takeBack takes what a router told before out of the sums.
+func (b *Board) takeBack(now time.Time, p *peerView) {
+	left := decay(now.Sub(p.told))
+	for _, o := range p.outcomes {
+		if t, ok := b.byUID[o.Target]; ok {
+			t.peerCounts.decay(now)
+			t.peerCounts.ended = max(t.peerCounts.ended-left*o.Ended, 0)
+			t.peerCounts.failed = max(t.peerCounts.failed-left*o.Failed, 0)
 		}
 	}
-	return sum
+	p.outcomes = nil
 }
 
 // Outcomes returns what this router tells of the targets that it or another router has
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -92,11 +92,14 @@
 	peers  int // of all other routers, from their last digests
 	health health
 
-	pool     *pool
-	counts   counts // of this router's requests
-	ejection ejection
+	pool   *pool
+	counts counts // of this router's requests
+	// peerCounts are those of all other routers, from their last digests with outcomes.
+	peerCounts counts
+	ejection   ejection
 	// reportedAt is when another router told last that the target failed it.
 	reportedAt time.Time
+	detectedAt time.Time // when what others told was looked at last
 }
 
 func (t *target) open() int { return t.own + t.peers }
@@ -114,7 +117,8 @@
 type peerView struct {
 	heard    time.Time
 	loads    []Load
-	outcomes map[uint64]Outcomes
+	outcomes []Outcomes
+	told     time.Time // when it told outcomes last
 }
 
 // Board counts the open requests of the fleet. It is not safe for concurrent use.
@@ -193,7 +197,8 @@
 }
 
 // Heard takes in what another router has open and what came of its requests at failing targets, in place
-// of what it said before, and returns the ids of targets that are ejected by it.
+// of what it said before, and returns the ids of targets that are ejected by it. outcomes are nil
+// if it did not tell any this time.
 func (b *Board) Heard(now time.Time, router uint32, loads []Load, outcomes []Outcomes) (ejected []string) {
 	p, ok := b.peers[router]
 	if !ok {
@@ -207,23 +212,10 @@
 	for _, l := range p.loads {
 		b.addPeer(l, 1)
 	}
-	p.outcomes = make(map[uint64]Outcomes, len(outcomes))
-	for _, o := range outcomes {
-		p.outcomes[o.Target] = o
+	if outcomes == nil {
+		return nil
 	}
-	for _, o := range outcomes {
-		t, ok := b.byUID[o.Target]
-		if !ok {
-			continue
-		}
-		if o.Failed >= reportMin {
-			t.reportedAt = now
-		}
-		if b.detect(now, t) {
-			ejected = append(ejected, t.ID)
-		}
-	}
-	return ejected
+	return b.told(now, p, outcomes)
 }
 
 func (b *Board) addPeer(l Load, sign int) {
@@ -253,7 +245,8 @@
 	}
 }
 
-// Forget drops what a router has told: it has ended or restarted.
+// Forget drops what a router has open: it has ended or restarted. The outcomes that it told
+// stay, they decay by themselves.
 func (b *Board) Forget(router uint32) {
 	if p, ok := b.peers[router]; ok {
 		for _, l := range p.loads {
