--- a/internal/app/gateway/control.go
+++ b/internal/app/gateway/control.go
@@ -9,8 +9,10 @@
 
 	peerv1 "github.com/hemlockdyke/hemlockdyke/gen/hemlockdyke/peer/v1"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/admission"
+	"github.com/hemlockdyke/hemlockdyke/internal/core/code"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/fleet"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/placement"
+	"github.com/hemlockdyke/hemlockdyke/internal/core/replica"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/retry"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/route"
 	"github.com/hemlockdyke/hemlockdyke/internal/eventlog"
@@ -66,6 +68,7 @@
 	// Owned by the control goroutine.
 	core       *fleet.Core
 	roster     *placement.Roster
+	entries    *entryLog
 	stopFollow context.CancelFunc
 	followCtx  context.Context
 	version    uint64 // of the desired state in force
@@ -88,14 +91,16 @@
 			board:   placement.New(board, rand.New(rand.NewPCG(incarnation, 1))),
 			gates:   make(map[string]*admission.Gate),
 			budgets: make(map[string]*retry.Window), span: s.RetryWindow,
-			limits: retry.Limits{Ratio: s.RetryRatio, Slack: s.RetrySlack, Routers: 1},
+			limits:   retry.Limits{Ratio: s.RetryRatio, Slack: s.RetrySlack, Routers: 1},
+			attempts: newUnderWay(),
 		},
 		inbox: make(chan func(time.Time), inboxSize), stopped: make(chan struct{}),
 		core: fleet.New(now(), fleet.Settings{
 			Self: fleet.Address(s.Address), Incarnation: incarnation, Seed: rand.Uint64(), StartsFirst: s.ReadsAtOnce,
 			InForceWithin: s.InForceWithin,
 		}),
-		roster: placement.NewRoster(),
+		roster:  placement.NewRoster(),
+		entries: newEntryLog(log),
 	}
 }
 
@@ -136,7 +141,7 @@
 	if c.roster.Expire(now, grace) {
 		c.publishTargets(now)
 	}
-	c.upstream.Prune(c.roster.Has)
+	c.upstream.Prune(c.roster.Has())
 	if n := c.core.Alive(now) + 1; n > c.routers {
 		c.routers = n
 		c.view.mu.Lock()
@@ -251,16 +256,49 @@
 		}
 		return
 	}
-	targets, bad := c.decoder.Targets(rows)
-	for _, err := range bad {
-		c.log.Line(eventlog.TargetRejected).Uint64("row", a.Version).Str("source", a.Source).Err(err).Msg("")
-	}
-	c.roster.Update(now, targets)
 	c.targetsAt = now
-	c.publishTargets(now)
+	c.putTargetsInForce(now, rows, a.Source)
 	c.log.Line(eventlog.TargetsChanged).Uint64("row", a.Version).Str("source", a.Source).Int("rows", len(rows)).Msg("")
 }
 
+// putTargetsInForce takes in the list of targets.
+func (c *Control) putTargetsInForce(now time.Time, rows []replica.Row, source string) {
+	targets, rejected := c.decoder.Targets(rows)
+	rejected = append(rejected, c.unnamed(rows, targets)...)
+	c.entries.rejected(rejected, source)
+	ended := c.roster.Update(now, targets, c.entries.keys())
+	c.publishTargets(now)
+	for _, t := range ended {
+		n := c.view.attempts.restarted(t.UID)
+		c.log.Line(eventlog.TargetRestarted).Str("target", t.ID).Int64("started", t.Started).Int("attempts", n).Msg("")
+	}
+}
+
+// unnamed takes the pools that the desired state in force does not name off the targets and returns
+// their entries as rejected. A later desired state may name them.
+func (c *Control) unnamed(rows []replica.Row, targets map[string][]placement.Target) []RejectedEntry {
+	table := c.view.table.Load()
+	if table == nil {
+		return nil
+	}
+	var out []RejectedEntry
+	versions := make(map[string]uint64, len(rows))
+	for _, r := range rows {
+		versions[r.Key] = r.Version
+	}
+	for pool, list := range targets {
+		if table.NamesPool(pool) {
+			continue
+		}
+		for _, t := range list {
+			err := code.AtField(code.BadTargetEntry, t.ID, "pool %q is not in desired state %d", pool, table.Version)
+			out = append(out, RejectedEntry{Key: t.ID, Version: versions[t.ID], Err: err})
+		}
+		delete(targets, pool)
+	}
+	return out
+}
+
 // putInForce swaps the routing table. Versions only rise within one process, by
 // whichever way a state comes.
 func (c *Control) putInForce(now time.Time, state *route.State, a fleet.Changed) {
@@ -274,6 +312,9 @@
 	c.view.board.SetConnections(table.Connections())
 	c.view.mu.Unlock()
 	c.inForceAt = now
+	if rows, _ := c.core.Rows(fleet.Targets); len(rows) > 0 {
+		c.putTargetsInForce(now, rows, a.Source)
+	}
 	c.updateReady()
 	c.log.Line(eventlog.DesiredState).Uint64("version", state.Version).Uint64("row", a.Version).
 		Str("source", a.Source).Int("routes", len(state.Routes)).Msg("")
--- a/internal/app/gateway/ports.go
+++ b/internal/app/gateway/ports.go
@@ -42,8 +42,15 @@
 type Decoder interface {
 	// Desired returns the newest desired state, nil if there is none yet.
 	Desired(rows []replica.Row) (*route.State, error)
-	// Targets returns the targets by pool, and an error for each row that is none.
-	Targets(rows []replica.Row) (map[string][]placement.Target, []error)
+	// Targets returns the targets by pool, and the rows that name none.
+	Targets(rows []replica.Row) (map[string][]placement.Target, []RejectedEntry)
+}
+
+// RejectedEntry is a row of the list of targets that can't be trusted.
+type RejectedEntry struct {
+	Key     string
+	Version uint64      // of the row
+	Err     *code.Error // names the field
 }
 
 // Peers reaches other routers.
--- a/internal/app/gateway/try.go
+++ b/internal/app/gateway/try.go
@@ -38,11 +38,11 @@
 
 // finalOutcome returns what the attempt says of its target now that it has ended. Silence was
 // counted when it was noticed; counted again at the deadline, seconds later, it would speak
-// against a target that has recovered.
+// against a target that has recovered. A lifetime that is over needs no judgement.
 func (t *try) finalOutcome() placement.Outcome {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.silenceCounted && t.outcome == placement.Failed {
+	if (t.silenceCounted && t.outcome == placement.Failed) || t.failure == failureRestarted {
 		return placement.Neutral
 	}
 	return t.outcome
@@ -53,6 +53,8 @@
 	x := t.run
 	t.ctx, t.cancel = context.WithCancelCause(x.ctx)
 	defer t.cancel(nil)
+	x.relay.view.attempts.add(t)
+	defer x.relay.view.attempts.remove(t)
 	t.watchFirst()
 	defer func() { t.timer.Stop() }()
 	answer, err := x.relay.upstream.Do(t.ctx, t.request())
@@ -104,10 +106,17 @@
 	return x.machine.Step(attempt.Broken{Attempt: t.number})
 }
 
-// brokenBy names silence as the cause if that ended the attempt.
+// failureRestarted is the failure of an attempt whose target has started again.
+const failureRestarted = "restarted"
+
+// brokenBy names the cause if this router ended the attempt.
 func (t *try) brokenBy(otherwise string) string {
-	if errors.Is(context.Cause(t.ctx), errSilent) {
+	cause := context.Cause(t.ctx)
+	switch {
+	case errors.Is(cause, errSilent):
 		return "silent"
+	case errors.Is(cause, errRestarted):
+		return failureRestarted
 	}
 	return otherwise
 }
--- a/internal/app/gateway/view.go
+++ b/internal/app/gateway/view.go
@@ -26,6 +26,8 @@
 	ready  atomic.Bool
 	listed atomic.Bool // in the store's list of routers
 
+	attempts *underWay
+
 	mu      sync.Mutex
 	board   *placement.Board
 	gates   map[string]*admission.Gate
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -36,14 +36,24 @@
 	}
 }
 
-// Target is one back end as a placement sees it.
+// Target is one lifetime of a back end as a placement sees it.
 type Target struct {
+	// UID names the lifetime: all that is believed of a target is kept by it, so that nothing
+	// of it is believed of the next one.
 	UID        uint64
-	ID         string // the lifetime that the target names in its answers
+	ID         string // the name that the target gives itself in its answers
 	Address    string
 	DataCentre string
 	Leaving    bool
 	Slots      int // 0 if unknown
+	// Started is the Unix millisecond at which the lifetime began, 0 if it is not known. A target that
+	// starts again keeps its ID, its chats find it by that, and nothing else of it is the same.
+	Started int64
+}
+
+// UID returns the UID of a target's lifetime. All routers compute the same.
+func UID(id string, started int64) uint64 {
+	return rendezvous.Mix(rendezvous.Hash(id), uint64(started))
 }
 
 // Ask is one request that needs a target.
--- a/internal/core/placement/roster.go
+++ b/internal/core/placement/roster.go
@@ -1,6 +1,9 @@
 package placement
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Roster keeps targets for a while after they left the platform's list. Entries
 // expire while the platform's store is away although their targets work, and are
@@ -8,7 +11,7 @@
 // caches of the whole pool. A target that is gone for good names another lifetime
 // or refuses connections, so a request sent there in between is not run.
 type Roster struct {
-	entries map[uint64]*entry
+	entries map[string]*entry // by id
 }
 
 type entry struct {
@@ -18,30 +21,43 @@
 }
 
 // NewRoster returns an empty Roster.
-func NewRoster() *Roster { return &Roster{entries: make(map[uint64]*entry)} }
+func NewRoster() *Roster { return &Roster{entries: make(map[string]*entry)} }
 
-// Update takes in the list.
-func (r *Roster) Update(now time.Time, pools map[string][]Target) {
-	listed := make(map[uint64]bool)
+// Update takes in the list, and the ids of entries in it that can't be trusted: those name no
+// target from now on, whatever they named before. It returns the lifetimes that have ended
+// because their targets have started again since, as told by the targets' own clocks.
+//
+// The newest list decides which lifetime a target is in, not the later start: the time of day
+// of a VM may have been set back between two starts.
+func (r *Roster) Update(now time.Time, pools map[string][]Target, rejected []string) (ended []Target) {
+	listed := make(map[string]bool)
 	for pool, targets := range pools {
 		for _, t := range targets {
-			listed[t.UID] = true
-			r.entries[t.UID] = &entry{pool: pool, target: t}
+			listed[t.ID] = true
+			if known, ok := r.entries[t.ID]; ok && known.target.UID != t.UID && known.target.Started < t.Started {
+				ended = append(ended, known.target)
+			}
+			r.entries[t.ID] = &entry{pool: pool, target: t}
 		}
 	}
-	for uid, e := range r.entries {
-		if !listed[uid] && e.gone.IsZero() {
+	for id, e := range r.entries {
+		switch {
+		case listed[id]:
+		case slices.Contains(rejected, id):
+			delete(r.entries, id)
+		case e.gone.IsZero():
 			e.gone = now
 		}
 	}
+	return ended
 }
 
 // Expire drops targets that have been gone for grace and reports whether any was.
 func (r *Roster) Expire(now time.Time, grace time.Duration) bool {
 	dropped := false
-	for uid, e := range r.entries {
+	for id, e := range r.entries {
 		if !e.gone.IsZero() && now.Sub(e.gone) >= grace {
-			delete(r.entries, uid)
+			delete(r.entries, id)
 			dropped = true
 		}
 	}
@@ -57,8 +73,11 @@
 	return out
 }
 
-// Has reports whether a target is still kept.
-func (r *Roster) Has(uid uint64) bool {
-	_, ok := r.entries[uid]
-	return ok
+// Has returns whether a lifetime is still kept, for each of them.
+func (r *Roster) Has() func(uid uint64) bool {
+	kept := make(map[uint64]bool, len(r.entries))
+	for _, e := range r.entries {
+		kept[e.target.UID] = true
+	}
+	return func(uid uint64) bool { return kept[uid] }
 }
--- a/internal/core/route/route.go
+++ b/internal/core/route/route.go
@@ -90,6 +90,7 @@
 	MaxBodyBytes int64
 	byHost       map[string][]*Route // longest prefix first
 	pools        map[string]Pool
+	named        map[string]bool // pools that the state defines or a route sends to
 	byKey        map[string]*Team
 }
 
@@ -97,18 +98,23 @@
 func Build(s *State) *Table {
 	t := &Table{
 		Version: s.Version, MaxBodyBytes: s.MaxBodyBytes,
-		byHost: make(map[string][]*Route), pools: make(map[string]Pool), byKey: make(map[string]*Team),
+		byHost: make(map[string][]*Route), pools: make(map[string]Pool),
+		named: make(map[string]bool), byKey: make(map[string]*Team),
 	}
 	for i := range s.Routes {
 		r := &s.Routes[i]
 		host := hostName(r.Host)
 		t.byHost[host] = append(t.byHost[host], r)
+		for _, share := range r.Split {
+			t.named[share.Pool] = true
+		}
 	}
 	for _, routes := range t.byHost {
 		slices.SortStableFunc(routes, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
 	}
 	for _, p := range s.Pools {
 		t.pools[p.Name] = p
+		t.named[p.Name] = true
 	}
 	for i := range s.Teams {
 		for _, key := range s.Teams[i].Keys {
@@ -129,6 +135,9 @@
 	return nil, false
 }
 
+// NamesPool reports whether the state names a pool at all.
+func (t *Table) NamesPool(name string) bool { return t.named[name] }
+
 // Connections returns what one target of each pool accepts.
 func (t *Table) Connections() map[string]int {
 	out := make(map[string]int, len(t.pools))
--- a/internal/eventlog/kinds.go
+++ b/internal/eventlog/kinds.go
@@ -40,7 +40,8 @@
 	DesiredState         = Kind{"desired_state", zerolog.InfoLevel, 50, "a desired state is in force: its version, the row's, and who it came from"}
 	DesiredStateRejected = Kind{"desired_state_rejected", zerolog.ErrorLevel, 20, "a desired state can't be decoded; the last good one stays in force"}
 	TargetsChanged       = Kind{"targets", zerolog.InfoLevel, 50, "a list of targets is in force"}
-	TargetRejected       = Kind{"target_rejected", zerolog.ErrorLevel, 20, "an entry of the list can't be decoded; the others stay"}
+	TargetRejected       = Kind{"target_rejected", zerolog.ErrorLevel, 20, "a version of an entry of the list can't be trusted and names no target; the others stay"}
+	TargetRestarted      = Kind{"target_restarted", zerolog.WarnLevel, 50, "a target has started again under its id: when its earlier lifetime began, and how many attempts ended with that"}
 	StoreChanged         = Kind{"store", zerolog.InfoLevel, 50, "this router began or ceased to read the store, or the store was lost or regained"}
 	StoreReadFailed      = Kind{"store_read_failed", zerolog.WarnLevel, 50, "a call to the store failed"}
 	CopyFailed           = Kind{"copy_failed", zerolog.WarnLevel, 50, "another router did not answer a copy request"}
@@ -64,7 +65,7 @@
 	return []Kind{
 		TicketRefused, Placed, AttemptFailed, RepeatDenied, NotAdmitted, Finished, Failed,
 		Started, Stopping, Stopped, Reloaded, ReloadRejected, RequestsCut, ReadyChanged, DesiredState,
-		DesiredStateRejected, TargetsChanged, TargetRejected, StoreChanged, StoreReadFailed, CopyFailed, ListFailed,
+		DesiredStateRejected, TargetsChanged, TargetRejected, TargetRestarted, StoreChanged, StoreReadFailed, CopyFailed, ListFailed,
 		PeerUp, PeerDown, PeerUnlisted, TargetSuspended, PeerCallFailed, ListenerFailed,
 		ChangeAccepted, PlannedChange, PlannedChangeFailed, ClaimUnsettled, BurnIncomplete, LeftOut,
 	}
