--- a/internal/core/placement/choose.go
+++ b/internal/core/placement/choose.go
@@ -74,9 +74,10 @@
 // its second target whichever router it comes to.
 func (b *Board) byChat(p *pool, a Ask, bound float64, skip func(*target) bool) (*target, Rule) {
 	var top rendezvous.Top
+	order := p.order(a.Chat)
 	for i, t := range p.targets {
 		if !t.Leaving && !a.excludes(t.UID) {
-			top.Offer(int32(i), rendezvous.Mix(a.Chat, t.seed), rendezvous.MaxTop)
+			top.Offer(int32(i), order.weight(t), rendezvous.MaxTop)
 		}
 	}
 	for i := range top.Len {
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -107,6 +107,7 @@
 	health health
 
 	pool   *pool
+	centre int    // index of its data centre in the pool
 	counts counts // of this router's requests
 	// peerCounts are those of all other routers, from their last digests with outcomes.
 	peerCounts counts
@@ -133,6 +134,7 @@
 
 type pool struct {
 	targets []*target
+	centres []centre
 	// maxOpen is what each target may have open, by the connections it accepts.
 	maxOpen float64
 }
@@ -206,6 +208,7 @@
 			listed[t.UID] = true
 			p.targets = append(p.targets, known)
 		}
+		p.centres = centres(p.targets)
 		b.pools[name] = p
 	}
 	for uid, t := range b.byUID {
--- a/internal/core/placement/source.go
+++ b/internal/core/placement/source.go
@@ -1,10 +1,6 @@
 package placement
 
-import (
-	"time"
-
-	"github.com/hemlockdyke/hemlockdyke/internal/core/rendezvous"
-)
+import "time"
 
 // youngFor is how long a target that joined is taken not to hold the chats that
 // are its own by rendezvous order. Most chats return within that time.
@@ -47,10 +43,11 @@
 func formerHome(now time.Time, p *pool, a Ask, t *target) *target {
 	young := now.Sub(t.joined) < youngFor
 	var best *target
-	weight := rendezvous.Mix(a.Chat, t.seed)
+	order := p.order(a.Chat)
+	weight := order.weight(t)
 	var bestWeight uint64
 	for _, o := range p.targets {
-		w := rendezvous.Mix(a.Chat, o.seed)
+		w := order.weight(o)
 		if o == t || o.health.suspended(now) || (!young && w < weight) {
 			continue
 		}
