--- a/internal/app/gateway/answer.go
+++ b/internal/app/gateway/answer.go
@@ -37,6 +37,7 @@
 		return t.errored(answer, body)
 	default:
 		t.outcome = placement.Answered
+		t.firstEvent(true)
 		return t.pass(answer, body)
 	}
 	return x.machine.Step(attempt.Broken{Attempt: t.number})
@@ -122,6 +123,7 @@
 	if whole == 0 {
 		return data, attempt.Action{}
 	}
+	t.firstEvent(true)
 	if id, ok := lastID(data[:whole]); ok {
 		x.stream.last = id
 	}
--- a/internal/app/gateway/control.go
+++ b/internal/app/gateway/control.go
@@ -185,7 +185,7 @@
 	case fleet.LoadsHeard:
 		c.view.mu.Lock()
 		ejected := c.view.board.Heard(now, a.Router, a.Loads, a.Outcomes)
-		c.view.board.HeardSent(now, a.Sent)
+		c.view.board.HeardRead(now, a.Prompts)
 		c.view.updated = now
 		c.view.mu.Unlock()
 		for _, id := range ejected {
--- a/internal/app/gateway/ports.go
+++ b/internal/app/gateway/ports.go
@@ -74,6 +74,7 @@
 	Chat uint64
 	// Prompt are the beginnings of the prompt that later requests share, the shortest first.
 	Prompt []placement.Part
+	Tokens int // of the whole prompt; 0 if it has none
 	// ResumeAfter is the event after which the caller wants a stream to go on.
 	ResumeAfter string
 	Method      string
--- a/internal/app/gateway/relay.go
+++ b/internal/app/gateway/relay.go
@@ -236,7 +236,8 @@
 		return x.gaveUp()
 	}
 	choice, verdict, ok := r.view.place(now, placement.Ask{
-		Pool: x.match.pool, Chat: x.match.call.Chat, Prompt: x.match.call.Prompt, Excluded: x.machine.Excluded(),
+		Pool: x.match.pool, Chat: x.match.call.Chat, Prompt: x.match.call.Prompt, Tokens: x.match.call.Tokens,
+		Objective: x.match.route.Objective, Excluded: x.machine.Excluded(),
 	}, admission.Ask{Team: x.match.teamName(), Rank: x.match.rank(), RouteRank: x.match.route.Priority, Left: x.ends.Sub(now), Objective: x.match.route.Objective}, x.machine.MayHaveRun())
 	switch {
 	case !ok:
@@ -251,6 +252,7 @@
 	a := &try{run: x, choice: choice, number: action.Attempt, began: now, outcome: placement.Neutral}
 	x.notePlaced(a, r.view.loadsAge(now))
 	action = a.make()
+	a.firstEvent(false)
 	took := r.now().Sub(now)
 	if r.view.done(r.now(), x.match.pool, x.match.teamName(), choice.Target.UID, a.finalOutcome(), took) {
 		x.note(eventlog.TargetSuspended).Str("target", choice.Target.ID).Str("why", a.failure).Msg("")
--- a/internal/app/gateway/try.go
+++ b/internal/app/gateway/try.go
@@ -23,6 +23,7 @@
 	outcome placement.Outcome
 	failure string // why it failed, for the log; empty if it did not
 	err     error
+	heard   bool // the first event came, or the attempt ended without one
 
 	ctx    context.Context
 	cancel context.CancelCauseFunc
@@ -48,6 +49,14 @@
 	return t.outcome
 }
 
+// firstEvent tells the board, once, how long the target took to its first event.
+func (t *try) firstEvent(answered bool) {
+	if !t.heard {
+		t.heard = true
+		t.run.relay.view.firstEvent(t.run.relay.now(), t.choice, answered)
+	}
+}
+
 // make sends the request and passes the answer on.
 func (t *try) make() attempt.Action {
 	x := t.run
--- a/internal/app/gateway/view.go
+++ b/internal/app/gateway/view.go
@@ -51,6 +51,7 @@
 	gate := v.gate(a.Pool)
 	verdict = gate.Decide(now, q, admission.Load{Open: c.Open, Slots: c.Target.Slots})
 	if verdict.Code != code.OK && !begun {
+		v.board.FirstEvent(now, c, false)
 		v.board.Done(now, c.Target.UID, placement.Neutral)
 		return c, verdict, true
 	}
@@ -58,6 +59,13 @@
 	return c, admission.Verdict{Code: code.OK}, true
 }
 
+// firstEvent tells the board that an attempt has its first event, or will have none.
+func (v *view) firstEvent(now time.Time, c placement.Choice, answered bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.board.FirstEvent(now, c, answered)
+}
+
 // done takes an attempt off its target, after it held a place there for a while.
 func (v *view) done(now time.Time, pool, team string, target uint64, o placement.Outcome, took time.Duration) (suspended bool) {
 	v.mu.Lock()
@@ -115,14 +123,14 @@
 	return now.Sub(v.updated)
 }
 
-// sentPerDigest bounds what a digest tells of prompts that were sent where: 16 bytes each, so that
+// promptsPerDigest bounds what a digest tells of prompts that were read where: 16 bytes each, so that
 // it stays within one packet.
-const sentPerDigest = 32
+const promptsPerDigest = 32
 
 // toTell returns what this router tells the others: what it has open, what it saw of failing
-// targets, and which prompts it sent where.
+// targets, and which prompts were read where.
 func (v *view) toTell(now time.Time) fleet.Tick {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return fleet.Tick{Loads: v.board.Own(), Outcomes: v.board.Outcomes(now), Sent: v.board.TakeSent(sentPerDigest)}
+	return fleet.Tick{Loads: v.board.Own(), Outcomes: v.board.Outcomes(now), Prompts: v.board.TakeRead(promptsPerDigest)}
 }
--- a/internal/core/fleet/events.go
+++ b/internal/core/fleet/events.go
@@ -76,8 +76,8 @@
 	Tick struct {
 		Loads    []placement.Load
 		Outcomes []placement.Outcomes
-		// Sent goes out with the next digest, and with no other.
-		Sent []placement.Sent
+		// Prompts goes out with the next digest, and with no other.
+		Prompts []placement.Read
 	}
 	// Leave: this router is to stop.
 	Leave struct{}
@@ -127,12 +127,12 @@
 		Source string
 	}
 	// LoadsHeard passes on what a router has open, what it saw of failing targets, and which
-	// beginnings of prompts it sent where.
+	// beginnings of prompts were read where.
 	LoadsHeard struct {
 		Router   uint32
 		Loads    []placement.Load
 		Outcomes []placement.Outcomes
-		Sent     []placement.Sent
+		Prompts  []placement.Read
 	}
 	// PeerUp, PeerDown and StoreChanged are for the log.
 	PeerUp struct {
--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -112,7 +112,7 @@
 	lastDigest time.Time
 	lastLoads  []placement.Load
 	outcomes   []placement.Outcomes
-	sent       []placement.Sent // not told yet
+	prompts    []placement.Read // not told yet
 
 	toldOutcomes time.Time
 	news         bool // something that the others should hear at once
@@ -205,8 +205,8 @@
 func (c *Core) tick(now time.Time, ev Tick) {
 	c.expirePeers(now)
 	c.watchStore(now)
-	c.outcomes, c.sent = ev.Outcomes, append(c.sent, ev.Sent...)
-	if len(c.sent) > 0 || !equalLoads(ev.Loads, c.lastLoads) || now.Sub(c.lastDigest) >= heartbeatEvery {
+	c.outcomes, c.prompts = ev.Outcomes, append(c.prompts, ev.Prompts...)
+	if len(c.prompts) > 0 || !equalLoads(ev.Loads, c.lastLoads) || now.Sub(c.lastDigest) >= heartbeatEvery {
 		c.digest(now, ev.Loads)
 	}
 	c.copyIfBehind(now)
@@ -248,11 +248,11 @@
 		c.toldOutcomes = now
 		c.tellOutcomes(d)
 	}
-	for _, s := range c.sent {
-		d.SentPart = append(d.SentPart, s.Part)
-		d.SentTarget = append(d.SentTarget, s.Target)
+	for _, s := range c.prompts {
+		d.PromptPart = append(d.PromptPart, s.Part)
+		d.PromptTarget = append(d.PromptTarget, s.Target)
 	}
-	c.sent = c.sent[:0]
+	c.prompts = c.prompts[:0]
 	to := c.addressees(now)
 	if c.sequence%knownEvery == 1 || c.introduce {
 		c.introduce = false
@@ -271,6 +271,8 @@
 		d.OutcomeTarget = append(d.OutcomeTarget, o.Target)
 		d.OutcomeEnded = append(d.OutcomeEnded, float32(o.Ended))
 		d.OutcomeFailed = append(d.OutcomeFailed, float32(o.Failed))
+		d.OutcomeTook = append(d.OutcomeTook, float32(o.Took))
+		d.OutcomeExpected = append(d.OutcomeExpected, float32(o.Expected))
 	}
 }
 
--- a/internal/core/fleet/fleet_test.go
+++ b/internal/core/fleet/fleet_test.go
@@ -207,27 +207,27 @@
 
 	// Symptom: a digest of a dead process overwrites what its successor told. Sequence: it
 	// was under way while the router restarted. Cause: incarnations are not ordered.
-	It("tells which prompts were sent where in one digest, and takes in what others tell", func() {
+	It("tells which prompts were read where in one digest, and takes in what others tell", func() {
 		c := fleet.New(n.now, fleet.Settings{Self: "self", Incarnation: 1})
 		c.Step(n.now, fleet.Found{Addresses: []fleet.Address{"other"}})
-		sent := []placement.Sent{{Part: 1, Target: 2}}
+		read := []placement.Read{{Part: 1, Target: 2}}
 		told := func(t fleet.Tick, after time.Duration) (parts, targets []uint64) {
 			for _, a := range c.Step(n.now.Add(after), t) {
 				if d, ok := a.(fleet.SendDigest); ok {
-					parts = append(parts, d.Digest.GetSentPart()...)
-					targets = append(targets, d.Digest.GetSentTarget()...)
+					parts = append(parts, d.Digest.GetPromptPart()...)
+					targets = append(targets, d.Digest.GetPromptTarget()...)
 				}
 			}
 			return parts, targets
 		}
 		told(fleet.Tick{}, 0)
-		parts, targets := told(fleet.Tick{Sent: sent}, 10*time.Millisecond)
+		parts, targets := told(fleet.Tick{Prompts: read}, 10*time.Millisecond)
 		Expect(parts).To(Equal([]uint64{1}), "at once, and not with the next heartbeat")
 		Expect(targets).To(Equal([]uint64{2}))
 		Expect(told(fleet.Tick{}, time.Second)).To(BeEmpty())
-		d := &peerv1.Digest{Protocol: fleet.Protocol, Incarnation: 5, Sequence: 1, SentPart: []uint64{7, 8}, SentTarget: []uint64{9}}
+		d := &peerv1.Digest{Protocol: fleet.Protocol, Incarnation: 5, Sequence: 1, PromptPart: []uint64{7, 8}, PromptTarget: []uint64{9}}
 		Expect(c.Step(n.now, fleet.DigestIn{From: "other", Digest: d})).To(ContainElement(
-			fleet.LoadsHeard{Router: fleet.RouterID("other"), Loads: []placement.Load{}, Sent: []placement.Sent{{Part: 7, Target: 9}}}))
+			fleet.LoadsHeard{Router: fleet.RouterID("other"), Loads: []placement.Load{}, Prompts: []placement.Read{{Part: 7, Target: 9}}}))
 	})
 
 	It("ignores late digests of an earlier process, and doubled ones", func() {
--- a/internal/core/fleet/peers.go
+++ b/internal/core/fleet/peers.go
@@ -51,7 +51,7 @@
 		c.news, c.introduce = true, true // it hears at once who runs
 		c.emit(PeerUp{Peer: ev.From, Restarted: restarted})
 	}
-	c.emit(LoadsHeard{Router: RouterID(ev.From), Loads: loadsOf(d), Outcomes: outcomesOf(d), Sent: sentOf(d)})
+	c.emit(LoadsHeard{Router: RouterID(ev.From), Loads: loadsOf(d), Outcomes: outcomesOf(d), Prompts: promptsOf(d)})
 	for _, a := range d.GetKnown() {
 		c.peer(now, Address(a))
 	}
@@ -83,11 +83,14 @@
 	return out
 }
 
-func sentOf(d *peerv1.Digest) []placement.Sent {
-	n := min(len(d.GetSentPart()), len(d.GetSentTarget()))
-	out := make([]placement.Sent, n)
+// sensible reports whether a sum is a number that can be added to others.
+func sensible(v float64) bool { return v >= 0 && !math.IsInf(v, 1) }
+
+func promptsOf(d *peerv1.Digest) []placement.Read {
+	n := min(len(d.GetPromptPart()), len(d.GetPromptTarget()))
+	out := make([]placement.Read, n)
 	for i := range n {
-		out[i] = placement.Sent{Part: d.GetSentPart()[i], Target: d.GetSentTarget()[i]}
+		out[i] = placement.Read{Part: d.GetPromptPart()[i], Target: d.GetPromptTarget()[i]}
 	}
 	return out
 }
@@ -96,13 +99,14 @@
 	if !d.GetTellsOutcomes() {
 		return nil
 	}
-	n := min(len(d.GetOutcomeTarget()), len(d.GetOutcomeEnded()), len(d.GetOutcomeFailed()))
+	n := min(len(d.GetOutcomeTarget()), len(d.GetOutcomeEnded()), len(d.GetOutcomeFailed()), len(d.GetOutcomeTook()), len(d.GetOutcomeExpected()))
 	out := make([]placement.Outcomes, 0, n)
 	for i := range n {
 		e := placement.Outcomes{
 			Target: d.GetOutcomeTarget()[i], Ended: float64(d.GetOutcomeEnded()[i]), Failed: float64(d.GetOutcomeFailed()[i]),
+			Took: float64(d.GetOutcomeTook()[i]), Expected: float64(d.GetOutcomeExpected()[i]),
 		}
-		if e.Ended >= 0 && e.Failed >= 0 && !math.IsInf(e.Ended, 1) { // neither is no number
+		if sensible(e.Ended) && sensible(e.Failed) && sensible(e.Took) && sensible(e.Expected) {
 			out = append(out, e)
 		}
 	}
--- a/internal/core/placement/choose.go
+++ b/internal/core/placement/choose.go
@@ -59,20 +59,20 @@
 func (b *Board) choose(now time.Time, p *pool, a Ask, bound float64) (*target, Rule) {
 	skip := passedOver(now, p)
 	if a.Chat != 0 {
-		if t, rule := b.byChat(p, a, bound, skip); t != nil {
+		if t, rule := b.byChat(now, p, a, bound, skip); t != nil {
 			return t, rule
 		}
 	}
-	if t := b.leastLoaded(p, a, skip); t != nil {
+	if t := b.leastLoaded(now, p, a, skip); t != nil {
 		return t, RuleLeast
 	}
-	return b.leastLoaded(p, a, func(*target) bool { return false }), RuleSuspect
+	return b.leastLoaded(now, p, a, func(*target) bool { return false }), RuleSuspect
 }
 
 // byChat returns the first target in the chat's rendezvous order that is below
 // the bound. Every router computes the same order, so a chat that spills finds
 // its second target whichever router it comes to.
-func (b *Board) byChat(p *pool, a Ask, bound float64, skip func(*target) bool) (*target, Rule) {
+func (b *Board) byChat(now time.Time, p *pool, a Ask, bound float64, skip func(*target) bool) (*target, Rule) {
 	var top rendezvous.Top
 	order := p.order(a.Chat)
 	for i, t := range p.targets {
@@ -80,29 +80,55 @@
 			top.Offer(int32(i), order.weight(t), rendezvous.MaxTop)
 		}
 	}
+	var first *target
+	rule := RuleHome
+	var late time.Duration // what the first one would take, if that is too long
 	for i := range top.Len {
 		t := p.targets[top.Index[i]]
 		if skip(t) || float64(t.open()+1) > min(bound, p.maxOpen) {
 			continue
 		}
-		if i == 0 {
-			return t, RuleHome
+		expected := b.expected(now, a, t)
+		switch {
+		case first != nil:
+			if float64(expected) < muchFaster*float64(late) {
+				return t, RuleFaster
+			}
+			continue
+		case i > 0:
+			rule = RuleSpill
+		}
+		inTime := a.Objective == 0 || float64(expected) <= lateShare*float64(a.Objective)
+		if inTime && b.pace(now, t) < slowFactor {
+			return t, rule
 		}
-		return t, RuleSpill
+		first, late = t, expected
 	}
-	return nil, ""
+	return first, rule
 }
 
+const (
+	// lateShare is the part of a route's objective that the first event may be expected to take before a chat
+	// goes to a later target. Moving a chat costs its cache; below that nobody gains by it.
+	lateShare = 0.5
+	// slowFactor is the pace from which a target is avoided also if the first event would come in time: the
+	// events after it come as slowly, and more so while it reads others' prompts.
+	slowFactor = 3
+	// muchFaster is what the later target has to promise against it. All routers then find the
+	// same one, mostly: the first in the chat's order that is not slow.
+	muchFaster = 0.5
+)
+
 // leastLoaded returns the target with the fewest open requests, of equal ones one
 // in this data centre.
-func (b *Board) leastLoaded(p *pool, a Ask, skip func(*target) bool) *target {
+func (b *Board) leastLoaded(now time.Time, p *pool, a Ask, skip func(*target) bool) *target {
 	var best *target
 	bestCost := 0.0
 	for _, t := range p.targets {
 		if t.Leaving || a.excludes(t.UID) || skip(t) || float64(t.open()+1) > p.maxOpen {
 			continue
 		}
-		cost := b.cost(t)
+		cost := b.cost(now, t)
 		if best == nil || cost < bestCost {
 			best, bestCost = t, cost
 		}
@@ -115,8 +141,8 @@
 // between data centres are paid for.
 const remoteCost = 1.5
 
-func (b *Board) cost(t *target) float64 {
-	cost := float64(t.open()) + b.rand.Float64()
+func (b *Board) cost(now time.Time, t *target) float64 {
+	cost := (float64(t.open()) + b.rand.Float64()) * b.pace(now, t)
 	if t.DataCentre != b.settings.DataCentre {
 		cost += remoteCost
 	}
--- a/internal/core/placement/inventory.go
+++ b/internal/core/placement/inventory.go
@@ -15,8 +15,8 @@
 	Tokens int
 }
 
-// Sent says that a target was sent a prompt with a beginning that it had not got before.
-type Sent struct {
+// Read says that a target has read a beginning of a prompt that it had not read before.
+type Read struct {
 	Part   uint64 // hash of the beginning
 	Target uint64
 }
@@ -28,9 +28,6 @@
 	// maxHolders is how many targets are remembered for each: the chat's home, those that it spills to,
 	// and for a beginning that many chats share, some in each data centre.
 	maxHolders = 8
-	// readFor is how long a target is taken to need to read a prompt, from the placement on. A
-	// target that is asked before that has nothing to give.
-	readFor = 300 * time.Millisecond
 	// heldFor is how long a target is taken to keep what nobody asked it for. Targets cache until
 	// their memory is full, which took longer than a minute on every day that was looked at.
 	heldFor = time.Minute
@@ -41,35 +38,34 @@
 	maxUntold = 512
 )
 
-// inventory remembers which targets have read which beginnings of prompts: where this router sent
-// them, and where the others told that they did. It is a router's belief; a target may have
-// dropped a part since.
+// inventory remembers which targets have read which beginnings of prompts: those that answered this
+// router's requests, and those that the others told of. A target that is still reading has
+// nothing to give. It is a router's belief; a target may have dropped a part since.
 type inventory struct {
 	byHash map[uint64]*list.Element // of *holding
 	recent *list.List               // last used first
-	untold []Sent
+	untold []Read
 }
 
 type holding struct {
 	hash    uint64
-	holders []holder // the one that was sent it last first
+	holders []holder // the one that read it last first
 }
 
 type holder struct {
 	target uint64
-	since  time.Time // sent there first
-	last   time.Time // sent there last
+	last   time.Time // when it was asked for it last
 }
 
 func newInventory() *inventory {
 	return &inventory{byHash: make(map[uint64]*list.Element), recent: list.New()}
 }
 
-// sent notes that this router sends a target a prompt.
-func (v *inventory) sent(now time.Time, prompt []Part, target uint64) {
+// read notes that a target has read a prompt of this router.
+func (v *inventory) read(now time.Time, prompt []Part, target uint64) {
 	for _, p := range prompt {
 		if v.note(now, p.Hash, target) && p.Tokens >= tellTokens {
-			v.untold = append(v.untold, Sent{Part: p.Hash, Target: target})
+			v.untold = append(v.untold, Read{Part: p.Hash, Target: target})
 		}
 	}
 	if over := len(v.untold) - maxUntold; over > 0 {
@@ -102,10 +98,7 @@
 		}
 		at = len(h.holders) - 1
 	}
-	if news {
-		h.holders[at] = holder{target: target, since: now}
-	}
-	h.holders[at].last = now
+	h.holders[at] = holder{target: target, last: now}
 	for ; at > 0; at-- {
 		h.holders[at], h.holders[at-1] = h.holders[at-1], h.holders[at]
 	}
@@ -113,14 +106,14 @@
 }
 
 // take returns up to a number of what has not been told yet, and takes it for told.
-func (v *inventory) take(most int) []Sent {
+func (v *inventory) take(most int) []Read {
 	n := min(most, len(v.untold))
 	out := slices.Clone(v.untold[:n])
 	v.untold = append(v.untold[:0], v.untold[n:]...)
 	return out
 }
 
-// holders returns the targets that hold a beginning, the one that was sent it last first.
+// holders returns the targets that hold a beginning, the one that read it last first.
 func (v *inventory) holders(part uint64) []holder {
 	if e, ok := v.byHash[part]; ok {
 		return e.Value.(*holding).holders
@@ -128,12 +121,12 @@
 	return nil
 }
 
-// keeps reports whether a target holds a beginning or is about to.
+// keeps reports whether a target holds a beginning.
 func (v *inventory) keeps(now time.Time, part, target uint64) bool {
 	return slices.ContainsFunc(v.holders(part), func(h holder) bool { return h.target == target && h.kept(now) })
 }
 
-// at returns the longest beginning that a target holds or is about to, empty if none is known.
+// at returns the longest beginning that a target holds, empty if none is known.
 func (v *inventory) at(now time.Time, prompt []Part, target uint64) Part {
 	for i := len(prompt) - 1; i >= 0; i-- {
 		if v.keeps(now, prompt[i].Hash, target) {
@@ -150,7 +143,7 @@
 	for i := len(prompt) - 1; i >= 0; i-- {
 		var best *target
 		for _, h := range v.holders(prompt[i].Hash) {
-			if h.target == t.UID || !h.kept(now) || now.Sub(h.since) < readFor {
+			if h.target == t.UID || !h.kept(now) {
 				continue
 			}
 			o, ok := usable(h.target)
@@ -168,12 +161,12 @@
 // kept reports whether the target has probably not dropped the beginning.
 func (h *holder) kept(now time.Time) bool { return now.Sub(h.last) < heldFor }
 
-// TakeSent returns up to a number of what the others have not been told of yet.
-func (b *Board) TakeSent(most int) []Sent { return b.held.take(most) }
+// TakeRead returns up to a number of what the others have not been told of yet.
+func (b *Board) TakeRead(most int) []Read { return b.held.take(most) }
 
-// HeardSent takes in what another router sent where.
-func (b *Board) HeardSent(now time.Time, sent []Sent) {
-	for _, s := range sent {
-		b.held.note(now, s.Part, s.Target)
+// HeardRead takes in what another router saw read.
+func (b *Board) HeardRead(now time.Time, read []Read) {
+	for _, r := range read {
+		b.held.note(now, r.Part, r.Target)
 	}
 }
--- a/internal/core/placement/inventory_test.go
+++ b/internal/core/placement/inventory_test.go
@@ -18,11 +18,23 @@
 	return placement.Ask{Pool: pool, Chat: chat, Prompt: []placement.Part{{Hash: root, Tokens: 2000}, {Hash: chat, Tokens: 8000}}}
 }
 
-// serve places a request and ends it.
+// serve places a request, which is answered at once.
 func serve(b *placement.Board, now time.Time, a placement.Ask) placement.Choice {
 	c, ok := b.Place(now, a)
 	Expect(ok).To(BeTrue())
+	answer(b, now, c)
+	return c
+}
+
+func answer(b *placement.Board, now time.Time, c placement.Choice) {
+	b.FirstEvent(now, c, true)
 	b.Done(now, c.Target.UID, placement.Answered)
+}
+
+// placed places a request, which waits for its answer.
+func placed(b *placement.Board, a placement.Ask) placement.Choice {
+	c, ok := b.Place(start, a)
+	Expect(ok).To(BeTrue())
 	return c
 }
 
@@ -46,10 +58,13 @@
 	// was asked for its cache, and a new chat has none.
 	It("lets a new chat's home fetch the beginning that another target has read", func() {
 		b := board(targets(6)...)
-		first := serve(b, start, ask(root, 1))
+		first := placed(b, ask(root, 1))
 		Expect(first.Source).To(BeEmpty(), "nobody has it")
 		other := chatAt(b, 2, first.Target.UID, false)
-		Expect(serve(b, start.Add(50*time.Millisecond), ask(root, other)).Source).To(BeEmpty(), "it is being read")
+		reading := placed(b, ask(root, other))
+		Expect(reading.Source).To(BeEmpty(), "it is being read")
+		answer(b, start, first)
+		answer(b, start, reading)
 		other = chatAt(b, other+1, first.Target.UID, false)
 		c := serve(b, start.Add(time.Second), ask(root, other))
 		Expect(c.Source).NotTo(BeEmpty())
@@ -62,11 +77,11 @@
 		one, other := board(targets(6)...), board(targets(6)...)
 		at := serve(one, start, ask(root, 1)).Target
 		serve(one, start, ask(root, 1))
-		news := one.TakeSent(10)
-		Expect(news).To(ConsistOf(placement.Sent{Part: root, Target: at.UID}, placement.Sent{Part: 1, Target: at.UID}))
-		Expect(one.TakeSent(10)).To(BeEmpty())
-		other.HeardSent(start, news)
-		Expect(other.TakeSent(10)).To(BeEmpty(), "it is told by who sent it")
+		news := one.TakeRead(10)
+		Expect(news).To(ConsistOf(placement.Read{Part: root, Target: at.UID}, placement.Read{Part: 1, Target: at.UID}))
+		Expect(one.TakeRead(10)).To(BeEmpty())
+		other.HeardRead(start, news)
+		Expect(other.TakeRead(10)).To(BeEmpty(), "it is told by who sent it")
 		chat := chatAt(other, 2, at.UID, false)
 		Expect(serve(other, start.Add(time.Second), ask(root, chat)).Source).To(Equal(at.Address))
 	})
@@ -139,7 +154,7 @@
 		for chat := uint64(1); chat < 20000; chat++ {
 			serve(b, start, ask(root, chat))
 		}
-		Expect(len(b.TakeSent(1 << 20))).To(BeNumerically("<=", 512))
+		Expect(len(b.TakeRead(1 << 20))).To(BeNumerically("<=", 512))
 		other := target("new", "a")
 		b.SetTargets(start, map[string][]placement.Target{pool: append(targets(2), other)})
 		Expect(serve(b, start.Add(time.Second), ask(1<<50, chatAt(b, 30000, other.UID, true))).Source).To(BeEmpty(), "nobody has its root")
--- a/internal/core/placement/outlier.go
+++ b/internal/core/placement/outlier.go
@@ -5,11 +5,14 @@
 	"time"
 )
 
-// Outcomes is what came of the requests at a target, as one router saw it. Both counts decay:
-// what ended a half-life ago counts half.
+// Outcomes is what came of the requests at a target, as one router saw it. All of it decays:
+// what happened a half-life ago counts half.
 type Outcomes struct {
 	Target        uint64
 	Ended, Failed float64
+	// Took and Expected are the seconds that answered requests took to their first events, and what
+	// they should have taken by the pool's model.
+	Took, Expected float64
 }
 
 const (
@@ -40,12 +43,15 @@
 	detectEvery = 100 * time.Millisecond
 	// reportMin is the decayed count of failures from which a router tells of a target.
 	reportMin = 0.5
+	// reportSlow is how much slower than the model a target has to be that a router tells of.
+	reportSlow = 2.0
 )
 
 // counts are outcomes that decay.
 type counts struct {
-	ended, failed float64
-	at            time.Time // until when they have decayed
+	ended, failed  float64
+	took, expected float64   // seconds to first events
+	at             time.Time // until when they have decayed
 }
 
 // decay returns what is left of a count after a time.
@@ -58,6 +64,8 @@
 		left := decay(since)
 		c.ended *= left
 		c.failed *= left
+		c.took *= left
+		c.expected *= left
 		c.at = now
 	}
 }
@@ -147,7 +155,10 @@
 func (b *Board) outcomesAt(now time.Time, t *target) counts {
 	t.counts.decay(now)
 	t.peerCounts.decay(now)
-	return counts{ended: t.counts.ended + t.peerCounts.ended, failed: t.counts.failed + t.peerCounts.failed, at: now}
+	return counts{
+		ended: t.counts.ended + t.peerCounts.ended, failed: t.counts.failed + t.peerCounts.failed,
+		took: t.counts.took + t.peerCounts.took, expected: t.counts.expected + t.peerCounts.expected, at: now,
+	}
 }
 
 // told takes in what another router saw, in place of what it told before. The sum over all
@@ -163,7 +174,9 @@
 		t.peerCounts.decay(now)
 		t.peerCounts.ended += o.Ended
 		t.peerCounts.failed += o.Failed
-		if o.Failed >= reportMin {
+		t.peerCounts.took += o.Took
+		t.peerCounts.expected += o.Expected
+		if o.Failed >= reportMin || o.Took >= reportSlow*o.Expected {
 			t.reportedAt = now
 		}
 		if now.Sub(t.detectedAt) >= detectEvery {
@@ -184,23 +197,28 @@
 			t.peerCounts.decay(now)
 			t.peerCounts.ended = max(t.peerCounts.ended-left*o.Ended, 0)
 			t.peerCounts.failed = max(t.peerCounts.failed-left*o.Failed, 0)
+			t.peerCounts.took = max(t.peerCounts.took-left*o.Took, 0)
+			t.peerCounts.expected = max(t.peerCounts.expected-left*o.Expected, 0)
 		}
 	}
 	p.outcomes = nil
 }
 
 // Outcomes returns what this router tells of the targets that it or another router has
-// seen failing: once one tells of a target all do, so that the successes count as well.
+// seen failing or slow: once one tells of a target all do, so that what is good of it counts as well.
 func (b *Board) Outcomes(now time.Time) []Outcomes {
 	var out []Outcomes
 	for uid, t := range b.byUID {
 		reported := !t.reportedAt.IsZero() && now.Sub(t.reportedAt) < b.settings.LoadsExpire
-		if t.counts.failed < reportMin && !reported {
+		notable := t.counts.failed >= reportMin || (t.counts.expected > 0 && t.counts.took >= reportSlow*t.counts.expected)
+		if !notable && !reported {
 			continue
 		}
 		t.counts.decay(now)
-		if t.counts.failed >= reportMin || (reported && t.counts.ended >= reportMin) {
-			out = append(out, Outcomes{Target: uid, Ended: t.counts.ended, Failed: t.counts.failed})
+		if t.counts.failed >= reportMin || t.counts.ended >= reportMin || t.counts.expected > 0 {
+			out = append(out, Outcomes{
+				Target: uid, Ended: t.counts.ended, Failed: t.counts.failed, Took: t.counts.took, Expected: t.counts.expected,
+			})
 		}
 	}
 	return out
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -63,8 +63,12 @@
 	Chat uint64
 	// Prompt are the beginnings of the prompt that other requests share, the shortest first;
 	// empty if it is not known.
-	Prompt   []Part
-	Excluded []uint64
+	Prompt []Part
+	// Tokens are those of the whole prompt, what belongs to the request alone included; 0 if it has none.
+	Tokens int
+	// Objective is the time to the first event that the route aims at; 0 if none.
+	Objective time.Duration
+	Excluded  []uint64
 }
 
 // Load is how many requests one router has open at a target.
@@ -80,6 +84,7 @@
 const (
 	RuleHome    Rule = "home"         // first in the chat's order
 	RuleSpill   Rule = "spill"        // a later one: those before it are at the bound or suspended
+	RuleFaster  Rule = "faster"       // a later one: those before it would answer late
 	RuleLeast   Rule = "least_loaded" // no chat, or every target at the bound
 	RuleSuspect Rule = "suspect"      // all others are suspended or have failed the request
 	// RuleTicket is that of routers that place by tickets of a pool's owner.
@@ -95,6 +100,8 @@
 	// Source is the address of a target that probably holds the chat's cache while
 	// the chosen one does not; empty if there is none.
 	Source string
+
+	sequence uint64
 }
 
 type target struct {
@@ -106,9 +113,10 @@
 	peers  int // of all other routers, from their last digests
 	health health
 
-	pool   *pool
-	centre int    // index of its data centre in the pool
-	counts counts // of this router's requests
+	pool    *pool
+	centre  int // index of its data centre in the pool
+	waiting waiting
+	counts  counts // of this router's requests
 	// peerCounts are those of all other routers, from their last digests with outcomes.
 	peerCounts counts
 	ejection   ejection
@@ -135,6 +143,7 @@
 type pool struct {
 	targets []*target
 	centres []centre
+	model   *model
 	// maxOpen is what each target may have open, by the connections it accepts.
 	maxOpen float64
 }
@@ -156,6 +165,8 @@
 	byUID    map[uint64]*target
 	peers    map[uint32]*peerView
 	held     *inventory
+	models   map[string]*model // by pool
+	sequence uint64            // of placements
 }
 
 // New returns an empty Board.
@@ -163,6 +174,7 @@
 	return &Board{
 		settings: s, rand: rnd, pools: make(map[string]*pool), maxConns: make(map[string]int),
 		byUID: make(map[uint64]*target), peers: make(map[uint32]*peerView), held: newInventory(),
+		models: make(map[string]*model),
 	}
 }
 
@@ -197,7 +209,7 @@
 	b.pools = make(map[string]*pool, len(pools))
 	listed := make(map[uint64]bool)
 	for name, targets := range pools {
-		p := &pool{maxOpen: b.maxOpen(name)}
+		p := &pool{maxOpen: b.maxOpen(name), model: b.model(name)}
 		for _, t := range targets {
 			known, ok := b.byUID[t.UID]
 			if !ok {
@@ -219,6 +231,16 @@
 	b.sumPeers()
 }
 
+// model returns the model of a pool, which outlasts its lists.
+func (b *Board) model(pool string) *model {
+	m, ok := b.models[pool]
+	if !ok {
+		m = &model{}
+		b.models[pool] = m
+	}
+	return m
+}
+
 // SetBound changes what a target may hold.
 func (b *Board) SetBound(multiple, slack float64) {
 	b.settings.Multiple, b.settings.Slack = multiple, slack
@@ -320,8 +342,9 @@
 	if t == nil {
 		return Choice{}, false
 	}
-	c := Choice{Target: t.Target, Rule: rule, Open: t.open(), Bound: bound, Source: b.source(now, p, a, t)}
-	b.held.sent(now, a.Prompt, t.UID)
+	b.sequence++
+	c := Choice{Target: t.Target, Rule: rule, Open: t.open(), Bound: bound, Source: b.source(now, p, a, t), sequence: b.sequence}
+	t.waiting = append(t.waiting, pending{sequence: c.sequence, since: now, prompt: a.Prompt, unread: b.unread(now, a, t)})
 	t.own++
 	t.serves(now)
 	t.health.placed()
--- a/internal/core/placement/source.go
+++ b/internal/core/placement/source.go
@@ -18,10 +18,7 @@
 		return ""
 	}
 	held := b.held.at(now, a.Prompt, t.UID)
-	best, from := b.held.deepest(now, a.Prompt, t, func(uid uint64) (*target, bool) {
-		o, ok := b.byUID[uid]
-		return o, ok && o.pool == p && !o.health.suspended(now)
-	})
+	best, from := b.deepest(now, a, t)
 	if before := formerHome(now, p, a, t); before != nil && !a.whole(held) && !a.whole(best) {
 		return before.Address
 	}
@@ -31,6 +28,15 @@
 	return ""
 }
 
+// deepest returns the longest beginning of the prompt that another target holds, and that target; the Part
+// is empty if there is none.
+func (b *Board) deepest(now time.Time, a Ask, t *target) (Part, *target) {
+	return b.held.deepest(now, a.Prompt, t, func(uid uint64) (*target, bool) {
+		o, ok := b.byUID[uid]
+		return o, ok && o.pool == t.pool && !o.health.suspended(now)
+	})
+}
+
 // whole reports whether a beginning is all of the prompt that can be held.
 func (a *Ask) whole(p Part) bool {
 	return len(a.Prompt) > 0 && p.Hash == a.Prompt[len(a.Prompt)-1].Hash
