--- a/internal/core/placement/choose.go
+++ b/internal/core/placement/choose.go
@@ -80,29 +80,57 @@
 			top.Offer(int32(i), order.weight(t), rendezvous.MaxTop)
 		}
 	}
-	var first *target
+	var candidates [rendezvous.MaxTop]*target
+	n := 0
 	rule := RuleHome
-	var late time.Duration // what the first one would take, if that is too long
 	for i := range top.Len {
 		t := p.targets[top.Index[i]]
 		if skip(t) || float64(t.open()+1) > min(bound, p.maxOpen) {
 			continue
 		}
-		expected := b.expected(now, a, t)
-		switch {
-		case first != nil:
-			if float64(expected) < muchFaster*float64(late) {
-				return t, RuleFaster
-			}
-			continue
-		case i > 0:
+		if n == 0 && i > 0 {
 			rule = RuleSpill
 		}
-		inTime := a.Objective == 0 || float64(expected) <= lateShare*float64(a.Objective)
-		if inTime && b.pace(now, t) < slowFactor {
-			return t, rule
+		candidates[n] = t
+		n++
+	}
+	if n == 0 {
+		return nil, ""
+	}
+	if rule == RuleSpill {
+		b.holdersFirst(now, a, candidates[:n])
+	}
+	return b.inTime(now, a, candidates[:n], rule)
+}
+
+// holdersFirst puts the first target that holds the chat's prompt before the others: what spills goes
+// where it has spilled to before.
+func (b *Board) holdersFirst(now time.Time, a Ask, candidates []*target) {
+	if len(a.Prompt) == 0 {
+		return
+	}
+	whole := a.Prompt[len(a.Prompt)-1].Hash
+	for i, t := range candidates {
+		if b.held.keeps(now, whole, t.UID) {
+			copy(candidates[1:i+1], candidates[:i])
+			candidates[0] = t
+			return
+		}
+	}
+}
+
+// inTime returns the first candidate, or if that is slow or would answer late the first one that is
+// much faster.
+func (b *Board) inTime(now time.Time, a Ask, candidates []*target, rule Rule) (*target, Rule) {
+	first := candidates[0]
+	late := b.expected(now, a, first)
+	if (a.Objective == 0 || float64(late) <= lateShare*float64(a.Objective)) && b.pace(now, first) < slowFactor {
+		return first, rule
+	}
+	for _, t := range candidates[1:] {
+		if float64(b.expected(now, a, t)) < muchFaster*float64(late) {
+			return t, RuleFaster
 		}
-		first, late = t, expected
 	}
 	return first, rule
 }
