--- a/internal/app/gateway/control.go
+++ b/internal/app/gateway/control.go
@@ -165,6 +165,7 @@
 	for _, a := range c.core.Step(now, ev) {
 		c.act(ctx, now, a)
 	}
+	c.updateBehind(now)
 }
 
 func (c *Control) act(ctx context.Context, now time.Time, a fleet.Action) {
@@ -234,7 +235,9 @@
 
 func (c *Control) copyFrom(ctx context.Context, a fleet.CopyFrom) {
 	req := &peerv1.CopyRequest{Protocol: fleet.Protocol, Table: uint32(a.Table), After: a.After}
-	reply, err := c.peers.Copy(ctx, string(a.Peer), req)
+	call, cancel := context.WithTimeout(ctx, a.Timeout)
+	defer cancel()
+	reply, err := c.peers.Copy(call, string(a.Peer), req)
 	if err != nil {
 		reply = nil
 		c.log.Line(eventlog.CopyFailed).Str("peer", string(a.Peer)).Str("table", a.Table.String()).Err(err).Msg("")
@@ -338,8 +341,26 @@
 	}
 }
 
+// staleShare is the part of InForceWithin after which a router that can't get a desired state which
+// others have serves nobody by its older one. A change reaches a router in milliseconds; the
+// rest of the time is for the requests that it has begun.
+const staleShare = 0.75
+
+// updateBehind notes whether others have a newer desired state than this router.
+func (c *Control) updateBehind(now time.Time) {
+	c.view.behind.Store(c.core.Behind())
+	since := c.core.Outdated(now)
+	stale := since >= time.Duration(staleShare*float64(c.settings.InForceWithin))
+	if stale != c.view.stale.Load() {
+		c.view.stale.Store(stale)
+		c.log.Line(eventlog.StaleChanged).Bool("stale", stale).Uint64("version", c.version).Dur("behind", since).Msg("")
+	}
+}
+
 // Ready reports whether the balancer should send new connections here.
-func (c *Control) Ready() bool { return c.view.ready.Load() && !c.view.leaving.Load() }
+func (c *Control) Ready() bool {
+	return c.view.ready.Load() && !c.view.leaving.Load() && !c.view.stale.Load()
+}
 
 // Leaving reports whether the router is stopping.
 func (c *Control) Leaving() bool { return c.view.leaving.Load() }
--- a/internal/app/gateway/relay.go
+++ b/internal/app/gateway/relay.go
@@ -121,15 +121,18 @@
 	if table == nil || !r.view.ready.Load() {
 		return nil, code.NotReady
 	}
+	if r.view.stale.Load() {
+		return nil, code.StaleConfig
+	}
 	rt, ok := table.Match(call.Host, call.Path)
 	if !ok {
-		return nil, code.NotFound
+		return nil, r.denied(code.NotFound)
 	}
 	m := &Match{call: call, route: rt, began: r.now(), version: table.Version, MaxBodyBytes: table.MaxBodyBytes}
 	if team, ok := table.TeamByKey(call.Key); ok {
 		m.team = team
 	} else if table.HasTeams() && !rt.Public {
-		return nil, code.UnknownKey
+		return nil, r.denied(code.UnknownKey)
 	}
 	hash := call.Chat
 	if hash == 0 {
@@ -139,6 +142,15 @@
 	return m, code.OK
 }
 
+// denied returns the code for a request that the desired state in force does not allow. While others have
+// a newer one that may, its caller is told to come back instead: denials are final.
+func (r *Relay) denied(c code.Code) code.Code {
+	if r.view.behind.Load() {
+		return code.StaleConfig
+	}
+	return c
+}
+
 // RetryAfter returns when a caller that is refused with a code and has a time left
 // should come back, with jitter.
 func RetryAfter(c code.Code, left time.Duration) time.Duration {
--- /dev/null
+++ b/internal/app/gateway/stale_test.go
@@ -0,0 +1,113 @@
+package gateway_test
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	peerv1 "github.com/hemlockdyke/hemlockdyke/gen/hemlockdyke/peer/v1"
+	"github.com/hemlockdyke/hemlockdyke/internal/adapter/upstream"
+	"github.com/hemlockdyke/hemlockdyke/internal/app/gateway"
+	"github.com/hemlockdyke/hemlockdyke/internal/core/code"
+	"github.com/hemlockdyke/hemlockdyke/internal/core/fleet"
+	"github.com/hemlockdyke/hemlockdyke/internal/core/placement"
+	"github.com/hemlockdyke/hemlockdyke/internal/core/replica"
+	"github.com/hemlockdyke/hemlockdyke/internal/core/route"
+	"github.com/hemlockdyke/hemlockdyke/internal/eventlog"
+	"github.com/hemlockdyke/hemlockdyke/internal/testkit"
+)
+
+func TestSuite(t *testing.T) { testkit.Run(t, "gateway") }
+
+// frozenStore has one state for ever, as a store does that is cut off after the first read.
+type frozenStore struct{ gateway.Store }
+
+func (frozenStore) Whole(context.Context, fleet.Table) (uint64, []replica.Row, error) {
+	return 3, []replica.Row{{Key: "config", Version: 3}}, nil
+}
+
+func (frozenStore) Follow(ctx context.Context, _ fleet.Table, _ uint64, _ time.Duration) (uint64, []replica.Row, error) {
+	<-ctx.Done()
+	return 0, nil, ctx.Err()
+}
+
+func (frozenStore) Register(context.Context, string) error       { return nil }
+func (frozenStore) Registered(context.Context) ([]string, error) { return nil, nil }
+
+// versions decodes a row into a state whose version is the row's, with a route named /old/.
+type versions struct{}
+
+func (versions) Desired(rows []replica.Row) (*route.State, error) {
+	s := &route.State{Version: rows[0].Version, Pools: []route.Pool{{Name: "p"}}}
+	s.Routes = []route.Route{{Name: "old", Host: "h", Prefix: "/old/", Public: true, Split: []route.Share{{Pool: "p", Weight: 1}}}}
+	return s, nil
+}
+
+func (versions) Targets([]replica.Row) (map[string][]placement.Target, []gateway.RejectedEntry) {
+	return nil, nil
+}
+
+// fullLink passes no copy on while it is full.
+type fullLink struct{ full atomic.Bool }
+
+func (*fullLink) Send([]string, *peerv1.Digest) int { return 0 }
+
+func (l *fullLink) Copy(ctx context.Context, _ string, _ *peerv1.CopyRequest) (*peerv1.CopyResponse, error) {
+	if l.full.Load() {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	return &peerv1.CopyResponse{Version: 9, Whole: true, Rows: []*peerv1.Row{{Key: "config", Version: 9}}}, nil
+}
+
+type noUpstream struct{}
+
+func (noUpstream) Do(context.Context, upstream.Request) (*upstream.Answer, error) {
+	return nil, errors.New("no target")
+}
+func (noUpstream) Prune(func(uint64) bool) {}
+
+var _ = Describe("a router that can't get a desired state that others have", func() {
+	const inForce = 800 * time.Millisecond
+
+	// Symptom: a router answers 404 for a route that was added seconds ago. Sequence: its link is full;
+	// it hears from the others that there is a newer state, and no copy arrives. Cause: it went by
+	// the older state for as long as that lasted.
+	It("denies nothing by its older one, and after a time serves nobody until it has the newer one", func() {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		link := &fullLink{}
+		link.full.Store(true)
+		c := gateway.NewControl(gateway.Settings{Name: "r", Address: "10.0.0.1:7340", ReadsAtOnce: true, InForceWithin: inForce},
+			frozenStore{}, versions{}, link, noUpstream{}, eventlog.Nop(), time.Now)
+		relay := gateway.NewRelay(c, nil, noUpstream{}, nil, eventlog.Nop(), time.Now)
+		match := func(path string) code.Code {
+			_, got := relay.Match(&gateway.Call{ID: "1", Host: "h", Path: path, Header: http.Header{}})
+			return got
+		}
+		go c.Run(ctx)
+		Eventually(c.Ready, time.Second).Should(BeTrue())
+		Expect(match("/new/")).To(Equal(code.NotFound), "nobody tells of a newer state")
+		sequence := uint64(0)
+		tell := func() {
+			sequence++
+			c.Digest(ctx, "10.0.0.2:7340", &peerv1.Digest{Protocol: fleet.Protocol, Incarnation: 1, Sequence: sequence, Versions: []uint64{9, 3}})
+		}
+		tell()
+		Eventually(func() code.Code { return match("/new/") }, 200*time.Millisecond, time.Millisecond).Should(Equal(code.StaleConfig))
+		Expect(match("/old/")).To(Equal(code.OK), "the newer state may allow it as well")
+		Expect(c.Ready()).To(BeTrue())
+		Eventually(func() code.Code { tell(); return match("/old/") }, inForce, 20*time.Millisecond).Should(Equal(code.StaleConfig))
+		Expect(c.Ready()).To(BeFalse())
+		link.full.Store(false)
+		Eventually(func() code.Code { tell(); return match("/old/") }, 3*time.Second, 20*time.Millisecond).Should(Equal(code.OK))
+		Expect(match("/new/")).To(Equal(code.NotFound), "by the newer state")
+		Expect(c.Ready()).To(BeTrue())
+	})
+})
--- a/internal/app/gateway/view.go
+++ b/internal/app/gateway/view.go
@@ -26,6 +26,8 @@
 	early  atomic.Int64
 	ready  atomic.Bool
 	listed atomic.Bool // in the store's list of routers
+	// behind: another router has a newer desired state. stale: it has had it for too long.
+	behind, stale atomic.Bool
 
 	attempts *underWay
 
--- a/internal/core/fleet/events.go
+++ b/internal/core/fleet/events.go
@@ -113,11 +113,12 @@
 	ReadWhole struct{ Table Table }
 	// StopFollowing ends the calls to the store that wait.
 	StopFollowing struct{}
-	// CopyFrom asks a router for what the copy lacks; answered by Copied.
+	// CopyFrom asks a router for what the copy lacks, for Timeout at most; answered by Copied.
 	CopyFrom struct {
-		Peer  Address
-		Table Table
-		After uint64
+		Peer    Address
+		Table   Table
+		After   uint64
+		Timeout time.Duration
 	}
 	// Changed says that the content of a copy changed.
 	Changed struct {
--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -62,8 +62,12 @@
 	// outageLasts is how long the store counts as away after a router reads it
 	// again. The readers see within 1.5 s what expired meanwhile.
 	outageLasts = 3 * time.Second
-	// copyTimeout is when an unanswered copy request may be followed by another.
-	copyTimeout = 500 * time.Millisecond
+	// copyTimeout is when an unanswered copy request is given up and followed by another. It doubles with
+	// each one that follows, up to copyTimeoutMost: on a link that is full a copy takes longer than
+	// the first, and what is left of copies that were given up fills it further, so that
+	// with one timeout for all of them none would ever arrive.
+	copyTimeout     = 500 * time.Millisecond
+	copyTimeoutMost = 2 * time.Second
 )
 
 // Settings configure a Core.
@@ -117,11 +121,25 @@
 	toldOutcomes time.Time
 	news         bool // something that the others should hear at once
 	introduce    bool // a router came up: tell who else runs
-	copying      [Tables]time.Time
+	copying      [Tables]copying
+	behind       bool // another router tells of a newer desired state
+	// outdatedSince is since when half of the others do; zero if fewer do.
+	outdatedSince time.Time
 
 	actions []Action
 }
 
+// copying is the state of copying one table.
+type copying struct {
+	until    time.Time // when the request under way is given up; zero if there is none
+	failures int       // in a row
+}
+
+// timeout returns how long the next request may take.
+func (c *copying) timeout() time.Duration {
+	return min(copyTimeout<<min(c.failures, 8), copyTimeoutMost)
+}
+
 // New returns a Core that knows nothing.
 func New(now time.Time, s Settings) *Core {
 	c := &Core{
@@ -200,11 +218,45 @@
 	return c.actions
 }
 
+// watchVersions notes since when others tell of a desired state that this router lacks. It looks at
+// all of them, so not at every digest.
+func (c *Core) watchVersions(now time.Time) {
+	alive, ahead := 0, 0
+	for _, p := range c.peers {
+		if p.alive(now) {
+			alive++
+			if p.desired > c.tables[Desired].Version() {
+				ahead++
+			}
+		}
+	}
+	c.behind = ahead > 0
+	switch {
+	case ahead == 0 || 2*ahead < alive:
+		c.outdatedSince = time.Time{}
+	case c.outdatedSince.IsZero():
+		c.outdatedSince = now
+	}
+}
+
+// Behind reports whether a router that is alive tells of a newer desired state than this router's.
+func (c *Core) Behind() bool { return c.behind }
+
+// Outdated returns for how long half or more of the others that are alive have had a newer desired
+// state. If only a few have it, they can't pass it on, and nobody would be left to serve.
+func (c *Core) Outdated(now time.Time) time.Duration {
+	if c.outdatedSince.IsZero() {
+		return 0
+	}
+	return now.Sub(c.outdatedSince)
+}
+
 func (c *Core) emit(a Action) { c.actions = append(c.actions, a) }
 
 func (c *Core) tick(now time.Time, ev Tick) {
 	c.expirePeers(now)
 	c.watchStore(now)
+	c.watchVersions(now)
 	c.outcomes, c.prompts = ev.Outcomes, append(c.prompts, ev.Prompts...)
 	if len(c.prompts) > 0 || !equalLoads(ev.Loads, c.lastLoads) || now.Sub(c.lastDigest) >= heartbeatEvery {
 		c.digest(now, ev.Loads)
@@ -268,11 +320,16 @@
 func (c *Core) tellOutcomes(d *peerv1.Digest) {
 	d.TellsOutcomes = true
 	for _, o := range c.outcomes {
-		d.OutcomeTarget = append(d.OutcomeTarget, o.Target)
-		d.OutcomeEnded = append(d.OutcomeEnded, float32(o.Ended))
-		d.OutcomeFailed = append(d.OutcomeFailed, float32(o.Failed))
-		d.OutcomeTook = append(d.OutcomeTook, float32(o.Took))
-		d.OutcomeExpected = append(d.OutcomeExpected, float32(o.Expected))
+		if o.Ended > 0 {
+			d.OutcomeTarget = append(d.OutcomeTarget, o.Target)
+			d.OutcomeEnded = append(d.OutcomeEnded, float32(o.Ended))
+			d.OutcomeFailed = append(d.OutcomeFailed, float32(o.Failed))
+		}
+		if o.Took > 0 {
+			d.SlowTarget = append(d.SlowTarget, o.Target)
+			d.SlowTook = append(d.SlowTook, float32(o.Took))
+			d.SlowExpected = append(d.SlowExpected, float32(o.Expected))
+		}
 	}
 }
 
@@ -280,5 +337,8 @@
 // as soon as they hear of the version.
 func (c *Core) changed(t Table, source string) {
 	c.news = true
+	if t == Desired {
+		c.behind = false // as far as is known; the next tick looks at all
+	}
 	c.emit(Changed{Table: t, Version: c.tables[t].Version(), Source: source})
 }
--- a/internal/core/fleet/fleet_test.go
+++ b/internal/core/fleet/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -62,6 +63,61 @@
 		Expect(n.behind(fleet.Desired, v)).To(BeEmpty())
 	})
 
+	// Symptom: a router acts by an older desired state for seconds, and takes callers all the while. Sequence: it
+	// starts again on a link of which other traffic leaves little; a copy takes longer than its
+	// timeout, is given up, and the next one waits behind what is left of it. Cause: each copy
+	// had the same time, half a second.
+	It("gets a copy over a link that has room for one in eight tenths of a second", func() {
+		slow := n.nodes[address(5)]
+		v := n.write(fleet.Desired, "config", strings.Repeat("x", 80_000))
+		n.run(time.Second)
+		n.kill(slow.address)
+		n.start(slow.address)
+		slow = n.nodes[slow.address]
+		slow.bytesPerSecond = 100_000
+		n.store.refused[slow.address] = true
+		n.run(4 * time.Second)
+		Expect(slow.core.Known(fleet.Desired)).To(BeTrue())
+		Expect(n.behind(fleet.Desired, v)).To(BeEmpty())
+	})
+
+	It("tells for how long most others have had a newer desired state", func() {
+		lagging := n.nodes[address(5)]
+		Expect(lagging.core.Behind()).To(BeFalse())
+		Expect(lagging.core.Outdated(n.now)).To(BeZero())
+		lagging.bytesPerSecond = 1
+		n.store.refused[lagging.address] = true
+		n.run(3 * time.Second)
+		n.write(fleet.Desired, "config", strings.Repeat("y", 1000))
+		n.run(500 * time.Millisecond)
+		Expect(lagging.core.Behind()).To(BeTrue())
+		Expect(lagging.core.Outdated(n.now)).To(BeNumerically("~", 500*time.Millisecond, 50*time.Millisecond))
+		lagging.bytesPerSecond, lagging.linkFree = 0, time.Time{}
+		n.run(6 * time.Second)
+		Expect(lagging.core.Behind()).To(BeFalse())
+		Expect(lagging.core.Outdated(n.now)).To(BeZero())
+	})
+
+	// Symptom: nobody serves. Sequence: one router alone reads a new desired state, and its link is too full to
+	// pass it on. Cause would be to take oneself for outdated because of one other.
+	It("does not take most routers for outdated because one is ahead", func() {
+		for i := range 9 {
+			n.store.refused[address(i)] = i > 0
+			n.nodes[address(i)].bytesPerSecond = 1
+		}
+		n.run(3 * time.Second)
+		n.write(fleet.Desired, "config", strings.Repeat("z", 1000))
+		n.run(3 * time.Second)
+		behind := 0
+		for i := range 9 {
+			if n.nodes[address(i)].core.Behind() {
+				behind++
+			}
+			Expect(n.nodes[address(i)].core.Outdated(n.now)).To(BeZero())
+		}
+		Expect(behind).To(Equal(8))
+	})
+
 	// Symptom: a change is late at some routers, or routers are taken for down, while links
 	// lose packets. Sequence: the digest that tells of a new version is lost, or some
 	// heartbeats in a row. Cause would be news that is told once only.
--- a/internal/core/fleet/peers.go
+++ b/internal/core/fleet/peers.go
@@ -17,9 +17,10 @@
 	incarnation uint64
 	before      uint64 // incarnation of its last process
 	sequence    uint64
-	heard       time.Time // zero if never
-	since       time.Time // known since
-	versions    [Tables]uint64
+	heard       time.Time      // zero if never
+	since       time.Time      // known since
+	versions    [Tables]uint64 // to be had from it; 0 after a copy failed, until its next digest
+	desired     uint64         // version of its desired state as it told last
 	reading     bool
 	leaving     bool
 	up          bool
@@ -55,6 +56,7 @@
 	for _, a := range d.GetKnown() {
 		c.peer(now, Address(a))
 	}
+	c.behind = c.behind || p.desired > c.tables[Desired].Version()
 	c.copyIfBehind(now)
 }
 
@@ -72,6 +74,7 @@
 	p.reading, p.leaving = d.GetReading(), d.GetLeaving()
 	p.versions = [Tables]uint64{}
 	copy(p.versions[:], d.GetVersions())
+	p.desired = p.versions[Desired]
 }
 
 func loadsOf(d *peerv1.Digest) []placement.Load {
@@ -99,15 +102,19 @@
 	if !d.GetTellsOutcomes() {
 		return nil
 	}
-	n := min(len(d.GetOutcomeTarget()), len(d.GetOutcomeEnded()), len(d.GetOutcomeFailed()), len(d.GetOutcomeTook()), len(d.GetOutcomeExpected()))
-	out := make([]placement.Outcomes, 0, n)
+	n := min(len(d.GetOutcomeTarget()), len(d.GetOutcomeEnded()), len(d.GetOutcomeFailed()))
+	slow := min(len(d.GetSlowTarget()), len(d.GetSlowTook()), len(d.GetSlowExpected()))
+	out := make([]placement.Outcomes, 0, n+slow)
 	for i := range n {
-		e := placement.Outcomes{
-			Target: d.GetOutcomeTarget()[i], Ended: float64(d.GetOutcomeEnded()[i]), Failed: float64(d.GetOutcomeFailed()[i]),
-			Took: float64(d.GetOutcomeTook()[i]), Expected: float64(d.GetOutcomeExpected()[i]),
+		ended, failed := float64(d.GetOutcomeEnded()[i]), float64(d.GetOutcomeFailed()[i])
+		if sensible(ended) && sensible(failed) {
+			out = append(out, placement.Outcomes{Target: d.GetOutcomeTarget()[i], Ended: ended, Failed: failed})
 		}
-		if sensible(e.Ended) && sensible(e.Failed) && sensible(e.Took) && sensible(e.Expected) {
-			out = append(out, e)
+	}
+	for i := range slow {
+		took, expected := float64(d.GetSlowTook()[i]), float64(d.GetSlowExpected()[i])
+		if sensible(took) && sensible(expected) {
+			out = append(out, placement.Outcomes{Target: d.GetSlowTarget()[i], Took: took, Expected: expected})
 		}
 	}
 	return out
@@ -190,12 +197,14 @@
 func (c *Core) copyIfBehind(now time.Time) {
 	for i := range c.tables {
 		t := Table(i)
-		if !c.copying[t].IsZero() && now.Sub(c.copying[t]) < copyTimeout {
+		copying := &c.copying[t]
+		if now.Before(copying.until) {
 			continue
 		}
 		if from, ok := c.newest(now, t); ok {
-			c.copying[t] = now
-			c.emit(CopyFrom{Peer: from, Table: t, After: c.tables[t].Version()})
+			timeout := copying.timeout()
+			copying.until = now.Add(timeout)
+			c.emit(CopyFrom{Peer: from, Table: t, After: c.tables[t].Version(), Timeout: timeout})
 		}
 	}
 }
@@ -224,13 +233,15 @@
 }
 
 func (c *Core) copied(ev Copied) {
-	c.copying[ev.Table] = time.Time{}
+	c.copying[ev.Table].until = time.Time{}
 	if ev.Reply == nil {
+		c.copying[ev.Table].failures++
 		if p, ok := c.peers[ev.From]; ok {
 			p.versions[ev.Table] = 0 // ask another one until its next digest
 		}
 		return
 	}
+	c.copying[ev.Table].failures = 0
 	rows := make([]replica.Row, len(ev.Reply.GetRows()))
 	for i, r := range ev.Reply.GetRows() {
 		rows[i] = replica.Row{Key: r.GetKey(), Value: r.GetValue(), Version: r.GetVersion(), Removed: r.GetRemoved()}
--- a/internal/core/placement/model.go
+++ b/internal/core/placement/model.go
@@ -109,6 +109,12 @@
 	return took / expected
 }
 
+// seemsSlow reports whether a target is slow by the answers that this router got.
+func (b *Board) seemsSlow(t *target) bool {
+	doubt := paceDoubt * t.pool.model.base
+	return t.counts.took+doubt >= slowFactor*(t.counts.expected+doubt) && t.counts.took > 0
+}
+
 // end takes a request off and returns it; false if it is not there.
 func (q *waiting) end(sequence uint64) (pending, bool) {
 	for i, w := range *q {
--- a/internal/core/placement/outlier.go
+++ b/internal/core/placement/outlier.go
@@ -43,8 +43,6 @@
 	detectEvery = 100 * time.Millisecond
 	// reportMin is the decayed count of failures from which a router tells of a target.
 	reportMin = 0.5
-	// reportSlow is how much slower than the model a target has to be that a router tells of.
-	reportSlow = 2.0
 )
 
 // counts are outcomes that decay.
@@ -176,7 +174,7 @@
 		t.peerCounts.failed += o.Failed
 		t.peerCounts.took += o.Took
 		t.peerCounts.expected += o.Expected
-		if o.Failed >= reportMin || o.Took >= reportSlow*o.Expected {
+		if o.Failed >= reportMin {
 			t.reportedAt = now
 		}
 		if now.Sub(t.detectedAt) >= detectEvery {
@@ -205,20 +203,23 @@
 }
 
 // Outcomes returns what this router tells of the targets that it or another router has
-// seen failing or slow: once one tells of a target all do, so that what is good of it counts as well.
+// seen failing: once one tells of a target all do, so that the successes count as well. Of a slow
+// target only those tell that saw it slow: there is always one that seems slow to somebody, and
+// if all told of it, all would tell of all.
 func (b *Board) Outcomes(now time.Time) []Outcomes {
 	var out []Outcomes
 	for uid, t := range b.byUID {
+		t.counts.decay(now)
+		o := Outcomes{Target: uid}
 		reported := !t.reportedAt.IsZero() && now.Sub(t.reportedAt) < b.settings.LoadsExpire
-		notable := t.counts.failed >= reportMin || (t.counts.expected > 0 && t.counts.took >= reportSlow*t.counts.expected)
-		if !notable && !reported {
-			continue
+		if t.counts.failed >= reportMin || (reported && t.counts.ended >= reportMin) {
+			o.Ended, o.Failed = t.counts.ended, t.counts.failed
 		}
-		t.counts.decay(now)
-		if t.counts.failed >= reportMin || t.counts.ended >= reportMin || t.counts.expected > 0 {
-			out = append(out, Outcomes{
-				Target: uid, Ended: t.counts.ended, Failed: t.counts.failed, Took: t.counts.took, Expected: t.counts.expected,
-			})
+		if b.seemsSlow(t) {
+			o.Took, o.Expected = t.counts.took, t.counts.expected
+		}
+		if o.Ended > 0 || o.Took > 0 {
+			out = append(out, o)
 		}
 	}
 	return out
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -32,8 +32,8 @@
 }
 
 const (
-	// gatewayPeerTimeout bounds one copy between routers.
-	gatewayPeerTimeout = 500 * time.Millisecond
+	// gatewayPeerTimeout bounds one copy between routers; most have a shorter bound of their own.
+	gatewayPeerTimeout = 2 * time.Second
 	// balancerLag is how long the balancer goes on sending new connections after the
 	// first failed check: it asks every second and takes a router out after two misses.
 	balancerLag = 2100 * time.Millisecond
--- a/internal/eventlog/kinds.go
+++ b/internal/eventlog/kinds.go
@@ -37,6 +37,7 @@
 	ReloadRejected       = Kind{"reload_rejected", zerolog.ErrorLevel, 10, "the settings file is bad; the last good settings stay"}
 	RequestsCut          = Kind{"requests_cut", zerolog.ErrorLevel, 10, "the grace time ended with requests open"}
 	ReadyChanged         = Kind{"ready", zerolog.InfoLevel, 20, "the answer to the balancer's checks changed"}
+	StaleChanged         = Kind{"stale", zerolog.WarnLevel, 20, "this router serves nobody, as others have had a newer desired state for too long, or serves again"}
 	DesiredState         = Kind{"desired_state", zerolog.InfoLevel, 50, "a desired state is in force: its version, the row's, and who it came from"}
 	DesiredStateRejected = Kind{"desired_state_rejected", zerolog.ErrorLevel, 20, "a desired state can't be decoded; the last good one stays in force"}
 	TargetsChanged       = Kind{"targets", zerolog.InfoLevel, 50, "a list of targets is in force"}
@@ -64,7 +65,7 @@
 func Kinds() []Kind {
 	return []Kind{
 		TicketRefused, Placed, AttemptFailed, RepeatDenied, NotAdmitted, Finished, Failed,
-		Started, Stopping, Stopped, Reloaded, ReloadRejected, RequestsCut, ReadyChanged, DesiredState,
+		Started, Stopping, Stopped, Reloaded, ReloadRejected, RequestsCut, ReadyChanged, StaleChanged, DesiredState,
 		DesiredStateRejected, TargetsChanged, TargetRejected, TargetRestarted, StoreChanged, StoreReadFailed, CopyFailed, ListFailed,
 		PeerUp, PeerDown, PeerUnlisted, TargetSuspended, PeerCallFailed, ListenerFailed,
 		ChangeAccepted, PlannedChange, PlannedChangeFailed, ClaimUnsettled, BurnIncomplete, LeftOut,
