--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -38,23 +38,25 @@
 // Run parses the arguments, does what they say and returns the exit code.
 func Run(args []string, out, errOut io.Writer) int {
 	app := kingpin.New("hemlockctl", "Declares resources of a hemlockdyke fleet and shows what holds.")
-	app.UsageWriter(errOut).ErrorWriter(errOut).Terminate(nil)
+	// The library ends the process after a page of help; here it goes on parsing, and what it says
+	// after that is about a command that nobody wanted.
+	helped := false
+	app.UsageWriter(out).ErrorWriter(errOut).Terminate(func(int) { helped = true })
 	servers := app.Flag("server", "Base URL of a controller; may be repeated.").
 		Envar("HEMLOCKCTL_SERVER").Default("http://127.0.0.1:7301").Strings()
 	output := app.Flag("output", "table, json or yaml.").Short('o').Default("table").Enum("table", "json", "yaml")
 	a := &App{out: out, errOut: errOut}
 	commands := a.commands(app)
 	selected, err := app.Parse(args)
+	if helped {
+		return ExitOK
+	}
 	if err != nil {
 		fmt.Fprintln(errOut, code.New(code.BadUsage, "%s", err))
 		return ExitUsage
 	}
 	a.client, a.output = NewClient(*servers), *output
-	run, ok := commands[selected]
-	if !ok {
-		return ExitOK // --help and completion have printed already
-	}
-	if err := run(); err != nil {
+	if err := commands[selected](); err != nil {
 		fmt.Fprintln(errOut, err)
 		return exitCode(err)
 	}
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -55,6 +55,19 @@
 }
 
 var _ = Describe("hemlockctl", func() {
+	// Symptom: a page of help ends with "6002 bad_usage", and exits 2. Sequence: the library prints the page
+	// and goes on parsing, as nothing ended the process. Cause: nobody asked whether it had.
+	DescribeTable("prints help as a result, and nothing else",
+		func(args ...string) {
+			var out, errOut bytes.Buffer
+			Expect(cli.Run(args, &out, &errOut)).To(Equal(cli.ExitOK))
+			Expect(out.String()).To(HavePrefix("usage: hemlockctl"))
+			Expect(errOut.String()).To(BeEmpty())
+		},
+		Entry("of all commands", "--help"), Entry("of one", "explain", "--help"), Entry("by the command", "help", "explain"),
+		Entry("of one that needs arguments", "apply", "--help"), Entry("of a report", "report", "burn", "--help"),
+	)
+
 	var played *api
 	var servers []string
 
--- a/internal/core/code/code.go
+++ b/internal/core/code/code.go
@@ -89,6 +89,7 @@
 }
 
 var table = map[Code]Info{
+	OK:               {"ok", 200, RanYes, "None; the caller has a target's answer."},
 	BadBody:          {"bad_body", 400, RanNo, "Correct the request body."},
 	BodyTooLarge:     {"body_too_large", 413, RanNo, "Send a smaller body or raise limits.maxBodyBytes."},
 	UnknownTeam:      {"unknown_team", 403, RanNo, "Send a known team in X-Team, or create the Team."},
