--- a/internal/app/gateway/control.go
+++ b/internal/app/gateway/control.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 
 	peerv1 "github.com/hemlockdyke/hemlockdyke/gen/hemlockdyke/peer/v1"
+	"github.com/hemlockdyke/hemlockdyke/internal/core/ablate"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/admission"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/code"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/fleet"
@@ -137,6 +138,9 @@
 	if c.core.StoreAway(now) {
 		grace = goneGraceStoreAway
 	}
+	if ablate.Off(ablate.GoneGrace) {
+		grace = 0
+	}
 	if c.roster.Expire(now, grace) {
 		c.publishTargets(now)
 	}
@@ -350,7 +354,7 @@
 func (c *Control) updateBehind(now time.Time) {
 	c.view.behind.Store(c.core.Behind())
 	since := c.core.Outdated(now)
-	stale := since >= time.Duration(staleShare*float64(c.settings.InForceWithin))
+	stale := !ablate.Off(ablate.Outdated) && since >= time.Duration(staleShare*float64(c.settings.InForceWithin))
 	if stale != c.view.stale.Load() {
 		c.view.stale.Store(stale)
 		c.log.Line(eventlog.StaleChanged).Bool("stale", stale).Uint64("version", c.version).Dur("behind", since).Msg("")
--- a/internal/core/admission/admission.go
+++ b/internal/core/admission/admission.go
@@ -6,6 +6,7 @@
 import (
 	"time"
 
+	"github.com/hemlockdyke/hemlockdyke/internal/core/ablate"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/code"
 )
 
@@ -116,7 +117,7 @@
 	u := urgency{rank: min(max(a.Rank, 0), maxRank), route: min(max(a.RouteRank, 0), maxRank)}
 	g.asked(now, u, a.Objective)
 	wait := g.wait(l)
-	if wait == 0 {
+	if wait == 0 || ablate.Off(ablate.Admission) {
 		return Verdict{Code: code.OK}
 	}
 	v := Verdict{Code: code.OK, Wait: wait, RetryAfter: max(wait, time.Duration(retryShare*float64(a.Left)))}
@@ -144,10 +145,13 @@
 func (g *Gate) allowed(now time.Time, u urgency, left time.Duration) float64 {
 	allowed := waitShare * float64(left)
 	for o, k := range g.routes {
-		if k.objective > 0 && (o == u || (o.before(u) && now.Sub(k.asked) <= askLasts)) {
+		if !ablate.Off(ablate.Objective) && k.objective > 0 && (o == u || (o.before(u) && now.Sub(k.asked) <= askLasts)) {
 			allowed = min(allowed, objectiveShare*float64(k.objective))
 		}
 	}
+	if ablate.Off(ablate.Rank) {
+		return allowed
+	}
 	return allowed / float64(1+u.rank)
 }
 
@@ -162,7 +166,7 @@
 	}
 	k := g.routes[u]
 	k.yielded += min(yieldShare*float64(above), 1)
-	if k.yielded < 1 {
+	if k.yielded < 1 || ablate.Off(ablate.Yield) {
 		return false
 	}
 	k.yielded--
@@ -190,7 +194,7 @@
 
 // over reports whether a team holds more than its share of the open requests.
 func (g *Gate) over(now time.Time, t *team) bool {
-	if t.open < teamLeast {
+	if t.open < teamLeast || ablate.Off(ablate.Team) {
 		return false
 	}
 	sharing := 0
--- a/internal/core/placement/choose.go
+++ b/internal/core/placement/choose.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/hemlockdyke/hemlockdyke/internal/core/ablate"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/rendezvous"
 )
 
@@ -45,8 +46,9 @@
 			ejected++
 		}
 	}
-	suspend := float64(suspended) <= panicShare*float64(staying)
-	eject := float64(suspended+ejected) <= ejectShare*float64(staying)
+	always := ablate.Off(ablate.PanicShares)
+	suspend := always || float64(suspended) <= panicShare*float64(staying)
+	eject := always || float64(suspended+ejected) <= ejectShare*float64(staying)
 	return func(t *target) bool {
 		if t.health.suspended(now) {
 			return t.health.unreachable || suspend
@@ -106,7 +108,7 @@
 // holdersFirst puts the first target that holds the chat's prompt before the others: what spills goes
 // where it has spilled to before.
 func (b *Board) holdersFirst(now time.Time, a Ask, candidates []*target) {
-	if len(a.Prompt) == 0 {
+	if len(a.Prompt) == 0 || ablate.Off(ablate.Holders) {
 		return
 	}
 	whole := a.Prompt[len(a.Prompt)-1].Hash
@@ -123,6 +125,9 @@
 // much faster.
 func (b *Board) inTime(now time.Time, a Ask, candidates []*target, rule Rule) (*target, Rule) {
 	first := candidates[0]
+	if ablate.Off(ablate.Pace) {
+		return first, rule
+	}
 	late := b.expected(now, a, first)
 	if (a.Objective == 0 || float64(late) <= lateShare*float64(a.Objective)) && b.pace(now, first) < slowFactor {
 		return first, rule
@@ -171,7 +176,7 @@
 
 func (b *Board) cost(now time.Time, t *target) float64 {
 	cost := (float64(t.open()) + b.rand.Float64()) * b.pace(now, t)
-	if t.DataCentre != b.settings.DataCentre {
+	if t.DataCentre != b.settings.DataCentre && !ablate.Off(ablate.RemoteCost) {
 		cost += remoteCost
 	}
 	return cost
--- a/internal/core/placement/health.go
+++ b/internal/core/placement/health.go
@@ -1,6 +1,10 @@
 package placement
 
-import "time"
+import (
+	"time"
+
+	"github.com/hemlockdyke/hemlockdyke/internal/core/ablate"
+)
 
 // Outcome is what an attempt says about its target.
 type Outcome int
@@ -74,7 +78,7 @@
 // suspend takes the target out for a while. Requests that were sent before it began
 // and fail in it say nothing new.
 func (h *health) suspend(now time.Time) {
-	if h.until.After(now) {
+	if h.until.After(now) || ablate.Off(ablate.Suspension) {
 		return
 	}
 	h.until = now.Add(min(suspendBase<<min(h.suspensions, 8), suspendMax))
--- a/internal/core/placement/inventory.go
+++ b/internal/core/placement/inventory.go
@@ -4,6 +4,8 @@
 	"container/list"
 	"slices"
 	"time"
+
+	"github.com/hemlockdyke/hemlockdyke/internal/core/ablate"
 )
 
 // Part is the beginning of a prompt up to the end of one of its parts.
@@ -63,6 +65,9 @@
 
 // read notes that a target has read a prompt of this router.
 func (v *inventory) read(now time.Time, prompt []Part, target uint64) {
+	if ablate.Off(ablate.Inventory) {
+		return
+	}
 	for _, p := range prompt {
 		if v.note(now, p.Hash, target) && p.Tokens >= tellTokens {
 			v.untold = append(v.untold, Read{Part: p.Hash, Target: target})
@@ -166,6 +171,9 @@
 
 // HeardRead takes in what another router saw read.
 func (b *Board) HeardRead(now time.Time, read []Read) {
+	if ablate.Off(ablate.Told) {
+		return
+	}
 	for _, r := range read {
 		b.held.note(now, r.Part, r.Target)
 	}
--- a/internal/core/placement/model.go
+++ b/internal/core/placement/model.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/hemlockdyke/hemlockdyke/internal/core/ablate"
 )
 
 // A pool's model says how long a target takes to the first event of a request: a part that every request
@@ -93,7 +95,7 @@
 // answers of a target that has just turned slow come late.
 func (b *Board) pace(now time.Time, t *target) float64 {
 	m := t.pool.model
-	if !m.known() {
+	if !m.known() || ablate.Off(ablate.Pace) {
 		return 1
 	}
 	seen := b.outcomesAt(now, t)
--- a/internal/core/placement/order.go
+++ b/internal/core/placement/order.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 
+	"github.com/hemlockdyke/hemlockdyke/internal/core/ablate"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/rendezvous"
 )
 
@@ -58,6 +59,9 @@
 
 func (p *pool) order(chat uint64) order {
 	o := order{chat: chat}
+	if ablate.Off(ablate.Centres) {
+		return o
+	}
 	var score [maxCentres]float64
 	n := min(len(p.centres), maxCentres)
 	for i, c := range p.centres[:n] {
--- a/internal/core/placement/outlier.go
+++ b/internal/core/placement/outlier.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/hemlockdyke/hemlockdyke/internal/core/ablate"
 )
 
 // Outcomes is what came of the requests at a target, as one router saw it. All of it decays:
@@ -122,7 +124,7 @@
 // router sees a sliver of its requests: alone it would take most of a minute to notice, and
 // every lost answer is one that its caller waits for in vain.
 func (b *Board) detect(now time.Time, t *target) bool {
-	if t.ejected(now) {
+	if t.ejected(now) || ablate.Off(ablate.Outliers) {
 		return false
 	}
 	all := b.outcomesAt(now, t)
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/hemlockdyke/hemlockdyke/internal/core/ablate"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/rendezvous"
 )
 
@@ -258,6 +259,9 @@
 	for _, l := range p.loads {
 		b.addPeer(l, -1)
 	}
+	if ablate.Off(ablate.Loads) {
+		loads = nil
+	}
 	p.heard, p.loads = now, loads
 	for _, l := range p.loads {
 		b.addPeer(l, 1)
--- a/internal/core/placement/source.go
+++ b/internal/core/placement/source.go
@@ -1,6 +1,10 @@
 package placement
 
-import "time"
+import (
+	"time"
+
+	"github.com/hemlockdyke/hemlockdyke/internal/core/ablate"
+)
 
 // youngFor is how long a target that joined is taken not to hold the chats that
 // are its own by rendezvous order. Most chats return within that time.
@@ -14,7 +18,7 @@
 // What this router has sent where comes first, if it knows of a target that has more of the prompt than t.
 // Of chats that it has not seen, rendezvous order tells who had them.
 func (b *Board) source(now time.Time, p *pool, a Ask, t *target) string {
-	if a.Chat == 0 {
+	if a.Chat == 0 || ablate.Off(ablate.Fetch) {
 		return ""
 	}
 	held := b.held.at(now, a.Prompt, t.UID)
