--- a/internal/app/gateway/control.go
+++ b/internal/app/gateway/control.go
@@ -10,10 +10,8 @@
 	peerv1 "github.com/hemlockdyke/hemlockdyke/gen/hemlockdyke/peer/v1"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/ablate"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/admission"
-	"github.com/hemlockdyke/hemlockdyke/internal/core/code"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/fleet"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/placement"
-	"github.com/hemlockdyke/hemlockdyke/internal/core/replica"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/retry"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/route"
 	"github.com/hemlockdyke/hemlockdyke/internal/eventlog"
@@ -208,47 +206,6 @@
 	}
 }
 
-func (c *Control) follow(ctx, calls context.Context, a fleet.Follow) {
-	position, rows, err := c.store.Follow(calls, a.Table, a.After, a.Wait)
-	if err != nil {
-		c.readFailed(ctx, calls, a.Table, err)
-		return
-	}
-	c.post(ctx, fleet.FollowRead{Table: a.Table, Position: position, Rows: rows})
-}
-
-func (c *Control) readWhole(ctx, calls context.Context, t fleet.Table) {
-	calls, cancel := context.WithTimeout(calls, callTimeout)
-	defer cancel()
-	position, rows, err := c.store.Whole(calls, t)
-	if err != nil {
-		c.readFailed(ctx, calls, t, err)
-		return
-	}
-	c.post(ctx, fleet.WholeRead{Table: t, Position: position, Rows: rows})
-}
-
-func (c *Control) readFailed(ctx, calls context.Context, t fleet.Table, err error) {
-	lost := errors.Is(err, ErrHistoryLost)
-	stopped := errors.Is(calls.Err(), context.Canceled)
-	if !stopped {
-		c.log.Line(eventlog.StoreReadFailed).Str("table", t.String()).Err(err).Msg("")
-	}
-	c.post(ctx, fleet.ReadFailed{Table: t, HistoryLost: lost, Stopped: stopped})
-}
-
-func (c *Control) copyFrom(ctx context.Context, a fleet.CopyFrom) {
-	req := &peerv1.CopyRequest{Protocol: fleet.Protocol, Table: uint32(a.Table), After: a.After}
-	call, cancel := context.WithTimeout(ctx, a.Timeout)
-	defer cancel()
-	reply, err := c.peers.Copy(call, string(a.Peer), req)
-	if err != nil {
-		reply = nil
-		c.log.Line(eventlog.CopyFailed).Str("peer", string(a.Peer)).Str("table", a.Table.String()).Err(err).Msg("")
-	}
-	c.post(ctx, fleet.Copied{From: a.Peer, Table: a.Table, Reply: reply})
-}
-
 // changed puts new content of a table in force. What can't be decoded leaves the
 // last good content in force.
 func (c *Control) changed(now time.Time, a fleet.Changed) {
@@ -268,44 +225,6 @@
 	c.log.Line(eventlog.TargetsChanged).Uint64("row", a.Version).Str("source", a.Source).Int("rows", len(rows)).Msg("")
 }
 
-// putTargetsInForce takes in the list of targets.
-func (c *Control) putTargetsInForce(now time.Time, rows []replica.Row, source string) {
-	targets, rejected := c.decoder.Targets(rows)
-	rejected = append(rejected, c.unnamed(rows, targets)...)
-	c.entries.rejected(rejected, source)
-	ended := c.roster.Update(now, targets, c.entries.keys())
-	c.publishTargets(now)
-	for _, t := range ended {
-		n := c.view.attempts.restarted(t.UID)
-		c.log.Line(eventlog.TargetRestarted).Str("target", t.ID).Int64("started", t.Started).Int("attempts", n).Msg("")
-	}
-}
-
-// unnamed takes the pools that the desired state in force does not name off the targets and returns
-// their entries as rejected. A later desired state may name them.
-func (c *Control) unnamed(rows []replica.Row, targets map[string][]placement.Target) []RejectedEntry {
-	table := c.view.table.Load()
-	if table == nil {
-		return nil
-	}
-	var out []RejectedEntry
-	versions := make(map[string]uint64, len(rows))
-	for _, r := range rows {
-		versions[r.Key] = r.Version
-	}
-	for pool, list := range targets {
-		if table.NamesPool(pool) {
-			continue
-		}
-		for _, t := range list {
-			err := code.AtField(code.BadTargetEntry, t.ID, "pool %q is not in desired state %d", pool, table.Version)
-			out = append(out, RejectedEntry{Key: t.ID, Version: versions[t.ID], Err: err})
-		}
-		delete(targets, pool)
-	}
-	return out
-}
-
 // putInForce swaps the routing table. Versions only rise within one process, by
 // whichever way a state comes.
 func (c *Control) putInForce(now time.Time, state *route.State, a fleet.Changed) {
@@ -327,13 +246,6 @@
 		Str("source", a.Source).Int("routes", len(state.Routes)).Msg("")
 }
 
-func (c *Control) publishTargets(now time.Time) {
-	c.view.mu.Lock()
-	c.view.board.SetTargets(now, c.roster.Pools())
-	c.view.mu.Unlock()
-	c.updateReady()
-}
-
 // updateReady makes the router ready once it knows the desired state and the list
 // of targets. From then on it stays ready without the store: what it knows is kept
 // up by the other routers, and refusing would help nobody.
--- /dev/null
+++ b/internal/app/gateway/reads.go
@@ -0,0 +1,54 @@
+package gateway
+
+import (
+	"context"
+
+	"github.com/cockroachdb/errors"
+
+	peerv1 "github.com/hemlockdyke/hemlockdyke/gen/hemlockdyke/peer/v1"
+	"github.com/hemlockdyke/hemlockdyke/internal/core/fleet"
+	"github.com/hemlockdyke/hemlockdyke/internal/eventlog"
+)
+
+// The calls that the core asks for run on goroutines of their own; what comes of them is an event.
+
+func (c *Control) follow(ctx, calls context.Context, a fleet.Follow) {
+	position, rows, err := c.store.Follow(calls, a.Table, a.After, a.Wait)
+	if err != nil {
+		c.readFailed(ctx, calls, a.Table, err)
+		return
+	}
+	c.post(ctx, fleet.FollowRead{Table: a.Table, Position: position, Rows: rows})
+}
+
+func (c *Control) readWhole(ctx, calls context.Context, t fleet.Table) {
+	calls, cancel := context.WithTimeout(calls, callTimeout)
+	defer cancel()
+	position, rows, err := c.store.Whole(calls, t)
+	if err != nil {
+		c.readFailed(ctx, calls, t, err)
+		return
+	}
+	c.post(ctx, fleet.WholeRead{Table: t, Position: position, Rows: rows})
+}
+
+func (c *Control) readFailed(ctx, calls context.Context, t fleet.Table, err error) {
+	lost := errors.Is(err, ErrHistoryLost)
+	stopped := errors.Is(calls.Err(), context.Canceled)
+	if !stopped {
+		c.log.Line(eventlog.StoreReadFailed).Str("table", t.String()).Err(err).Msg("")
+	}
+	c.post(ctx, fleet.ReadFailed{Table: t, HistoryLost: lost, Stopped: stopped})
+}
+
+func (c *Control) copyFrom(ctx context.Context, a fleet.CopyFrom) {
+	req := &peerv1.CopyRequest{Protocol: fleet.Protocol, Table: uint32(a.Table), After: a.After}
+	call, cancel := context.WithTimeout(ctx, a.Timeout)
+	defer cancel()
+	reply, err := c.peers.Copy(call, string(a.Peer), req)
+	if err != nil {
+		reply = nil
+		c.log.Line(eventlog.CopyFailed).Str("peer", string(a.Peer)).Str("table", a.Table.String()).Err(err).Msg("")
+	}
+	c.post(ctx, fleet.Copied{From: a.Peer, Table: a.Table, Reply: reply})
+}
--- /dev/null
+++ b/internal/app/gateway/targets.go
@@ -0,0 +1,55 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/hemlockdyke/hemlockdyke/internal/core/code"
+	"github.com/hemlockdyke/hemlockdyke/internal/core/placement"
+	"github.com/hemlockdyke/hemlockdyke/internal/core/replica"
+	"github.com/hemlockdyke/hemlockdyke/internal/eventlog"
+)
+
+// putTargetsInForce takes in the list of targets.
+func (c *Control) putTargetsInForce(now time.Time, rows []replica.Row, source string) {
+	targets, rejected := c.decoder.Targets(rows)
+	rejected = append(rejected, c.unnamed(rows, targets)...)
+	c.entries.rejected(rejected, source)
+	ended := c.roster.Update(now, targets, c.entries.keys())
+	c.publishTargets(now)
+	for _, t := range ended {
+		n := c.view.attempts.restarted(t.UID)
+		c.log.Line(eventlog.TargetRestarted).Str("target", t.ID).Int64("started", t.Started).Int("attempts", n).Msg("")
+	}
+}
+
+// unnamed takes the pools that the desired state in force does not name off the targets and returns
+// their entries as rejected. A later desired state may name them.
+func (c *Control) unnamed(rows []replica.Row, targets map[string][]placement.Target) []RejectedEntry {
+	table := c.view.table.Load()
+	if table == nil {
+		return nil
+	}
+	var out []RejectedEntry
+	versions := make(map[string]uint64, len(rows))
+	for _, r := range rows {
+		versions[r.Key] = r.Version
+	}
+	for pool, list := range targets {
+		if table.NamesPool(pool) {
+			continue
+		}
+		for _, t := range list {
+			err := code.AtField(code.BadTargetEntry, t.ID, "pool %q is not in desired state %d", pool, table.Version)
+			out = append(out, RejectedEntry{Key: t.ID, Version: versions[t.ID], Err: err})
+		}
+		delete(targets, pool)
+	}
+	return out
+}
+
+func (c *Control) publishTargets(now time.Time) {
+	c.view.mu.Lock()
+	c.view.board.SetTargets(now, c.roster.Pools())
+	c.view.mu.Unlock()
+	c.updateReady()
+}
