--- a/internal/core/placement/choose.go
+++ b/internal/core/placement/choose.go
@@ -66,10 +66,34 @@
 	return b.leastLoaded(now, p, a, func(*target) bool { return false }), RuleSuspect
 }
 
-// byChat returns the first target in the chat's rendezvous order that is below
-// the bound. Every router computes the same order, so a chat that spills finds
-// its second target whichever router it comes to.
+// byChat returns the first target in the chat's rendezvous order that is below the bound and not
+// slow. Every router computes the same order, so a chat that spills finds its second target
+// whichever router it comes to.
 func (b *Board) byChat(now time.Time, p *pool, a Ask, bound float64, skip func(*target) bool) (*target, Rule) {
+	var c candidates
+	p.candidates(&c, a, min(bound, p.maxOpen), skip)
+	if c.n == 0 {
+		return nil, ""
+	}
+	if !c.home {
+		b.holdersFirst(now, a, c.targets[:c.n])
+	}
+	return b.inTime(now, a, &c)
+}
+
+// candidates are targets that a chat may go to, the first one first.
+type candidates struct {
+	targets [rendezvous.MaxTop]*target // not a slice: every placement would allocate one
+	n       int
+	// home says that the first is the first in the chat's order.
+	home bool
+	// roomy is how many, from the first on, are the home or hold no more than spillLevel.
+	roomy int
+}
+
+// candidates finds the targets that hold less than a limit, in the chat's order but those with room before the
+// others.
+func (p *pool) candidates(c *candidates, a Ask, limit float64, skip func(*target) bool) {
 	var top rendezvous.Top
 	order := p.order(a.Chat, skip)
 	for i, t := range p.targets {
@@ -77,34 +101,24 @@
 			top.Offer(int32(i), order.weight(t), rendezvous.MaxTop)
 		}
 	}
-	var candidates, crowded [rendezvous.MaxTop]*target
-	n, m := 0, 0
-	rule := RuleHome
+	var crowded [rendezvous.MaxTop]*target
+	m := 0
 	level := spillLevel*p.mean() + 1
 	for i := range top.Len {
 		t := p.targets[top.Index[i]]
 		switch {
-		case skip(t) || float64(t.open()+1) > min(bound, p.maxOpen):
-			if i == 0 {
-				rule = RuleSpill
-			}
+		case skip(t) || float64(t.open()+1) > limit:
 		case i > 0 && float64(t.open()) > level:
 			crowded[m] = t
 			m++
 		default:
-			candidates[n] = t
-			n++
+			c.home = c.home || i == 0
+			c.targets[c.n] = t
+			c.n++
 		}
 	}
-	roomy := max(n, 1)
-	n += copy(candidates[n:], crowded[:m])
-	if n == 0 {
-		return nil, ""
-	}
-	if rule == RuleSpill {
-		b.holdersFirst(now, a, candidates[:n])
-	}
-	return b.inTime(now, a, candidates[:roomy], rule)
+	c.roomy = max(c.n, 1)
+	c.n += copy(c.targets[c.n:], crowded[:m])
 }
 
 // spillLevel is how many times the pool's mean a target may hold that a chat spills or moves to. Where a data
@@ -123,24 +137,27 @@
 
 // holdersFirst puts the first target that holds the chat's prompt before the others: what spills goes
 // where it has spilled to before.
-func (b *Board) holdersFirst(now time.Time, a Ask, candidates []*target) {
+func (b *Board) holdersFirst(now time.Time, a Ask, targets []*target) {
 	if len(a.Prompt) == 0 || ablate.Off(ablate.Holders) {
 		return
 	}
 	whole := a.Prompt[len(a.Prompt)-1].Hash
-	for i, t := range candidates {
+	for i, t := range targets {
 		if b.held.keeps(now, whole, t.UID) {
-			copy(candidates[1:i+1], candidates[:i])
-			candidates[0] = t
+			copy(targets[1:i+1], targets[:i])
+			targets[0] = t
 			return
 		}
 	}
 }
 
-// inTime returns the first candidate, or if that is slow or would answer late the first one that is
-// much faster.
-func (b *Board) inTime(now time.Time, a Ask, candidates []*target, rule Rule) (*target, Rule) {
-	first := candidates[0]
+// inTime returns the first candidate, or if that is slow or would answer late the first one with room that
+// is much faster.
+func (b *Board) inTime(now time.Time, a Ask, c *candidates) (*target, Rule) {
+	first, rule := c.targets[0], RuleSpill
+	if c.home {
+		rule = RuleHome
+	}
 	if ablate.Off(ablate.Pace) {
 		return first, rule
 	}
@@ -148,7 +165,7 @@
 	if (a.Objective == 0 || float64(late) <= lateShare*float64(a.Objective)) && b.pace(now, first) < slowFactor {
 		return first, rule
 	}
-	for _, t := range candidates[1:] {
+	for _, t := range c.targets[1:c.roomy] {
 		if float64(b.expected(now, a, t)) < muchFaster*float64(late) {
 			return t, RuleFaster
 		}
--- a/internal/core/placement/model.go
+++ b/internal/core/placement/model.go
@@ -13,9 +13,9 @@
 // its pace.
 
 const (
-	// modelHalfLife is how long the model and the paces remember. Targets turn slow for some seconds; a pace
-	// has to follow within two or three answers, and to be forgotten as soon.
-	modelHalfLife = 2 * time.Second
+	// modelHalfLife is how long the model remembers, and with the outcomes the paces. Targets turn slow for
+	// some seconds; a pace has to follow within two or three answers, and to be forgotten as soon.
+	modelHalfLife = outcomeHalfLife
 	// paceDoubt is how many answers of an average target a pace begins with: one late answer alone
 	// shows nothing.
 	paceDoubt = 2.0
@@ -76,6 +76,7 @@
 // expect returns the seconds to the first event at an average target.
 func (m *model) expect(tokens float64) float64 { return m.base + m.perToken*tokens }
 
+// halved returns what is left of a decaying sum after a time.
 func halved(since, halfLife time.Duration) float64 {
 	return math.Exp2(-since.Seconds() / halfLife.Seconds())
 }
--- a/internal/core/placement/outlier.go
+++ b/internal/core/placement/outlier.go
@@ -1,7 +1,6 @@
 package placement
 
 import (
-	"math"
 	"time"
 
 	"github.com/hemlockdyke/hemlockdyke/internal/core/ablate"
@@ -54,14 +53,9 @@
 	at             time.Time // until when they have decayed
 }
 
-// decay returns what is left of a count after a time.
-func decay(since time.Duration) float64 {
-	return math.Exp2(-since.Seconds() / outcomeHalfLife.Seconds())
-}
-
 func (c *counts) decay(now time.Time) {
 	if since := now.Sub(c.at); since > 0 {
-		left := decay(since)
+		left := halved(since, outcomeHalfLife)
 		c.ended *= left
 		c.failed *= left
 		c.took *= left
@@ -191,7 +185,7 @@
 
 // takeBack takes what a router told before out of the sums.
 func (b *Board) takeBack(now time.Time, p *peerView) {
-	left := decay(now.Sub(p.told))
+	left := halved(now.Sub(p.told), outcomeHalfLife)
 	for _, o := range p.outcomes {
 		if t, ok := b.byUID[o.Target]; ok {
 			t.peerCounts.decay(now)
