--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -128,6 +128,7 @@
 var reasons = map[string]string{
 	"not_sent":      "the target accepted no connection, so nothing ran",
 	"broken":        "the connection to the target broke after the request was sent",
+	"restarted":     "the target has started again since: nobody works on it any more",
 	"silent":        "the target stayed silent for longer than its answers take",
 	"truncated":     "the target's answer was cut off",
 	"stream_cut":    "the target broke the stream off",
