--- a/internal/app/gateway/view.go
+++ b/internal/app/gateway/view.go
@@ -14,7 +14,7 @@
 )
 
 // view is what traffic reads and changes: the routing table, swapped whole, and the
-// board of open requests. A placement takes 0.6 us at 12 targets and 3.5 us at
+// board of open requests. A placement and its end take 2 us at 12 targets and 8 us at
 // 120 (BenchmarkPlace).
 type view struct {
 	table   atomic.Pointer[route.Table]
--- a/internal/core/placement/bench_test.go
+++ b/internal/core/placement/bench_test.go
@@ -17,6 +17,7 @@
 				if !ok {
 					b.Fatal("no target")
 				}
+				board.FirstEvent(start, c, true)
 				board.Done(start, c.Target.UID, placement.Answered)
 			}
 		})
