--- a/internal/eventlog/eventlog_test.go
+++ b/internal/eventlog/eventlog_test.go
@@ -74,6 +74,31 @@
 		Expect(out.buf.String()).To(MatchRegexp(`"event":"left_out","kind":"any","count":\d{4}`))
 	})
 
+	// Symptom: a router that stops gracefully ends with a panic, "send on closed channel". Sequence: a call to
+	// another router fails after the log was closed, and its goroutine logs that. Cause: a line
+	// after Close was taken for a mistake of the caller's.
+	It("takes lines while it is closed and after, and writes all that came before", func() {
+		for range 50 {
+			out := &recording{}
+			w := eventlog.NewWriter(out)
+			_, err := w.Write([]byte("before\n"))
+			Expect(err).NotTo(HaveOccurred())
+			var late sync.WaitGroup
+			for range 4 {
+				late.Go(func() {
+					for range 50 {
+						_, _ = w.Write([]byte("late\n")) // lost or not, it must not end the process
+					}
+				})
+			}
+			w.Close()
+			late.Wait()
+			_, err = w.Write([]byte("after\n"))
+			Expect(err).NotTo(HaveOccurred())
+			Expect(strings.Join(out.writes, "")).To(HavePrefix("before\n"))
+		}
+	})
+
 	// Symptom: the line that ends a request is missing although the router wrote it.
 	// Sequence: a crash ends many requests at once. Cause: all lines went in one write, of
 	// which a reader of the pipe took a part.
--- a/internal/eventlog/writer.go
+++ b/internal/eventlog/writer.go
@@ -19,15 +19,17 @@
 // stalls, lines are dropped and counted. A pipe whose reader has stopped would
 // otherwise stop every request at its next line.
 type Writer struct {
-	out     io.Writer
-	lines   chan []byte
+	out   io.Writer
+	lines chan []byte // never closed: calls that end late write lines after the last one
+	// ending is closed when no more lines are taken, closed when all that were are written.
+	ending  chan struct{}
 	closed  chan struct{}
 	dropped atomic.Int64
 }
 
 // NewWriter returns a Writer to out.
 func NewWriter(out io.Writer) *Writer {
-	w := &Writer{out: out, lines: make(chan []byte, queued), closed: make(chan struct{})}
+	w := &Writer{out: out, lines: make(chan []byte, queued), ending: make(chan struct{}), closed: make(chan struct{})}
 	go w.run()
 	return w
 }
@@ -43,29 +45,37 @@
 	return len(p), nil
 }
 
-// Close writes what is queued and ends the Writer. Nothing may be written after it.
+// Close writes what is queued and ends the Writer; it is called once. Lines that come later are lost.
 func (w *Writer) Close() {
-	close(w.lines)
+	close(w.ending)
 	<-w.closed
 }
 
 func (w *Writer) run() {
 	defer close(w.closed)
 	buffer := make([]byte, 0, batch)
-	for line := range w.lines {
-		buffer = w.append(buffer, line)
-		for waiting := len(w.lines); waiting > 0; waiting-- {
-			if line, ok := <-w.lines; ok {
-				buffer = w.append(buffer, line)
-			}
+	for {
+		select {
+		case line := <-w.lines:
+			buffer = w.writeQueued(w.append(buffer, line))
+		case <-w.ending:
+			w.writeQueued(buffer)
+			return
 		}
-		if n := w.dropped.Swap(0); n > 0 {
-			buffer = w.append(buffer, fmt.Appendf(nil, "{\"level\":\"warn\",\"event\":%q,\"kind\":\"any\",\"count\":%d}\n", LeftOut.Name, n))
-		}
-		buffer = w.flush(buffer)
 	}
 }
 
+// writeQueued writes the buffer and what is queued at this moment.
+func (w *Writer) writeQueued(buffer []byte) []byte {
+	for waiting := len(w.lines); waiting > 0; waiting-- {
+		buffer = w.append(buffer, <-w.lines) // nobody else takes lines
+	}
+	if n := w.dropped.Swap(0); n > 0 {
+		buffer = w.append(buffer, fmt.Appendf(nil, "{\"level\":\"warn\",\"event\":%q,\"kind\":\"any\",\"count\":%d}\n", LeftOut.Name, n))
+	}
+	return w.flush(buffer)
+}
+
 // append adds a line to the buffer, which is written first if it has no room.
 func (w *Writer) append(buffer, line []byte) []byte {
 	if len(buffer) > 0 && len(buffer)+len(line) > batch {
@@ -75,6 +85,9 @@
 }
 
 func (w *Writer) flush(buffer []byte) []byte {
+	if len(buffer) == 0 {
+		return buffer
+	}
 	// A log that can't be written has nowhere to be reported.
 	_, _ = w.out.Write(buffer)
 	return buffer[:0]
