--- a/internal/core/placement/order.go
+++ b/internal/core/placement/order.go
@@ -70,7 +70,7 @@
 	rank [maxCentres]uint8 // 0 is the last
 }
 
-// order returns a chat's order. A data centre of which more than a third of the targets are passed over for now
+// order returns a chat's order. A data centre of which more than three in ten targets are passed over for now
 // has a lower weight: the few left would get all of its chats, up to the bound.
 func (p *pool) order(chat uint64, skip func(*target) bool) order {
 	o := order{chat: chat}
