Logs and metrics show links, copies, leaving targets and hung calls

Cause: an incident could not be told apart by logs: late news, a full link and a call to the store that hangs look alike. Change: link lines every 5 s and peer_bytes_total (bytes of digests and copies by direction, share of the VM's link), copied lines, the ids that leave in targets lines, the list's row in placed lines, the time a failed call took. No decision changes.

--- a/internal/adapter/metrics/gateway.go
+++ b/internal/adapter/metrics/gateway.go
@@ -93,6 +93,9 @@
 // Dialed counts a new connection to a target.
 func (g *Gateway) Dialed() { g.add("dials_total", "", "", 1) }
 
+// PeerBytes counts bytes of routers' messages to each other, by kind and direction.
+func (g *Gateway) PeerBytes(kind string, n int64) { g.add("peer_bytes_total", "kind", kind, int(n)) }
+
 // StoreCall counts a call to the platform's store.
 func (g *Gateway) StoreCall(kind string, err error) {
 	outcome := "ok"
--- a/internal/adapter/peer/datagram.go
+++ b/internal/adapter/peer/datagram.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"net/netip"
+	"sync/atomic"
 
 	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/proto"
@@ -16,9 +17,16 @@
 // Datagrams sends and receives digests. A digest replaces the one before, so
 // nothing is sent again, and no connection can go silent.
 type Datagrams struct {
-	conn *net.UDPConn
+	conn    *net.UDPConn
+	in, out atomic.Int64
 }
 
+// datagramHeader is what IPv4 and UDP add to each digest on a link, in bytes.
+const datagramHeader = 28
+
+// Bytes returns what came in and went out since the start, with headers.
+func (d *Datagrams) Bytes() (in, out int64) { return d.in.Load(), d.out.Load() }
+
 // ListenDatagrams opens the socket at an IP number and port.
 func ListenDatagrams(address string) (*Datagrams, error) {
 	at, err := netip.ParseAddrPort(address)
@@ -46,7 +54,9 @@
 		}
 		if _, err := d.conn.WriteToUDPAddrPort(data, at); err != nil {
 			failed++
+			continue
 		}
+		d.out.Add(int64(len(data) + datagramHeader))
 	}
 	return failed
 }
@@ -63,6 +73,7 @@
 		if err != nil {
 			return err
 		}
+		d.in.Add(int64(n + datagramHeader))
 		m := &peerv1.Digest{}
 		if proto.Unmarshal(buffer[:n], m) != nil {
 			continue
--- a/internal/app/gateway/control.go
+++ b/internal/app/gateway/control.go
@@ -206,6 +206,9 @@
 	}
 }
 
+// maxLeftTold bounds the targets that a line names of those that leave with a list.
+const maxLeftTold = 16
+
 // changed puts new content of a table in force. What can't be decoded leaves the
 // last good content in force.
 func (c *Control) changed(now time.Time, a fleet.Changed) {
@@ -221,8 +224,10 @@
 		return
 	}
 	c.targetsAt = now
-	c.putTargetsInForce(now, rows, a.Source)
-	c.log.Line(eventlog.TargetsChanged).Uint64("row", a.Version).Str("source", a.Source).Int("rows", len(rows)).Msg("")
+	left := c.putTargetsInForce(now, rows, a.Source)
+	c.view.targetsRow.Store(a.Version)
+	c.log.Line(eventlog.TargetsChanged).Uint64("row", a.Version).Str("source", a.Source).Int("rows", len(rows)).
+		Strs("left", left[:min(len(left), maxLeftTold)]).Msg("")
 }
 
 // putInForce swaps the routing table. Versions only rise within one process, by
--- a/internal/app/gateway/reads.go
+++ b/internal/app/gateway/reads.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
 
 	peerv1 "github.com/hemlockdyke/hemlockdyke/gen/hemlockdyke/peer/v1"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/fleet"
@@ -13,9 +15,10 @@
 // The calls that the core asks for run on goroutines of their own; what comes of them is an event.
 
 func (c *Control) follow(ctx, calls context.Context, a fleet.Follow) {
+	began := c.now()
 	position, rows, err := c.store.Follow(calls, a.Table, a.After, a.Wait)
 	if err != nil {
-		c.readFailed(ctx, calls, a.Table, err)
+		c.readFailed(ctx, calls, a.Table, began, err)
 		return
 	}
 	c.post(ctx, fleet.FollowRead{Table: a.Table, Position: position, Rows: rows})
@@ -24,19 +27,20 @@
 func (c *Control) readWhole(ctx, calls context.Context, t fleet.Table) {
 	calls, cancel := context.WithTimeout(calls, callTimeout)
 	defer cancel()
+	began := c.now()
 	position, rows, err := c.store.Whole(calls, t)
 	if err != nil {
-		c.readFailed(ctx, calls, t, err)
+		c.readFailed(ctx, calls, t, began, err)
 		return
 	}
 	c.post(ctx, fleet.WholeRead{Table: t, Position: position, Rows: rows})
 }
 
-func (c *Control) readFailed(ctx, calls context.Context, t fleet.Table, err error) {
+func (c *Control) readFailed(ctx, calls context.Context, t fleet.Table, began time.Time, err error) {
 	lost := errors.Is(err, ErrHistoryLost)
 	stopped := errors.Is(calls.Err(), context.Canceled)
 	if !stopped {
-		c.log.Line(eventlog.StoreReadFailed).Str("table", t.String()).Err(err).Msg("")
+		c.log.Line(eventlog.StoreReadFailed).Str("table", t.String()).Dur("after", c.now().Sub(began)).Err(err).Msg("")
 	}
 	c.post(ctx, fleet.ReadFailed{Table: t, HistoryLost: lost, Stopped: stopped})
 }
@@ -45,10 +49,14 @@
 	req := &peerv1.CopyRequest{Protocol: fleet.Protocol, Table: uint32(a.Table), After: a.After}
 	call, cancel := context.WithTimeout(ctx, a.Timeout)
 	defer cancel()
+	began := c.now()
 	reply, err := c.peers.Copy(call, string(a.Peer), req)
 	if err != nil {
 		reply = nil
 		c.log.Line(eventlog.CopyFailed).Str("peer", string(a.Peer)).Str("table", a.Table.String()).Err(err).Msg("")
+	} else {
+		c.log.Line(eventlog.Copied).Str("peer", string(a.Peer)).Str("table", a.Table.String()).Uint64("row", reply.GetVersion()).
+			Bool("whole", reply.GetWhole()).Int("bytes", proto.Size(reply)).Dur("took", c.now().Sub(began)).Msg("")
 	}
 	c.post(ctx, fleet.Copied{From: a.Peer, Table: a.Table, Reply: reply})
 }
--- a/internal/app/gateway/relay.go
+++ b/internal/app/gateway/relay.go
@@ -337,5 +337,6 @@
 	x.note(eventlog.Placed).Int("attempt", a.number).Str("pool", x.match.pool).Str("team", x.match.teamName()).
 		Str("target", c.Target.ID).Str("rule", string(c.Rule)).Int("open", c.Open).Float64("bound", c.Bound).
 		Str("source", c.Source).Dur("loads_age", loadsAge).Uint64("version", x.match.version).
+		Uint64("targets_row", x.relay.view.targetsRow.Load()).
 		Str("resume_from", x.stream.last).Msg("")
 }
--- a/internal/app/gateway/targets.go
+++ b/internal/app/gateway/targets.go
@@ -9,17 +9,21 @@
 	"github.com/hemlockdyke/hemlockdyke/internal/eventlog"
 )
 
-// putTargetsInForce takes in the list of targets.
-func (c *Control) putTargetsInForce(now time.Time, rows []replica.Row, source string) {
+// putTargetsInForce takes in the list of targets and returns the ids of those that got new work until now
+// and are leaving, or gone from the list.
+func (c *Control) putTargetsInForce(now time.Time, rows []replica.Row, source string) (left []string) {
 	targets, rejected := c.decoder.Targets(rows)
 	rejected = append(rejected, c.unnamed(rows, targets)...)
 	c.entries.rejected(rejected, source)
+	staying := c.roster.Staying()
 	ended := c.roster.Update(now, targets, c.entries.keys())
+	left = c.roster.Left(staying)
 	c.publishTargets(now)
 	for _, t := range ended {
 		n := c.view.attempts.restarted(t.UID)
 		c.log.Line(eventlog.TargetRestarted).Str("target", t.ID).Int64("started", t.Started).Int("attempts", n).Msg("")
 	}
+	return left
 }
 
 // unnamed takes the pools that the desired state in force does not name off the targets and returns
--- a/internal/app/gateway/view.go
+++ b/internal/app/gateway/view.go
@@ -29,6 +29,9 @@
 	// behind: another router has a newer desired state. stale: it has had it for too long.
 	behind, stale atomic.Bool
 
+	// targetsRow is the row version of the list of targets in force.
+	targetsRow atomic.Uint64
+
 	attempts *underWay
 
 	mu      sync.Mutex
--- a/internal/core/placement/roster.go
+++ b/internal/core/placement/roster.go
@@ -52,6 +52,29 @@
 	return ended
 }
 
+// Staying returns the ids of the listed targets that don't leave.
+func (r *Roster) Staying() []string {
+	var out []string
+	for id, e := range r.entries {
+		if e.gone.IsZero() && !e.target.Leaving {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
+// Left returns those of some ids that are not staying any more, in order.
+func (r *Roster) Left(ids []string) []string {
+	var out []string
+	for _, id := range ids {
+		if e, ok := r.entries[id]; !ok || !e.gone.IsZero() || e.target.Leaving {
+			out = append(out, id)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
 // Expire drops targets that have been gone for grace and reports whether any was.
 func (r *Roster) Expire(now time.Time, grace time.Duration) bool {
 	dropped := false
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -26,6 +26,7 @@
 	ReadinessPath string
 	Metrics       string // address of the metrics
 	MemoryBytes   int64  // what the process may use; 0 if unknown
+	LinkBytes     int64  // what the VM's link carries a second, each way; 0 if unknown
 	// Grace is how long after SIGTERM the process is killed.
 	Grace   time.Duration
 	Gateway gateway.Settings
@@ -91,14 +92,16 @@
 	}
 	g.links = links
 	up := upstream.New(upstream.DefaultSettings(), time.Now, m.Dialed)
-	peers := &gatewayPeers{Datagrams: links, Copier: peer.NewCopier(gatewayPeerTimeout, unwrapped)}
+	use := &linkUse{digests: links, link: s.LinkBytes, log: log, metrics: m}
+	peers := &gatewayPeers{Datagrams: links, Copier: peer.NewCopier(gatewayPeerTimeout, use.fetched.Wrap)}
 	g.control = gateway.NewControl(s.Gateway, p.Store, p.Decoder, peers, up, log, time.Now)
 	relay := gateway.NewRelay(g.control, p.Wire, up, m, log, time.Now)
 	front := gatewayhttp.New(relay, g.control, p.Wire, time.Now, m.Refused)
-	if err := g.listen(front, m); err != nil {
+	if err := g.listen(front, m, use); err != nil {
 		stop()
 		return nil, err
 	}
+	go use.run(ctx)
 	go g.receive(ctx)
 	go g.control.Run(ctx)
 	log.Line(eventlog.Started).Str("callers", s.Callers).Str("peers", s.Gateway.Address).Msg("")
@@ -111,8 +114,6 @@
 	*peer.Copier
 }
 
-func unwrapped(c net.Conn) net.Conn { return c }
-
 func (g *Gateway) receive(ctx context.Context) {
 	err := g.links.Receive(func(from string, m *peerv1.Digest) { g.control.Digest(ctx, from, m) })
 	if err != nil {
@@ -129,7 +130,7 @@
 	return g.control.Copy(ctx, req)
 }
 
-func (g *Gateway) listen(front *gatewayhttp.Server, m *metrics.Gateway) error {
+func (g *Gateway) listen(front *gatewayhttp.Server, m *metrics.Gateway, use *linkUse) error {
 	peerMux := http.NewServeMux()
 	peerMux.Handle(peer.NewHandler(g))
 	for _, one := range []struct {
@@ -139,7 +140,8 @@
 	}{
 		{g.settings.Callers, &http.Server{Handler: front, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader}, nil},
 		{g.settings.Readiness, &http.Server{Handler: front.Readiness(g.settings.ReadinessPath)}, nil},
-		{g.settings.Gateway.Address, &http.Server{Handler: peerMux, Protocols: peer.Protocols()}, peer.Listen},
+		{g.settings.Gateway.Address, &http.Server{Handler: peerMux, Protocols: peer.Protocols()},
+			func(l net.Listener) net.Listener { return peer.Listen(use.served.Listen(l)) }},
 		{g.settings.Metrics, &http.Server{Handler: m.Handler(g.control.Status)}, nil},
 	} {
 		l, err := listen(one.address)
--- /dev/null
+++ b/internal/daemon/link.go
@@ -0,0 +1,75 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"github.com/hemlockdyke/hemlockdyke/internal/adapter/metrics"
+	"github.com/hemlockdyke/hemlockdyke/internal/adapter/peer"
+	"github.com/hemlockdyke/hemlockdyke/internal/eventlog"
+)
+
+// linkEvery is how often a router tells what its own messages took of its link: often enough to tell a
+// calm spell from a wave of copies, at a fifth of a line a second.
+const linkEvery = 5 * time.Second
+
+// linkUse counts the bytes between routers. A link that they fill holds up the news of leaving targets and the
+// requests themselves, and everything at that router times out; nothing else would show why.
+type linkUse struct {
+	digests *peer.Datagrams
+	// served are the copies that others asked for, fetched those that this router asked for.
+	served, fetched metrics.Traffic
+	link            int64 // bytes a second each way; 0 if unknown
+	log             *eventlog.Log
+	metrics         *metrics.Gateway
+	last            linkBytes
+}
+
+// linkBytes are bytes by kind and direction.
+type linkBytes struct{ digestsIn, digestsOut, copiesIn, copiesOut int64 }
+
+func (u *linkUse) run(ctx context.Context) {
+	ticker := time.NewTicker(linkEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			u.tell()
+		}
+	}
+}
+
+// tell logs and counts what was carried since it did so last.
+func (u *linkUse) tell() {
+	now := u.total()
+	d := linkBytes{
+		digestsIn: now.digestsIn - u.last.digestsIn, digestsOut: now.digestsOut - u.last.digestsOut,
+		copiesIn: now.copiesIn - u.last.copiesIn, copiesOut: now.copiesOut - u.last.copiesOut,
+	}
+	u.last = now
+	for _, one := range []struct {
+		kind string
+		n    int64
+	}{
+		{"digests_in", d.digestsIn}, {"digests_out", d.digestsOut}, {"copies_in", d.copiesIn}, {"copies_out", d.copiesOut},
+	} {
+		u.metrics.PeerBytes(one.kind, one.n)
+	}
+	line := u.log.Line(eventlog.LinkUse).Int64("digests_in", d.digestsIn).Int64("digests_out", d.digestsOut).
+		Int64("copies_in", d.copiesIn).Int64("copies_out", d.copiesOut)
+	if u.link > 0 {
+		most := max(d.digestsIn+d.copiesIn, d.digestsOut+d.copiesOut)
+		line = line.Float64("share", float64(most)/(float64(u.link)*linkEvery.Seconds()))
+	}
+	line.Msg("")
+}
+
+func (u *linkUse) total() linkBytes {
+	var b linkBytes
+	b.digestsIn, b.digestsOut = u.digests.Bytes()
+	b.copiesIn = u.served.BytesIn.Load() + u.fetched.BytesIn.Load()
+	b.copiesOut = u.served.BytesOut.Load() + u.fetched.BytesOut.Load()
+	return b
+}
--- a/internal/eventlog/kinds.go
+++ b/internal/eventlog/kinds.go
@@ -46,6 +46,8 @@
 	StoreChanged         = Kind{"store", zerolog.InfoLevel, 50, "this router began or ceased to read the store, or the store was lost or regained"}
 	StoreReadFailed      = Kind{"store_read_failed", zerolog.WarnLevel, 50, "a call to the store failed"}
 	CopyFailed           = Kind{"copy_failed", zerolog.WarnLevel, 50, "another router did not answer a copy request"}
+	Copied               = Kind{"copied", zerolog.InfoLevel, 50, "another router answered a copy request: what of which table, how large, and how long it took"}
+	LinkUse              = Kind{"link", zerolog.InfoLevel, 1, "what the routers' own messages took of this VM's link since the last such line"}
 	ListFailed           = Kind{"list_failed", zerolog.WarnLevel, 20, "the store's list of routers could not be read or written"}
 	PeerUp               = Kind{"peer_up", zerolog.InfoLevel, 100, "another router was heard for the first time, or again"}
 	PeerDown             = Kind{"peer_down", zerolog.WarnLevel, 100, "another router has been silent for too long; its requests no longer count"}
@@ -66,7 +68,7 @@
 	return []Kind{
 		TicketRefused, Placed, AttemptFailed, RepeatDenied, NotAdmitted, Finished, Failed,
 		Started, Stopping, Stopped, Reloaded, ReloadRejected, RequestsCut, ReadyChanged, StaleChanged, DesiredState,
-		DesiredStateRejected, TargetsChanged, TargetRejected, TargetRestarted, StoreChanged, StoreReadFailed, CopyFailed, ListFailed,
+		DesiredStateRejected, TargetsChanged, TargetRejected, TargetRestarted, StoreChanged, StoreReadFailed, CopyFailed, Copied, LinkUse, ListFailed,
 		PeerUp, PeerDown, PeerUnlisted, TargetSuspended, PeerCallFailed, ListenerFailed,
 		ChangeAccepted, PlannedChange, PlannedChangeFailed, ClaimUnsettled, BurnIncomplete, LeftOut,
 	}
