The first reader doubts a call for the list that hears nothing of a change

Cause: a call that waits for changes of the list of targets lasts up to 15 s. If the store's answer to it is lost, the reader hears nothing until then and tells the others that it reads; only the first reader's brief call for the desired state was ever doubted. Class: a sign of life of one thing (the desired state's call, the connection) taken for that of another (the list's call). Change: the answer to the brief call tells the store's newest version; if the list's call waits 300 ms longer although there was some change, it is ended and asked again without a wait. Calls are stopped for one table at a time.

--- a/internal/app/gateway/control.go
+++ b/internal/app/gateway/control.go
@@ -68,8 +68,8 @@
 	core       *fleet.Core
 	roster     *placement.Roster
 	entries    *entryLog
-	stopFollow context.CancelFunc
-	followCtx  context.Context
+	stopFollow [fleet.Tables]context.CancelFunc
+	followCtx  [fleet.Tables]context.Context
 	version    uint64 // of the desired state in force
 	routers    int    // the most that were alive at once
 	inForceAt  time.Time
@@ -106,8 +106,10 @@
 // Run owns the control state until ctx ends.
 func (c *Control) Run(ctx context.Context) {
 	defer close(c.stopped)
-	c.followCtx, c.stopFollow = context.WithCancel(ctx)
-	defer func() { c.stopFollow() }()
+	for t := range c.followCtx {
+		c.followCtx[t], c.stopFollow[t] = context.WithCancel(ctx)
+		defer func() { c.stopFollow[t]() }()
+	}
 	go c.keepListed(ctx)
 	if len(c.settings.Seeds) > 0 {
 		c.step(ctx, c.now(), fleet.Found{Addresses: addresses(c.settings.Seeds)})
@@ -175,12 +177,12 @@
 	case fleet.SendDigest:
 		c.peers.Send(texts(a.To), a.Digest)
 	case fleet.Follow:
-		go c.follow(ctx, c.followCtx, a)
+		go c.follow(ctx, c.followCtx[a.Table], a)
 	case fleet.ReadWhole:
-		go c.readWhole(ctx, c.followCtx, a.Table)
+		go c.readWhole(ctx, c.followCtx[a.Table], a.Table)
 	case fleet.StopFollowing:
-		c.stopFollow()
-		c.followCtx, c.stopFollow = context.WithCancel(ctx)
+		c.stopFollow[a.Table]()
+		c.followCtx[a.Table], c.stopFollow[a.Table] = context.WithCancel(ctx)
 	case fleet.CopyFrom:
 		go c.copyFrom(ctx, a)
 	case fleet.Changed:
--- a/internal/core/fleet/events.go
+++ b/internal/core/fleet/events.go
@@ -111,8 +111,8 @@
 	}
 	// ReadWhole asks the store for a whole table; answered by WholeRead or ReadFailed.
 	ReadWhole struct{ Table Table }
-	// StopFollowing ends the calls to the store that wait.
-	StopFollowing struct{}
+	// StopFollowing ends the call to the store that waits for changes of a table.
+	StopFollowing struct{ Table Table }
 	// CopyFrom asks a router for what the copy lacks, for Timeout at most; answered by Copied.
 	CopyFrom struct {
 		Peer    Address
--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -93,6 +93,9 @@
 	retryAt  time.Time
 	needAll  bool
 	ok       bool // the last call succeeded
+	// doubtedAt is since when the call that waits should have ended; zero if it need not have.
+	doubtedAt time.Time
+	probe     bool // the next call does not wait
 }
 
 // Core is the state of one router. It is not safe for concurrent use.
@@ -199,7 +202,7 @@
 	c.actions = c.actions[:0]
 	switch ev := ev.(type) {
 	case FollowRead:
-		c.followRead(ev)
+		c.followRead(now, ev)
 	case WholeRead:
 		c.wholeRead(ev)
 	case ReadFailed:
@@ -287,6 +290,7 @@
 
 func (c *Core) tick(now time.Time, ev Tick) {
 	c.expirePeers(now)
+	c.endDoubted(now)
 	c.watchStore(now)
 	c.watchVersions(now)
 	c.outcomes, c.prompts = ev.Outcomes, append(c.prompts, ev.Prompts...)
--- a/internal/core/fleet/net_test.go
+++ b/internal/core/fleet/net_test.go
@@ -78,7 +78,7 @@
 	// loads are what the node tells of its open requests.
 	loads []placement.Load
 
-	calls   int // generation: calls of an earlier one were stopped
+	calls   [fleet.Tables]int // generation: calls of an earlier one were stopped
 	open    [fleet.Tables]int
 	changed []fleet.Changed
 	downs   []fleet.PeerDown
@@ -230,13 +230,11 @@
 	case fleet.ReadWhole:
 		n.whole(x, a)
 	case fleet.StopFollowing:
-		x.calls++
-		for i, open := range x.open {
-			x.open[i] = 0
-			for range open {
-				n.after(hop, func() { n.step(x, fleet.ReadFailed{Table: fleet.Table(i), Stopped: true}) })
-			}
+		x.calls[a.Table]++
+		for range x.open[a.Table] {
+			n.after(hop, func() { n.step(x, fleet.ReadFailed{Table: a.Table, Stopped: true}) })
 		}
+		x.open[a.Table] = 0
 	case fleet.CopyFrom:
 		n.copy(x, a)
 	case fleet.Changed:
@@ -317,7 +315,7 @@
 
 // end gives a node the outcome of a call, unless the call was stopped.
 func (n *net) end(x *node, calls int, t fleet.Table, ev fleet.Event) {
-	if x.calls == calls {
+	if x.calls[t] == calls {
 		x.open[t]--
 		n.step(x, ev)
 	}
@@ -327,7 +325,7 @@
 func (n *net) refuses(x *node, t fleet.Table, wait time.Duration) bool {
 	n.store.calls++
 	x.open[t]++
-	calls := x.calls
+	calls := x.calls[t]
 	fail := func() { n.end(x, calls, t, fleet.ReadFailed{Table: t}) }
 	switch {
 	case n.store.down || n.store.refused[x.address]:
@@ -344,7 +342,7 @@
 	if n.refuses(x, a.Table, time.Second) {
 		return
 	}
-	calls := x.calls
+	calls := x.calls[a.Table]
 	n.after(storeTime, func() {
 		var rows []replica.Row
 		for _, r := range n.store.rows[a.Table] {
@@ -358,7 +356,7 @@
 	if n.refuses(x, a.Table, a.Wait) {
 		return
 	}
-	w := &waiting{node: x, table: a.Table, after: a.After, calls: x.calls}
+	w := &waiting{node: x, table: a.Table, after: a.After, calls: x.calls[a.Table]}
 	n.store.waiting = append(n.store.waiting, w)
 	n.after(storeTime, func() { n.answer(w, false) })
 	n.after(a.Wait, func() { n.answer(w, true) })
--- a/internal/core/fleet/store.go
+++ b/internal/core/fleet/store.go
@@ -9,10 +9,11 @@
 // storeSource is the source of content that this router read itself.
 const storeSource = "store"
 
-func (c *Core) followRead(ev FollowRead) {
+func (c *Core) followRead(now time.Time, ev FollowRead) {
 	r := &c.readers[ev.Table]
 	c.succeeded(r)
 	r.position = max(r.position, ev.Position)
+	c.doubt(now, ev.Position)
 	if c.tables[ev.Table].Apply(ev.Rows, 0) {
 		c.changed(ev.Table, storeSource)
 	}
@@ -30,12 +31,40 @@
 
 func (c *Core) succeeded(r *reader) {
 	r.waiting, r.failures, r.ok = false, 0, true
+	r.doubtedAt = time.Time{}
 	c.storeState()
 }
 
+// answerTime is how long a change may take to end a call that waits for it, after another call has shown that
+// there was some change: an answer of the store takes 4 ms, of a slow one 300 ms.
+const answerTime = 300 * time.Millisecond
+
+// doubt notes the first reader's call for the list of targets if it waits although the store has changed since, as
+// the answer to its brief call for the desired state shows: either another table changed, or the call's answer got
+// lost, and then it would hear nothing until its wait ends. Meanwhile all routers would send new work to
+// a target that has said that it leaves. Nothing else shows a lost answer: the connection is sound, and
+// this router tells the others that it reads. Brief waits for this table as well would cost half as many calls again
+// on a calm day; doubts cost two for each change of another table. The other readers need none: the first one hears.
+func (c *Core) doubt(now time.Time, newest uint64) {
+	r := &c.readers[Targets]
+	if c.first && r.waiting && r.position < newest && r.doubtedAt.IsZero() {
+		r.doubtedAt = now
+	}
+}
+
+// endDoubted ends a call that has been doubted for long enough. The next one goes on where it began, and
+// does not wait: if its answer is lost as well, that shows at once.
+func (c *Core) endDoubted(now time.Time) {
+	r := &c.readers[Targets]
+	if r.waiting && !r.doubtedAt.IsZero() && now.Sub(r.doubtedAt) >= answerTime {
+		r.doubtedAt, r.probe = time.Time{}, true
+		c.emit(StopFollowing{Table: Targets})
+	}
+}
+
 func (c *Core) readFailed(now time.Time, ev ReadFailed) {
 	r := &c.readers[ev.Table]
-	r.waiting = false
+	r.waiting, r.doubtedAt = false, time.Time{}
 	switch {
 	case ev.Stopped:
 		return
@@ -87,7 +116,7 @@
 	if first := should && before == 0; first != c.first {
 		c.first = first
 		if first {
-			c.emit(StopFollowing{}) // the call that waits would do so for long
+			c.stopFollowing() // the calls that wait would do so for long
 		}
 	}
 	if !c.reading {
@@ -98,8 +127,14 @@
 	}
 }
 
+func (c *Core) stopFollowing() {
+	for i := range c.readers {
+		c.emit(StopFollowing{Table: Table(i)})
+	}
+}
+
 func (c *Core) stopReading() {
-	c.emit(StopFollowing{})
+	c.stopFollowing()
 	for i := range c.readers {
 		c.readers[i].ok = false
 	}
@@ -120,7 +155,8 @@
 	}
 	wait := longWait
 	switch {
-	case !r.ok:
+	case !r.ok || r.probe:
+		r.probe = false
 		wait = 0 // the answer shows at once that the store is within reach
 	case c.first && t == Desired:
 		wait = time.Duration(briefShare * float64(c.settings.InForceWithin))
