The news of a leaving target travels in digests, not only with copies of the list

Cause: that a target leaves is some tens of bytes, but a router learned it by copying the list from another one: a call that waits behind large copies and full links and is tried again after its timeout, up to 2 s later. Meanwhile it sent new work there, and knew no more than that some list was newer. Class: urgent news in the same queue as bulk. Ruled out: refusing all requests while the list is old, as with desired states: every list is old for a moment, and the digest that says so can as well say what is new.

--- a/internal/app/gateway/control.go
+++ b/internal/app/gateway/control.go
@@ -68,6 +68,7 @@
 	core       *fleet.Core
 	roster     *placement.Roster
 	entries    *entryLog
+	departures departures
 	stopFollow [fleet.Tables]context.CancelFunc
 	followCtx  [fleet.Tables]context.Context
 	version    uint64 // of the desired state in force
@@ -130,7 +131,9 @@
 }
 
 func (c *Control) tick(ctx context.Context, now time.Time) {
-	c.step(ctx, now, c.view.toTell(now))
+	tell := c.view.toTell(now)
+	tell.Departures = c.departures.take()
+	c.step(ctx, now, tell)
 	c.view.mu.Lock()
 	c.view.board.Expire(now)
 	c.view.mu.Unlock()
@@ -193,6 +196,7 @@
 		c.view.board.HeardRead(now, a.Prompts)
 		c.view.updated = now
 		c.view.mu.Unlock()
+		c.heardDepartures(now, a.Departures)
 		for _, id := range ejected {
 			c.log.Line(eventlog.TargetSuspended).Str("target", id).Str("why", "outlier").Msg("")
 		}
@@ -226,7 +230,7 @@
 		return
 	}
 	c.targetsAt = now
-	left := c.putTargetsInForce(now, rows, a.Source)
+	left := c.putTargetsInForce(now, rows, a.Version, a.Source)
 	c.view.targetsRow.Store(a.Version)
 	c.log.Line(eventlog.TargetsChanged).Uint64("row", a.Version).Str("source", a.Source).Int("rows", len(rows)).
 		Strs("left", left[:min(len(left), maxLeftTold)]).Msg("")
@@ -245,8 +249,8 @@
 	c.view.board.SetConnections(table.Connections())
 	c.view.mu.Unlock()
 	c.inForceAt = now
-	if rows, _ := c.core.Rows(fleet.Targets); len(rows) > 0 {
-		c.putTargetsInForce(now, rows, a.Source)
+	if rows, version := c.core.Rows(fleet.Targets); len(rows) > 0 {
+		c.putTargetsInForce(now, rows, version, a.Source)
 	}
 	c.updateReady()
 	c.log.Line(eventlog.DesiredState).Uint64("version", state.Version).Uint64("row", a.Version).
--- a/internal/app/gateway/targets.go
+++ b/internal/app/gateway/targets.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"slices"
 	"time"
 
 	"github.com/hemlockdyke/hemlockdyke/internal/core/code"
@@ -9,15 +10,18 @@
 	"github.com/hemlockdyke/hemlockdyke/internal/eventlog"
 )
 
-// putTargetsInForce takes in the list of targets and returns the ids of those that got new work until now
-// and are leaving, or gone from the list.
-func (c *Control) putTargetsInForce(now time.Time, rows []replica.Row, source string) (left []string) {
+// putTargetsInForce takes in the list of targets as of a version and returns the ids of those that got new work until
+// now and are leaving, or gone from the list.
+func (c *Control) putTargetsInForce(now time.Time, rows []replica.Row, version uint64, source string) (left []string) {
 	targets, rejected := c.decoder.Targets(rows)
 	rejected = append(rejected, c.unnamed(rows, targets)...)
 	c.entries.rejected(rejected, source)
 	staying := c.roster.Staying()
-	ended := c.roster.Update(now, targets, c.entries.keys())
-	left = c.roster.Left(staying)
+	ended := c.roster.Update(now, version, targets, c.entries.keys())
+	news, left := c.roster.Departures(staying, func(id string) bool {
+		return slices.ContainsFunc(rows, func(r replica.Row) bool { return r.Key == id })
+	})
+	c.departures.add(news)
 	c.publishTargets(now)
 	for _, t := range ended {
 		n := c.view.attempts.restarted(t.UID)
--- a/internal/core/fleet/events.go
+++ b/internal/core/fleet/events.go
@@ -78,6 +78,8 @@
 		Outcomes []placement.Outcomes
 		// Prompts goes out with the next digest, and with no other.
 		Prompts []placement.Read
+		// Departures go out at once, with a digest to all.
+		Departures []placement.Departure
 	}
 	// Leave: this router is to stop.
 	Leave struct{}
@@ -127,13 +129,14 @@
 		// Source is "store" or the router that it came from.
 		Source string
 	}
-	// LoadsHeard passes on what a router has open, what it saw of failing targets, and which
-	// beginnings of prompts were read where.
+	// LoadsHeard passes on what a router has open, what it saw of failing targets, which
+	// beginnings of prompts were read where, and which targets leave.
 	LoadsHeard struct {
-		Router   uint32
-		Loads    []placement.Load
-		Outcomes []placement.Outcomes
-		Prompts  []placement.Read
+		Router     uint32
+		Loads      []placement.Load
+		Outcomes   []placement.Outcomes
+		Prompts    []placement.Read
+		Departures []placement.Departure
 	}
 	// PeerUp, PeerDown and StoreChanged are for the log.
 	PeerUp struct {
--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -123,6 +123,7 @@
 	lastLoads  []placement.Load
 	outcomes   []placement.Outcomes
 	prompts    []placement.Read // not told yet
+	departures []placement.Departure
 
 	toldOutcomes time.Time
 	news         bool      // something that the others should hear at once
@@ -294,7 +295,8 @@
 	c.watchStore(now)
 	c.watchVersions(now)
 	c.outcomes, c.prompts = ev.Outcomes, append(c.prompts, ev.Prompts...)
-	if len(c.prompts) > 0 || !equalLoads(ev.Loads, c.lastLoads) || now.Sub(c.lastDigest) >= heartbeatEvery {
+	c.departures = ev.Departures
+	if len(c.prompts) > 0 || len(c.departures) > 0 || !equalLoads(ev.Loads, c.lastLoads) || now.Sub(c.lastDigest) >= heartbeatEvery {
 		c.digest(now, ev.Loads)
 	}
 	c.copyIfBehind(now)
@@ -330,6 +332,12 @@
 		d.PromptTarget = append(d.PromptTarget, s.Target)
 	}
 	c.prompts = c.prompts[:0]
+	for _, left := range c.departures {
+		d.LeftTarget = append(d.LeftTarget, left.Target)
+		d.LeftList = append(d.LeftList, left.List)
+		d.LeftGone = append(d.LeftGone, left.Gone)
+	}
+	c.departures = nil
 	to := c.addressees(now)
 	if c.sequence%knownEvery == 1 {
 		d.Known = c.known(now)
--- a/internal/core/fleet/peers.go
+++ b/internal/core/fleet/peers.go
@@ -56,7 +56,7 @@
 		p.up = true
 		c.emit(PeerUp{Peer: ev.From, Restarted: restarted})
 	}
-	c.emit(LoadsHeard{Router: RouterID(ev.From), Loads: loadsOf(d), Outcomes: outcomesOf(d), Prompts: promptsOf(d)})
+	c.emit(LoadsHeard{Router: RouterID(ev.From), Loads: loadsOf(d), Outcomes: outcomesOf(d), Prompts: promptsOf(d), Departures: departuresOf(d)})
 	for _, a := range d.GetKnown() {
 		c.peer(now, Address(a))
 	}
@@ -102,6 +102,18 @@
 	return out
 }
 
+func departuresOf(d *peerv1.Digest) []placement.Departure {
+	n := min(len(d.GetLeftTarget()), len(d.GetLeftList()), len(d.GetLeftGone()))
+	if n == 0 {
+		return nil
+	}
+	out := make([]placement.Departure, n)
+	for i := range n {
+		out[i] = placement.Departure{Target: d.GetLeftTarget()[i], List: d.GetLeftList()[i], Gone: d.GetLeftGone()[i]}
+	}
+	return out
+}
+
 func outcomesOf(d *peerv1.Digest) []placement.Outcomes {
 	if !d.GetTellsOutcomes() {
 		return nil
--- a/internal/core/placement/roster.go
+++ b/internal/core/placement/roster.go
@@ -11,7 +11,9 @@
 // caches of the whole pool. A target that is gone for good names another lifetime
 // or refuses connections, so a request sent there in between is not run.
 type Roster struct {
-	entries map[string]*entry // by id
+	version  uint64              // of the list in force
+	entries  map[string]*entry   // by id
+	departed map[uint64]departed // by lifetime
 }
 
 type entry struct {
@@ -21,15 +23,18 @@
 }
 
 // NewRoster returns an empty Roster.
-func NewRoster() *Roster { return &Roster{entries: make(map[string]*entry)} }
+func NewRoster() *Roster {
+	return &Roster{entries: make(map[string]*entry), departed: make(map[uint64]departed)}
+}
 
-// Update takes in the list, and the ids of entries in it that can't be trusted: those name no
+// Update takes in the list as of a version, and the ids of entries in it that can't be trusted: those name no
 // target from now on, whatever they named before. It returns the lifetimes that have ended
 // because their targets have started again since, as told by the targets' own clocks.
 //
 // The newest list decides which lifetime a target is in, not the later start: the time of day
 // of a VM may have been set back between two starts.
-func (r *Roster) Update(now time.Time, pools map[string][]Target, rejected []string) (ended []Target) {
+func (r *Roster) Update(now time.Time, version uint64, pools map[string][]Target, rejected []string) (ended []Target) {
+	r.version = max(r.version, version)
 	listed := make(map[string]bool)
 	for pool, targets := range pools {
 		for _, t := range targets {
@@ -49,30 +54,98 @@
 			e.gone = now
 		}
 	}
+	r.departAgain()
 	return ended
 }
 
-// Staying returns the ids of the listed targets that don't leave.
-func (r *Roster) Staying() []string {
-	var out []string
+// Departure is the news that a target leaves, or is gone from the list.
+type Departure struct {
+	Target uint64 // its lifetime
+	// List is the version of the list that says so. A later list knows better.
+	List uint64
+	Gone bool
+}
+
+// departed is a departure by a later list than the one in force.
+type departed struct {
+	Departure
+	since time.Time
+}
+
+// Staying returns the listed targets that don't leave, by id.
+func (r *Roster) Staying() map[string]Target {
+	out := make(map[string]Target, len(r.entries))
 	for id, e := range r.entries {
 		if e.gone.IsZero() && !e.target.Leaving {
-			out = append(out, id)
+			out[id] = e.target
 		}
 	}
 	return out
 }
 
-// Left returns those of some ids that are not staying any more, in order.
-func (r *Roster) Left(ids []string) []string {
-	var out []string
-	for _, id := range ids {
-		if e, ok := r.entries[id]; !ok || !e.gone.IsZero() || e.target.Leaving {
-			out = append(out, id)
+// Departures returns which of the targets that were staying leave by the list in force, or are not in it, with their
+// ids. Those with an entry that can't be trusted, as listed tells, are left out: they may stay.
+func (r *Roster) Departures(staying map[string]Target, listed func(id string) bool) (out []Departure, ids []string) {
+	for id, t := range staying {
+		e, ok := r.entries[id]
+		switch {
+		case ok && e.target.Leaving && e.target.UID == t.UID:
+			out = append(out, Departure{Target: t.UID, List: r.version})
+		case !listed(id):
+			out = append(out, Departure{Target: t.UID, List: r.version, Gone: true})
+		default:
+			continue
+		}
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return out, ids
+}
+
+// Depart takes in departures that another router tells of, and returns those that are news, with the ids of the
+// targets that get no new work by them. They count until a list comes that knows of them: it may come much later.
+func (r *Roster) Depart(now time.Time, told []Departure) (news []Departure, ids []string) {
+	for _, d := range told {
+		if d.List <= r.version || r.departed[d.Target].List >= d.List {
+			continue
+		}
+		one := departed{Departure: d, since: now}
+		r.departed[d.Target] = one
+		news = append(news, d)
+		for id, e := range r.entries {
+			if e.target.UID == d.Target && e.depart(one) {
+				ids = append(ids, id)
+			}
+		}
+	}
+	return news, ids
+}
+
+// depart applies a departure and reports whether the target was staying.
+func (e *entry) depart(d departed) bool {
+	if e.target.Leaving || !e.gone.IsZero() {
+		return false
+	}
+	if d.Gone {
+		e.gone = d.since
+	} else {
+		e.target.Leaving = true
+	}
+	return true
+}
+
+// departAgain forgets the departures that the list just taken in knows of, and applies the others.
+func (r *Roster) departAgain() {
+	for uid, d := range r.departed {
+		if d.List <= r.version {
+			delete(r.departed, uid)
+		}
+	}
+	for _, e := range r.entries {
+		if d, ok := r.departed[e.target.UID]; ok {
+			e.depart(d)
 		}
 	}
-	slices.Sort(out)
-	return out
 }
 
 // Expire drops targets that have been gone for grace and reports whether any was.
--- a/internal/core/placement/roster_test.go
+++ b/internal/core/placement/roster_test.go
@@ -1,6 +1,7 @@
 package placement_test
 
 import (
+	"fmt"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -19,13 +20,13 @@
 	// removal was believed at once.
 	It("keeps a target for a grace after it left the list", func() {
 		r := placement.NewRoster()
-		r.Update(start, list, nil)
-		r.Update(start, nil, nil)
+		r.Update(start, 0, list, nil)
+		r.Update(start, 0, nil, nil)
 		Expect(r.Expire(start.Add(time.Second), 2*time.Second)).To(BeFalse())
 		Expect(r.Pools()[pool]).To(HaveLen(2))
-		r.Update(start.Add(time.Second), list, nil)
+		r.Update(start.Add(time.Second), 0, list, nil)
 		Expect(r.Expire(start.Add(time.Minute), 2*time.Second)).To(BeFalse())
-		r.Update(start.Add(time.Minute), nil, nil)
+		r.Update(start.Add(time.Minute), 0, nil, nil)
 		Expect(r.Expire(start.Add(time.Minute+2*time.Second), 2*time.Second)).To(BeTrue())
 		Expect(r.Pools()).To(BeEmpty())
 		Expect(r.Has()(targets(1)[0].UID)).To(BeFalse())
@@ -39,9 +40,9 @@
 
 	It("keeps one lifetime of a target, and tells which has ended", func() {
 		r := placement.NewRoster()
-		Expect(r.Update(start, lifetime(1), nil)).To(BeEmpty())
-		Expect(r.Update(start, lifetime(1), nil)).To(BeEmpty())
-		ended := r.Update(start, lifetime(2), nil)
+		Expect(r.Update(start, 0, lifetime(1), nil)).To(BeEmpty())
+		Expect(r.Update(start, 0, lifetime(1), nil)).To(BeEmpty())
+		ended := r.Update(start, 0, lifetime(2), nil)
 		Expect(ended).To(HaveLen(1))
 		Expect(ended[0].Started).To(BeEquivalentTo(1))
 		Expect(r.Pools()[pool]).To(Equal(lifetime(2)[pool]))
@@ -53,16 +54,16 @@
 	// change of lifetime was taken for an end of the one before.
 	It("goes by the newest list, and takes no lifetime for ended that began later", func() {
 		r := placement.NewRoster()
-		r.Update(start, lifetime(2), nil)
-		Expect(r.Update(start, lifetime(1), nil)).To(BeEmpty())
+		r.Update(start, 0, lifetime(2), nil)
+		Expect(r.Update(start, 0, lifetime(1), nil)).To(BeEmpty())
 		Expect(r.Pools()[pool]).To(Equal(lifetime(1)[pool]))
-		Expect(r.Update(start, lifetime(2), nil)).To(HaveLen(1))
+		Expect(r.Update(start, 0, lifetime(2), nil)).To(HaveLen(1))
 	})
 
 	It("drops a target at once whose entry can't be trusted", func() {
 		r := placement.NewRoster()
-		r.Update(start, list, nil)
-		r.Update(start, map[string][]placement.Target{pool: list[pool][:1]}, []string{"1"})
+		r.Update(start, 0, list, nil)
+		r.Update(start, 0, map[string][]placement.Target{pool: list[pool][:1]}, []string{"1"})
 		Expect(r.Pools()[pool]).To(HaveLen(1))
 	})
 })
@@ -115,3 +116,90 @@
 		})
 	})
 })
+
+var _ = Describe("departures that other routers tell of", func() {
+	at := time.Unix(1000, 0)
+
+	// Symptom: a target that said it leaves gets requests from a router that was told so. Sequence: the router
+	// takes in an older list after the news, or hears the news of an earlier life of the entry. Cause would be to go by
+	// whatever came last instead of by the versions of the entry.
+	It("count until the list tells something newer, in whichever order they come", func() {
+		testkit.Check("300", func(t *rapid.T) {
+			const targets = 3
+			// The history of the list: at each version one target is ready, leaving or gone.
+			type change struct {
+				target int
+				state  string
+			}
+			history := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) change {
+				return change{rapid.IntRange(0, targets-1).Draw(t, "target"), rapid.SampledFrom([]string{"ready", "leaving", "gone"}).Draw(t, "state")}
+			}), 1, 12).Draw(t, "history")
+			rows := func(version int) map[string]placement.Target {
+				out := make(map[string]placement.Target)
+				for i := range version {
+					id := fmt.Sprint("t", history[i].target)
+					out[id] = placement.Target{UID: placement.UID(id, 0), ID: id, Leaving: history[i].state == "leaving"}
+					if history[i].state == "gone" {
+						delete(out, id)
+					}
+				}
+				return out
+			}
+			take := func(r *placement.Roster, version int) []placement.Departure {
+				staying, list := r.Staying(), rows(version)
+				pools := map[string][]placement.Target{}
+				for _, target := range list {
+					pools["p"] = append(pools["p"], target)
+				}
+				r.Update(at, uint64(version), pools, nil)
+				news, _ := r.Departures(staying, func(id string) bool { _, ok := list[id]; return ok })
+				return news
+			}
+			ahead, late := placement.NewRoster(), placement.NewRoster()
+			take(late, 0)
+			has := 0
+			heard := make(map[uint64]uint64) // the latest list by which each lifetime departed
+			var told []placement.Departure
+			for version := range len(history) + 1 {
+				told = append(told, take(ahead, version)...)
+				if rapid.Bool().Draw(t, "list arrives") {
+					has = rapid.IntRange(has, version).Draw(t, "version")
+					take(late, has)
+				}
+				if len(told) > 0 && rapid.Bool().Draw(t, "news arrive") {
+					i := rapid.IntRange(0, len(told)-1).Draw(t, "which")
+					late.Depart(at, told[i:])
+					for _, d := range told[i:] {
+						heard[d.Target] = max(heard[d.Target], d.List)
+					}
+				}
+				for id, target := range late.Staying() {
+					entry, listed := rows(has)[id]
+					if !listed || entry.Leaving || heard[target.UID] > uint64(has) {
+						t.Fatalf("%s is staying: listed %v at %d, departure %d", id, listed, has, heard[target.UID])
+					}
+				}
+				for id, entry := range rows(has) {
+					if _, ok := late.Staying()[id]; !ok && !entry.Leaving && heard[entry.UID] <= uint64(has) {
+						t.Fatalf("%s does not stay, and nobody told so", id)
+					}
+				}
+			}
+			take(late, len(history))
+			Expect(late.Staying()).To(Equal(ahead.Staying()))
+		})
+	})
+
+	It("end the use of a gone target after the same grace", func() {
+		r := placement.NewRoster()
+		r.Update(at, 5, map[string][]placement.Target{"p": {{UID: 1, ID: "a"}}}, nil)
+		news, ids := r.Depart(at, []placement.Departure{{Target: 1, List: 9, Gone: true}, {Target: 2, List: 9}, {Target: 1, List: 4}})
+		Expect(news).To(HaveLen(2), "the list in force knows of the last one")
+		Expect(ids).To(Equal([]string{"a"}), "the other one is not listed yet")
+		Expect(r.Depart(at, news)).To(BeEmpty(), "told again")
+		r.Update(at.Add(time.Second), 8, map[string][]placement.Target{"p": {{UID: 1, ID: "a"}}}, nil)
+		Expect(r.Expire(at.Add(1900*time.Millisecond), 2*time.Second)).To(BeFalse())
+		Expect(r.Expire(at.Add(2*time.Second), 2*time.Second)).To(BeTrue(), "from when it was told")
+		Expect(r.Pools()).To(BeEmpty())
+	})
+})
--- a/internal/eventlog/kinds.go
+++ b/internal/eventlog/kinds.go
@@ -43,6 +43,7 @@
 	TargetsChanged       = Kind{"targets", zerolog.InfoLevel, 50, "a list of targets is in force"}
 	TargetRejected       = Kind{"target_rejected", zerolog.ErrorLevel, 20, "a version of an entry of the list can't be trusted and names no target; the others stay"}
 	TargetRestarted      = Kind{"target_restarted", zerolog.WarnLevel, 50, "a target has started again under its id: when its earlier lifetime began, and how many attempts ended with that"}
+	TargetLeft           = Kind{"target_left", zerolog.InfoLevel, 50, "another router tells that a target leaves or is gone, before the list that says so is here"}
 	StoreChanged         = Kind{"store", zerolog.InfoLevel, 50, "this router began or ceased to read the store, or the store was lost or regained"}
 	StoreReadFailed      = Kind{"store_read_failed", zerolog.WarnLevel, 50, "a call to the store failed"}
 	CopyFailed           = Kind{"copy_failed", zerolog.WarnLevel, 50, "another router did not answer a copy request"}
@@ -68,7 +69,7 @@
 	return []Kind{
 		TicketRefused, Placed, AttemptFailed, RepeatDenied, NotAdmitted, Finished, Failed,
 		Started, Stopping, Stopped, Reloaded, ReloadRejected, RequestsCut, ReadyChanged, StaleChanged, DesiredState,
-		DesiredStateRejected, TargetsChanged, TargetRejected, TargetRestarted, StoreChanged, StoreReadFailed, CopyFailed, Copied, LinkUse, ListFailed,
+		DesiredStateRejected, TargetsChanged, TargetRejected, TargetRestarted, TargetLeft, StoreChanged, StoreReadFailed, CopyFailed, Copied, LinkUse, ListFailed,
 		PeerUp, PeerDown, PeerUnlisted, TargetSuspended, PeerCallFailed, ListenerFailed,
 		ChangeAccepted, PlannedChange, PlannedChangeFailed, ClaimUnsettled, BurnIncomplete, LeftOut,
 	}
