A copy gets nothing newer than what the other router has whole

Cause: found by reading, looking for other ways in which a leaving target is missed. A table of more than one page is read while it changes: rows of later pages are newer than the version of the read. A router that copied such a row took itself to be as new as the row and skipped what changed in between, for good. Class: a copy that claims to be as of a later version than it is. Change: such rows are left out of copies; the next change of the feed brings them.

--- a/internal/core/replica/replica.go
+++ b/internal/core/replica/replica.go
@@ -115,13 +115,14 @@
 }
 
 // Since returns what another copy lacks: the changes after its version in order,
-// or the whole table if removals may be missing from those.
+// or the whole table if removals may be missing from those. Rows newer than the table's version, as a read in
+// several pages brings, are left out: a copy that had them would take itself to have all that is older.
 func (t *Table) Since(after uint64) (rows []Row, whole bool) {
 	if after == 0 || after < t.floor {
 		return t.Rows(), true
 	}
 	for _, r := range t.rows {
-		if r.Version > after {
+		if r.Version > after && r.Version <= t.version {
 			rows = append(rows, r)
 		}
 	}
--- a/internal/core/replica/replica_test.go
+++ b/internal/core/replica/replica_test.go
@@ -155,3 +155,28 @@
 		Expect(rows).To(HaveLen(1))
 	})
 })
+
+var _ = Describe("a table that was read in pages while it changed", func() {
+	// Symptom: a target that said it leaves gets requests from some routers until its entry changes again. Sequence: a list
+	// of more than one page is read while it changes: a row of a later page is newer than the first page, and a
+	// row of the first page changes in between. A router copies the newer row and takes itself to be as new as that. Cause:
+	// a copy was given rows that are newer than the version up to which the table is whole.
+	It("gives others nothing newer than what it has whole", func() {
+		ahead, other := replica.New(), replica.New()
+		other.Load(10, []replica.Row{{Key: "a", Value: []byte("ready"), Version: 5}, {Key: "k", Value: []byte("old"), Version: 6}})
+		ahead.Load(10, []replica.Row{{Key: "a", Value: []byte("ready"), Version: 5}, {Key: "k", Value: []byte("new"), Version: 12}})
+		copyTo := func() {
+			rows, whole := ahead.Since(other.Version())
+			if whole {
+				other.Load(ahead.Version(), rows)
+			} else {
+				other.Apply(rows, ahead.Version())
+			}
+		}
+		copyTo()
+		Expect(other.Version()).To(Equal(uint64(10)))
+		ahead.Apply([]replica.Row{{Key: "a", Value: []byte("leaving"), Version: 11}, {Key: "k", Value: []byte("new"), Version: 12}}, 0)
+		copyTo()
+		Expect(other.Rows()).To(Equal(ahead.Rows()))
+	})
+})
