Large copies are packed once, and take a part of the link only

All routers ask the three that have a new state at the same moment. Copies that were slow were given up and asked for elsewhere. Ruled out: the size of the state as such (306 KB are 25 KB on the wire). Change: a large copy is packed once for all that ask; copies take two fifths of the link, in bursts of 80 ms; whoever finds no room is told so at once and asks one of those that have it by then. Small ones are always served. Askers of earlier releases get plain rows. The call for the list is doubted at most once in a quarter of the bound.

--- a/internal/adapter/peer/peer.go
+++ b/internal/adapter/peer/peer.go
@@ -33,10 +33,13 @@
 }
 
 // NewHandler returns the HTTP handler of the peer service.
-func NewHandler(h Handler) (string, http.Handler) {
-	return peerv1connect.NewPeerServiceHandler(&server{h}, connect.WithReadMaxBytes(maxMessage))
+func NewHandler(h Handler, options ...connect.HandlerOption) (string, http.Handler) {
+	return peerv1connect.NewPeerServiceHandler(&server{h}, append(options, connect.WithReadMaxBytes(maxMessage))...)
 }
 
+// Uncompressed is for handlers whose large answers are compressed already: each answer would be compressed again.
+func Uncompressed() connect.HandlerOption { return connect.WithCompressMinBytes(maxMessage) }
+
 // Protocols returns the HTTP versions of the peer service: HTTP/2 without TLS.
 func Protocols() *http.Protocols {
 	p := new(http.Protocols)
--- a/internal/app/gateway/control.go
+++ b/internal/app/gateway/control.go
@@ -5,8 +5,6 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	peerv1 "github.com/hemlockdyke/hemlockdyke/gen/hemlockdyke/peer/v1"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/ablate"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/admission"
@@ -37,6 +35,8 @@
 	// LoadMultiple and LoadSlack bound what a target holds, see placement.Settings.
 	LoadMultiple float64
 	LoadSlack    float64
+	// LinkBytes is what the VM's link carries a second, each way; 0 if it is not known.
+	LinkBytes int64
 }
 
 const (
@@ -67,6 +67,7 @@
 	// Owned by the control goroutine.
 	core       *fleet.Core
 	roster     *placement.Roster
+	copies     *copies
 	entries    *entryLog
 	departures departures
 	stopFollow [fleet.Tables]context.CancelFunc
@@ -99,6 +100,7 @@
 			Self: fleet.Address(s.Address), Incarnation: incarnation, Seed: rand.Uint64(), StartsFirst: s.ReadsAtOnce,
 			InForceWithin: s.InForceWithin,
 		}),
+		copies:  newCopies(fleet.NewServeBudget(now(), s.LinkBytes)),
 		roster:  placement.NewRoster(),
 		entries: newEntryLog(log),
 	}
@@ -318,20 +320,6 @@
 	c.post(ctx, fleet.DigestIn{From: fleet.Address(from), Digest: d})
 }
 
-// Copy answers another router's copy request.
-func (c *Control) Copy(ctx context.Context, req *peerv1.CopyRequest) (*peerv1.CopyResponse, error) {
-	reply := make(chan *peerv1.CopyResponse, 1)
-	c.do(func(time.Time) { reply <- c.core.Copy(req) })
-	select {
-	case r := <-reply:
-		return r, nil
-	case <-ctx.Done():
-		return nil, ctx.Err()
-	case <-c.stopped:
-		return nil, errors.New("router has stopped")
-	}
-}
-
 // query runs f on the control goroutine and waits for it.
 func (c *Control) query(f func(now time.Time)) {
 	done := make(chan struct{})
--- a/internal/app/gateway/leaving_test.go
+++ b/internal/app/gateway/leaving_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -255,3 +256,37 @@
 		Eventually(func() int { requests(); return sent.take("t0") }, 3*time.Second).Should(BeNumerically(">", 0), "the newest list decides")
 	})
 })
+
+// largeStore has a desired state of 100 KB.
+type largeStore struct{ frozenStore }
+
+func (largeStore) Whole(context.Context, fleet.Table) (uint64, []replica.Row, error) {
+	noise := make([]byte, 100_000) // does not get smaller
+	random := rand.New(rand.NewPCG(1, 2))
+	for i := range noise {
+		noise[i] = byte(random.Uint32())
+	}
+	return 3, []replica.Row{{Key: "config", Value: noise, Version: 3}}, nil
+}
+
+var _ = Describe("a copy request", func() {
+	// Symptom would be a desired state that no router of an earlier release ever has, while it takes itself to be as new.
+	// Sequence: half of a fleet runs the earlier release, which knows neither packed nor busy replies. Cause would be
+	// to send it one: it reads no rows and a newer version.
+	It("is answered in plain rows unless the asker reads packed replies", func() {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		c := gateway.NewControl(gateway.Settings{Name: "r", Address: "10.0.0.1:1", ReadsAtOnce: true, InForceWithin: time.Second, LinkBytes: 1000},
+			largeStore{}, versions{}, &fullLink{}, noUpstream{}, eventlog.Nop(), time.Now)
+		go c.Run(ctx)
+		Eventually(c.Ready, time.Second).Should(BeTrue())
+		ask := func(packed bool) *peerv1.CopyResponse {
+			r, err := c.Copy(ctx, &peerv1.CopyRequest{Protocol: fleet.Protocol, Table: uint32(fleet.Desired), ReadsPacked: packed})
+			Expect(err).NotTo(HaveOccurred())
+			return r
+		}
+		Expect(ask(true).GetPacked()).NotTo(BeEmpty())
+		Expect(ask(true).GetBusy()).To(BeTrue(), "a link of 1 KB a second")
+		Expect(ask(false).GetRows()[0].GetValue()).To(HaveLen(100_000))
+	})
+})
--- a/internal/app/gateway/reads.go
+++ b/internal/app/gateway/reads.go
@@ -46,17 +46,26 @@
 }
 
 func (c *Control) copyFrom(ctx context.Context, a fleet.CopyFrom) {
-	req := &peerv1.CopyRequest{Protocol: fleet.Protocol, Table: uint32(a.Table), After: a.After}
+	req := &peerv1.CopyRequest{Protocol: fleet.Protocol, Table: uint32(a.Table), After: a.After, ReadsPacked: true}
 	call, cancel := context.WithTimeout(ctx, a.Timeout)
 	defer cancel()
 	began := c.now()
 	reply, err := c.peers.Copy(call, string(a.Peer), req)
-	if err != nil {
+	size := proto.Size(reply)
+	if err == nil {
+		reply, err = unpack(reply)
+	}
+	switch {
+	case err != nil:
 		reply = nil
 		c.log.Line(eventlog.CopyFailed).Str("peer", string(a.Peer)).Str("table", a.Table.String()).Err(err).Msg("")
-	} else {
+	case reply.GetBusy():
+		c.log.Line(eventlog.CopyRefused).Str("peer", string(a.Peer)).Str("table", a.Table.String()).Msg("")
+		c.post(ctx, fleet.Copied{From: a.Peer, Table: a.Table, Busy: true})
+		return
+	default:
 		c.log.Line(eventlog.Copied).Str("peer", string(a.Peer)).Str("table", a.Table.String()).Uint64("row", reply.GetVersion()).
-			Bool("whole", reply.GetWhole()).Int("bytes", proto.Size(reply)).Dur("took", c.now().Sub(began)).Msg("")
+			Bool("whole", reply.GetWhole()).Int("bytes", size).Dur("took", c.now().Sub(began)).Msg("")
 	}
 	c.post(ctx, fleet.Copied{From: a.Peer, Table: a.Table, Reply: reply})
 }
--- a/internal/core/fleet/events.go
+++ b/internal/core/fleet/events.go
@@ -64,11 +64,13 @@
 		From   Address
 		Digest *peerv1.Digest
 	}
-	// Copied: a router answered a copy request; Reply is nil if the call failed.
+	// Copied: a router answered a copy request; Reply is nil if the call failed, or if the router
+	// is busy with other copies.
 	Copied struct {
 		From  Address
 		Table Table
 		Reply *peerv1.CopyResponse
+		Busy  bool
 	}
 	// Found: addresses at which routers may run.
 	Found struct{ Addresses []Address }
--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -92,7 +92,8 @@
 	failures int // in a row
 	retryAt  time.Time
 	needAll  bool
-	ok       bool // the last call succeeded
+	ok       bool      // the last call succeeded
+	heardAt  time.Time // of the last answer
 	// doubtedAt is since when the call that waits should have ended; zero if it need not have.
 	doubtedAt time.Time
 	probe     bool // the next call does not wait
@@ -211,7 +212,7 @@
 	case DigestIn:
 		c.digestIn(now, ev)
 	case Copied:
-		c.copied(ev)
+		c.copied(now, ev)
 	case Found:
 		c.found(now, ev)
 	case Tick:
--- a/internal/core/fleet/leaving_test.go
+++ b/internal/core/fleet/leaving_test.go
@@ -1,6 +1,7 @@
 package fleet_test
 
 import (
+	"strings"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -58,7 +59,7 @@
 		n := newNet(routers)
 		n.run(2 * time.Second)
 		limit := func(x *node) {
-			x.link = &link{bytesPerSecond: linkBytes}
+			n.limit(x, linkBytes)
 			for i := range open {
 				x.loads = append(x.loads, placement.Load{Target: uint64(i) << 40, Open: 1})
 			}
@@ -86,3 +87,36 @@
 		Expect(most).To(BeNumerically("<", linkBytes/2), "bytes of digests out of a router in the first second")
 	})
 })
+
+var _ = Describe("a large desired state on small links", func() {
+	const (
+		routers = 31
+		// linkBytes and stateBytes are a quarter of 10 Mbit/s, and a state of 1,650 routes as it travels:
+		// what a reader of the store sends grows with the number of routers.
+		linkBytes  = 1_250_000 / 4
+		stateBytes = 25_000
+	)
+
+	// Symptom: a router that reads the store answers callers seconds late, and some of what it sends reaches targets
+	// after the callers have left. Sequence: a large desired state changes; all routers ask the three that have it at
+	// the same moment. Cause: a router served every copy that it was asked for, all at once: each was then
+	// so slow that it was given up and asked for elsewhere, and the bytes of both filled the link.
+	// Evidence: a played day; 59 copies of 25 KB left one small router within seconds (450 KB/s of 1,250 for five
+	// seconds), 124 copies failed in the second after the change, it was in force at the last router after more than two
+	// seconds; requests waited there for 1.0 s on their way in and 0.9 s on their way out.
+	It("is in force at all of them soon, and leaves a part of every link for requests", func() {
+		n := newNet(routers)
+		n.run(3 * time.Second)
+		for _, x := range n.nodes {
+			n.limit(x, linkBytes)
+		}
+		v := n.write(fleet.Desired, "config", strings.Repeat("x", stateBytes))
+		for range 50 {
+			n.run(20 * time.Millisecond)
+			for _, x := range n.nodes {
+				Expect(x.link.out.Sub(n.now)).To(BeNumerically("<", 300*time.Millisecond), "what a request waits for on its way out of %s", x.address)
+			}
+		}
+		Expect(n.behind(fleet.Desired, v)).To(BeEmpty())
+	})
+})
--- a/internal/core/fleet/net_test.go
+++ b/internal/core/fleet/net_test.go
@@ -75,6 +75,8 @@
 	linkFree       time.Time
 	// link carries digests and copies, each way; nil if there is no limit.
 	link *link
+	// budget bounds what copies take of the link.
+	budget *fleet.ServeBudget
 	// loads are what the node tells of its open requests.
 	loads []placement.Load
 
@@ -86,6 +88,12 @@
 	inForce []uint64
 }
 
+// limit gives a node a link.
+func (n *net) limit(x *node, bytesPerSecond int) {
+	x.link = &link{bytesPerSecond: bytesPerSecond}
+	x.budget = fleet.NewServeBudget(n.now, int64(bytesPerSecond))
+}
+
 // link is a VM's own link. What doesn't fit in its queue is lost, if nobody sends it again.
 type link struct {
 	bytesPerSecond int
@@ -285,6 +293,10 @@
 		reply := peer.core.Copy(&peerv1.CopyRequest{Protocol: fleet.Protocol, Table: uint32(a.Table), After: a.After})
 		wait := x.receive(n.now, reply)
 		if peer.link != nil {
+			if !peer.budget.Take(n.now, proto.Size(reply)) {
+				n.after(hop, func() { n.step(x, fleet.Copied{From: a.Peer, Table: a.Table, Busy: true}) })
+				return
+			}
 			sent, _ := peer.link.send(n.now, proto.Size(reply), false)
 			received, _ := x.link.receive(n.now.Add(sent), proto.Size(reply), false)
 			wait += sent + received
--- a/internal/core/fleet/peers.go
+++ b/internal/core/fleet/peers.go
@@ -248,13 +248,17 @@
 	return at[c.rand.IntN(len(at))], true
 }
 
-func (c *Core) copied(ev Copied) {
+func (c *Core) copied(now time.Time, ev Copied) {
 	c.copying[ev.Table].until = time.Time{}
 	if ev.Reply == nil {
-		c.copying[ev.Table].failures++
 		if p, ok := c.peers[ev.From]; ok {
 			p.versions[ev.Table] = 0 // ask another one until its next digest
 		}
+		if !ev.Busy {
+			c.copying[ev.Table].failures++
+			return
+		}
+		c.copyIfBehind(now)
 		return
 	}
 	c.copying[ev.Table].failures = 0
--- a/internal/core/fleet/store.go
+++ b/internal/core/fleet/store.go
@@ -12,7 +12,7 @@
 func (c *Core) followRead(now time.Time, ev FollowRead) {
 	r := &c.readers[ev.Table]
 	c.succeeded(r)
-	r.position = max(r.position, ev.Position)
+	r.position, r.heardAt = max(r.position, ev.Position), now
 	c.doubt(now, ev.Position)
 	if c.tables[ev.Table].Apply(ev.Rows, 0) {
 		c.changed(ev.Table, storeSource)
@@ -39,6 +39,11 @@
 // there was some change: an answer of the store takes 4 ms, of a slow one 300 ms.
 const answerTime = 300 * time.Millisecond
 
+// doubtShare is the part of InForceWithin for which a call is not doubted after the last answer. While desired
+// states come in quick succession each of them is a reason to; one doubt in half of a brief wait costs a third
+// of the calls, and a lost answer still shows well before a leaving target has to be left alone.
+const doubtShare = 0.25
+
 // doubt notes the first reader's call for the list of targets if it waits although the store has changed since, as
 // the answer to its brief call for the desired state shows: either another table changed, or the call's answer got
 // lost, and then it would hear nothing until its wait ends. Meanwhile all routers would send new work to
@@ -56,7 +61,10 @@
 // does not wait: if its answer is lost as well, that shows at once.
 func (c *Core) endDoubted(now time.Time) {
 	r := &c.readers[Targets]
-	if r.waiting && !r.doubtedAt.IsZero() && now.Sub(r.doubtedAt) >= answerTime {
+	if !r.waiting || r.doubtedAt.IsZero() || now.Sub(r.heardAt) < time.Duration(doubtShare*float64(c.settings.InForceWithin)) {
+		return
+	}
+	if now.Sub(r.doubtedAt) >= answerTime {
 		r.doubtedAt, r.probe = time.Time{}, true
 		c.emit(StopFollowing{Table: Targets})
 	}
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -26,7 +26,6 @@
 	ReadinessPath string
 	Metrics       string // address of the metrics
 	MemoryBytes   int64  // what the process may use; 0 if unknown
-	LinkBytes     int64  // what the VM's link carries a second, each way; 0 if unknown
 	// Grace is how long after SIGTERM the process is killed.
 	Grace   time.Duration
 	Gateway gateway.Settings
@@ -92,7 +91,7 @@
 	}
 	g.links = links
 	up := upstream.New(upstream.DefaultSettings(), time.Now, m.Dialed)
-	use := &linkUse{digests: links, link: s.LinkBytes, log: log, metrics: m}
+	use := &linkUse{digests: links, link: s.Gateway.LinkBytes, log: log, metrics: m}
 	peers := &gatewayPeers{Datagrams: links, Copier: peer.NewCopier(gatewayPeerTimeout, use.fetched.Wrap)}
 	g.control = gateway.NewControl(s.Gateway, p.Store, p.Decoder, peers, up, log, time.Now)
 	relay := gateway.NewRelay(g.control, p.Wire, up, m, log, time.Now)
@@ -132,7 +131,7 @@
 
 func (g *Gateway) listen(front *gatewayhttp.Server, m *metrics.Gateway, use *linkUse) error {
 	peerMux := http.NewServeMux()
-	peerMux.Handle(peer.NewHandler(g))
+	peerMux.Handle(peer.NewHandler(g, peer.Uncompressed()))
 	for _, one := range []struct {
 		address string
 		server  *http.Server
--- a/internal/eventlog/kinds.go
+++ b/internal/eventlog/kinds.go
@@ -47,6 +47,7 @@
 	StoreChanged         = Kind{"store", zerolog.InfoLevel, 50, "this router began or ceased to read the store, or the store was lost or regained"}
 	StoreReadFailed      = Kind{"store_read_failed", zerolog.WarnLevel, 50, "a call to the store failed"}
 	CopyFailed           = Kind{"copy_failed", zerolog.WarnLevel, 50, "another router did not answer a copy request"}
+	CopyRefused          = Kind{"copy_refused", zerolog.InfoLevel, 50, "another router's link has no room for a copy now; one of the others that have it is asked"}
 	Copied               = Kind{"copied", zerolog.InfoLevel, 50, "another router answered a copy request: what of which table, how large, and how long it took"}
 	LinkUse              = Kind{"link", zerolog.InfoLevel, 1, "what the routers' own messages took of this VM's link since the last such line"}
 	ListFailed           = Kind{"list_failed", zerolog.WarnLevel, 20, "the store's list of routers could not be read or written"}
@@ -69,7 +70,7 @@
 	return []Kind{
 		TicketRefused, Placed, AttemptFailed, RepeatDenied, NotAdmitted, Finished, Failed,
 		Started, Stopping, Stopped, Reloaded, ReloadRejected, RequestsCut, ReadyChanged, StaleChanged, DesiredState,
-		DesiredStateRejected, TargetsChanged, TargetRejected, TargetRestarted, TargetLeft, StoreChanged, StoreReadFailed, CopyFailed, Copied, LinkUse, ListFailed,
+		DesiredStateRejected, TargetsChanged, TargetRejected, TargetRestarted, TargetLeft, StoreChanged, StoreReadFailed, CopyFailed, CopyRefused, Copied, LinkUse, ListFailed,
 		PeerUp, PeerDown, PeerUnlisted, TargetSuspended, PeerCallFailed, ListenerFailed,
 		ChangeAccepted, PlannedChange, PlannedChangeFailed, ClaimUnsettled, BurnIncomplete, LeftOut,
 	}
