Changes of the platform's tables are read in batches

Cause: each change of an entry is an answer to each of three readers, and where 60 to 90 targets come or change one after another most of the calls to the store, which are paid for, bring one entry; each is then copied by all routers. Change: after changes the first reader lets a twentieth of the bound on leaving targets pass before it asks for more of the list, the other readers a quarter of each table's bound: they are there for the case that the first one hears nothing, and ask at once when they become first.

--- a/internal/app/gateway/control.go
+++ b/internal/app/gateway/control.go
@@ -98,7 +98,7 @@
 		inbox: make(chan func(time.Time), inboxSize), stopped: make(chan struct{}),
 		core: fleet.New(now(), fleet.Settings{
 			Self: fleet.Address(s.Address), Incarnation: incarnation, Seed: rand.Uint64(), StartsFirst: s.ReadsAtOnce,
-			InForceWithin: s.InForceWithin,
+			InForceWithin: s.InForceWithin, LeftWithin: s.LeftWithin,
 		}),
 		copies:  newCopies(fleet.NewServeBudget(now(), s.LinkBytes)),
 		roster:  placement.NewRoster(),
--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -83,6 +83,8 @@
 	StartsFirst bool
 	// InForceWithin is the time in which a desired state has to be in force.
 	InForceWithin time.Duration
+	// LeftWithin is the time in which a leaving target has to be left alone.
+	LeftWithin time.Duration
 }
 
 // reader is the state of following one table at the store.
@@ -94,6 +96,8 @@
 	needAll  bool
 	ok       bool      // the last call succeeded
 	heardAt  time.Time // of the last answer
+	// pausedUntil is when to ask for more, so that changes come together.
+	pausedUntil time.Time
 	// doubtedAt is since when the call that waits should have ended; zero if it need not have.
 	doubtedAt time.Time
 	probe     bool // the next call does not wait
--- a/internal/core/fleet/fleet_test.go
+++ b/internal/core/fleet/fleet_test.go
@@ -49,6 +49,33 @@
 		Expect(n.store.calls - before).To(BeNumerically("<", 90))
 	})
 
+	// Load: 62 targets of a large pool register or change one after another within four seconds, as when all start.
+	It("reads changes that follow each other in batches, and still in time", func() {
+		before := n.store.calls
+		var v uint64
+		for i := range 62 {
+			v = n.write(fleet.Targets, fmt.Sprint(i), "ready")
+			n.run(65 * time.Millisecond)
+		}
+		n.run(leftWithin / 10)
+		Expect(n.behind(fleet.Targets, v)).To(BeEmpty())
+		Expect(n.store.calls-before).To(BeNumerically("<", 80), "three readers, each change an answer: 186")
+	})
+
+	It("misses no change that the first reader alone can't read", func() {
+		v := n.write(fleet.Targets, "t1", "ready")
+		n.run(20 * time.Millisecond)
+		for _, a := range n.readers() {
+			if n.nodes[a].core.First() {
+				n.store.silent[a] = true
+			}
+		}
+		Expect(n.behind(fleet.Targets, v)).To(BeEmpty())
+		v = n.write(fleet.Targets, "t1", "draining")
+		n.run(leftWithin * 4 / 10)
+		Expect(n.behind(fleet.Targets, v)).To(BeEmpty())
+	})
+
 	// Symptom: all routers act by an older desired state two seconds after the newer one
 	// was confirmed. Sequence: the three routers that read the store are cut off from it
 	// in silence, and go on telling the others that they read. Cause: their calls waited
--- a/internal/core/fleet/net_test.go
+++ b/internal/core/fleet/net_test.go
@@ -194,7 +194,7 @@
 func (n *net) start(a fleet.Address) *node {
 	n.starts++
 	x := &node{address: a, up: true}
-	x.core = fleet.New(n.now, fleet.Settings{Self: a, Incarnation: n.starts * 7919, Seed: n.starts, InForceWithin: inForceWithin})
+	x.core = fleet.New(n.now, fleet.Settings{Self: a, Incarnation: n.starts * 7919, Seed: n.starts, InForceWithin: inForceWithin, LeftWithin: leftWithin})
 	n.nodes[a] = x
 	n.after(0, func() {
 		n.step(x, fleet.Found{Addresses: []fleet.Address{address(0), address(1), address(2)}})
--- a/internal/core/fleet/store.go
+++ b/internal/core/fleet/store.go
@@ -14,6 +14,9 @@
 	c.succeeded(r)
 	r.position, r.heardAt = max(r.position, ev.Position), now
 	c.doubt(now, ev.Position)
+	if len(ev.Rows) > 0 {
+		r.pausedUntil = now.Add(c.batchPause(ev.Table))
+	}
 	if c.tables[ev.Table].Apply(ev.Rows, 0) {
 		c.changed(ev.Table, storeSource)
 	}
@@ -35,6 +38,31 @@
 	c.storeState()
 }
 
+const (
+	// listBatchShare is the part of LeftWithin for which the first reader lets changes of the list come together before
+	// it asks for more, standbyBatchShare the part of each table's bound for which the other readers do. Where many
+	// targets come or change one after another each change was an answer to three readers; calls are paid for. The
+	// others are there for the case that the first one hears nothing, and ask at once when they become the first.
+	// 62 changes in four seconds take 39 calls instead of 190, on a simulated network.
+	listBatchShare    = 0.05
+	standbyBatchShare = 0.25
+)
+
+// batchPause returns how long to wait after changes of a table before asking for more.
+func (c *Core) batchPause(t Table) time.Duration {
+	bound := c.settings.InForceWithin
+	if t == Targets {
+		bound = c.settings.LeftWithin
+	}
+	switch {
+	case !c.first:
+		return time.Duration(standbyBatchShare * float64(bound))
+	case t == Targets:
+		return time.Duration(listBatchShare * float64(bound))
+	}
+	return 0
+}
+
 // answerTime is how long a change may take to end a call that waits for it, after another call has shown that
 // there was some change: an answer of the store takes 4 ms, of a slow one 300 ms.
 const answerTime = 300 * time.Millisecond
@@ -137,6 +165,7 @@
 
 func (c *Core) stopFollowing() {
 	for i := range c.readers {
+		c.readers[i].pausedUntil = time.Time{}
 		c.emit(StopFollowing{Table: Table(i)})
 	}
 }
@@ -151,7 +180,7 @@
 
 func (c *Core) call(now time.Time, t Table) {
 	r := &c.readers[t]
-	if r.waiting || now.Before(r.retryAt) {
+	if r.waiting || now.Before(r.retryAt) || now.Before(r.pausedUntil) {
 		return
 	}
 	r.waiting = true
