Who reads the store is counted at ticks and when a digest changes it, not at every digest

Cause: each digest of each router made every router look at all others to see who reads; at 80 routers that was 5.3 of the 9.1 us that a digest took, at 340 it would grow fourfold a digest and digests fourfold. Change: counted at ticks, at events of its own, and when a router begins or ceases to read, leaves, or is heard again.

--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -206,6 +206,7 @@
 // until the next call.
 func (c *Core) Step(now time.Time, ev Event) []Action {
 	c.actions = c.actions[:0]
+	recount := true
 	switch ev := ev.(type) {
 	case FollowRead:
 		c.followRead(now, ev)
@@ -214,7 +215,7 @@
 	case ReadFailed:
 		c.readFailed(now, ev)
 	case DigestIn:
-		c.digestIn(now, ev)
+		recount = c.digestIn(now, ev)
 	case Copied:
 		c.copied(now, ev)
 	case Found:
@@ -224,6 +225,9 @@
 	case Leave:
 		c.leaving, c.news = true, true
 	}
+	if recount {
+		c.countReaders(now)
+	}
 	c.read(now)
 	if c.news {
 		c.digest(now, c.lastLoads)
--- a/internal/core/fleet/peers.go
+++ b/internal/core/fleet/peers.go
@@ -33,15 +33,17 @@
 // RouterID returns the number that names a router to the placement.
 func RouterID(a Address) uint32 { return uint32(rendezvous.Hash(string(a))) }
 
-func (c *Core) digestIn(now time.Time, ev DigestIn) {
+// digestIn takes in a digest and reports whether it may change who reads the store.
+func (c *Core) digestIn(now time.Time, ev DigestIn) bool {
 	d := ev.Digest
 	if d.GetProtocol() != Protocol || ev.From == c.settings.Self {
-		return
+		return false
 	}
 	p := c.peer(now, ev.From)
 	if !p.accept(d) {
-		return
+		return false
 	}
+	recount := !p.alive(now) || p.reading != d.GetReading() || p.leaving != d.GetLeaving()
 	fresh := p.heard.IsZero()
 	restarted := p.incarnation != 0 && p.incarnation != d.GetIncarnation()
 	if restarted {
@@ -62,6 +64,7 @@
 	}
 	c.behind = c.behind || p.desired > c.tables[Desired].Version()
 	c.copyIfBehind(now)
+	return recount
 }
 
 // accept refuses digests that are older than the last, and those of an earlier
--- a/internal/core/fleet/store.go
+++ b/internal/core/fleet/store.go
@@ -133,9 +133,9 @@
 	return true
 }
 
-// read makes this router one of the readers or ends that, and keeps a call under
-// way for each table while it is one.
-func (c *Core) read(now time.Time) {
+// countReaders makes this router one of the readers or ends that. It looks at all routers, so not at every digest but
+// at those that change who reads, and at each tick: at each of 80 routers' digests it took 5.3 of 9.1 us.
+func (c *Core) countReaders(now time.Time) {
 	before, missing, ahead := c.otherReaders(now)
 	should := !c.leaving && before < readers
 	if !c.reading {
@@ -155,6 +155,10 @@
 			c.stopFollowing() // the calls that wait would do so for long
 		}
 	}
+}
+
+// read keeps a call under way for each table while this router is a reader.
+func (c *Core) read(now time.Time) {
 	if !c.reading {
 		return
 	}
