--- /dev/null
+++ b/internal/daemon/link_test.go
@@ -0,0 +1,48 @@
+package daemon
+
+import (
+	"bytes"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/rs/zerolog"
+
+	peerv1 "github.com/hemlockdyke/hemlockdyke/gen/hemlockdyke/peer/v1"
+	"github.com/hemlockdyke/hemlockdyke/internal/adapter/metrics"
+	"github.com/hemlockdyke/hemlockdyke/internal/adapter/peer"
+	"github.com/hemlockdyke/hemlockdyke/internal/app/gateway"
+	"github.com/hemlockdyke/hemlockdyke/internal/eventlog"
+	"github.com/hemlockdyke/hemlockdyke/internal/testkit"
+)
+
+func TestSuite(t *testing.T) { testkit.Run(t, "daemon") }
+
+var _ = Describe("what routers' messages take of a link", func() {
+	It("is told by kind and direction since the last line, and counted", func() {
+		here, err := peer.ListenDatagrams("127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		defer here.Close()
+		var log bytes.Buffer
+		now := time.Unix(1000, 0)
+		m := metrics.NewGateway(time.Now)
+		u := &linkUse{digests: here, link: 1000, log: eventlog.New(zerolog.New(&log), func() time.Time { return now }), metrics: m}
+		Expect(here.Send([]string{"127.0.0.1:9", "127.0.0.1:9"}, &peerv1.Digest{Known: []string{"a router"}})).To(BeZero())
+		_, out := here.Bytes()
+		Expect(out).To(BeNumerically(">", 2*28), "two digests with their headers")
+		u.served.BytesOut.Add(2500)
+		u.fetched.BytesIn.Add(700)
+		u.tell()
+		Expect(log.String()).To(MatchRegexp(`"event":"link","digests_in":0,"digests_out":%d,"copies_in":700,"copies_out":2500,"share":0\.5\d+`, out))
+		log.Reset()
+		now = now.Add(linkEvery)
+		u.served.BytesOut.Add(5)
+		u.tell()
+		Expect(log.String()).To(ContainSubstring(`"digests_out":0,"copies_in":0,"copies_out":5,"share":0.001`))
+		w := httptest.NewRecorder()
+		m.Handler(func() gateway.Status { return gateway.Status{} }).ServeHTTP(w, httptest.NewRequest("GET", "/metrics", nil))
+		Expect(w.Body.String()).To(ContainSubstring(`hemlockdyke_peer_bytes_total{kind="copies_out"} 2505`))
+	})
+})
