Log lines name a request by its content, and tell how far a broken attempt had come

Cause: when targets end one after the other, no line tells whether the same request was at each of them: request ids are new each time. The hash is one that nobody can find a second text for: a request can't be made to look like another team's.

--- a/internal/app/gateway/answer.go
+++ b/internal/app/gateway/answer.go
@@ -119,6 +119,7 @@
 		whole += n + len(eventEnd)
 		x.machine.Step(attempt.Part{Attempt: t.number, Echo: t.number, Offset: x.stream.events})
 		x.stream.events++
+		t.events++
 	}
 	if whole == 0 {
 		return data, attempt.Action{}
--- a/internal/app/gateway/relay.go
+++ b/internal/app/gateway/relay.go
@@ -14,6 +14,7 @@
 	"github.com/hemlockdyke/hemlockdyke/internal/core/attempt"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/code"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/placement"
+	"github.com/hemlockdyke/hemlockdyke/internal/core/poison"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/rendezvous"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/route"
 	"github.com/hemlockdyke/hemlockdyke/internal/eventlog"
@@ -90,6 +91,11 @@
 	return m.team.Name
 }
 
+// fingerprint names the request's content.
+func (m *Match) fingerprint(body []byte) poison.Fingerprint {
+	return poison.FingerprintOf(m.teamName(), m.call.Method, m.call.Host, m.call.Path, body)
+}
+
 // The classes of teams that have no rank of their own.
 const (
 	classNoTeam  = "no_team"
@@ -179,8 +185,9 @@
 	first      time.Time
 	status     int
 	// kept is a target's own failure that is passed on if no other target answers.
-	kept   *kept
-	stream streamState
+	kept        *kept
+	stream      streamState
+	fingerprint poison.Fingerprint
 }
 
 // kept is a whole answer.
@@ -200,7 +207,7 @@
 		budget = defaultBudget
 	}
 	x := &run{
-		relay: r, match: m, body: body, out: out, ends: m.began.Add(budget),
+		relay: r, match: m, body: body, out: out, ends: m.began.Add(budget), fingerprint: m.fingerprint(body),
 		machine: attempt.New(attempt.Spec{
 			Idempotent: m.route.Repeatable(), MaxAttempts: max(m.route.MaxAttempts, 1), MaxUnrun: maxUnrun,
 		}),
@@ -271,7 +278,7 @@
 	}
 	if a.failure != "" {
 		x.note(eventlog.AttemptFailed).Int("attempt", a.number).Str("target", choice.Target.ID).
-			Str("why", a.failure).AnErr("error", a.err).Dur("after", took).Msg("")
+			Str("why", a.failure).AnErr("error", a.err).Int("events", a.events).Dur("after", took).Msg("")
 	}
 	return action
 }
@@ -335,7 +342,7 @@
 func (x *run) notePlaced(a *try, loadsAge time.Duration) {
 	c := a.choice
 	x.note(eventlog.Placed).Int("attempt", a.number).Str("pool", x.match.pool).Str("team", x.match.teamName()).
-		Str("target", c.Target.ID).Str("rule", string(c.Rule)).Int("open", c.Open).Float64("bound", c.Bound).
+		Stringer("fingerprint", x.fingerprint).Str("target", c.Target.ID).Str("rule", string(c.Rule)).Int("open", c.Open).Float64("bound", c.Bound).
 		Str("source", c.Source).Dur("loads_age", loadsAge).Uint64("version", x.match.version).
 		Uint64("targets_row", x.relay.view.targetsRow.Load()).
 		Str("resume_from", x.stream.last).Msg("")
--- a/internal/app/gateway/try.go
+++ b/internal/app/gateway/try.go
@@ -24,6 +24,7 @@
 	failure string // why it failed, for the log; empty if it did not
 	err     error
 	heard   bool // the first event came, or the attempt ended without one
+	events  int  // of a stream, passed on
 
 	ctx    context.Context
 	cancel context.CancelCauseFunc
