Requests under which three targets have ended are refused by all routers, and tried by one after a wait

Callers saw bursts of failures: one request ended each target that began to run it, with all others there; sent anew by its caller or by a router with attempts left it went to the next, 25 in fifteen seconds. Whoever was left got all chats. Cause: a router forgot an attempt with its end. What was under way when a target ended was kept nowhere, told to nobody and asked by nobody before the next send. Change: internal/core/poison. An end is a broken connection and a port that refuses; it is held against what ran there, told to all routers in digests at once, and kept in the platform's store. Three ends without an answer in between, by the fleet's count, make a suspect: 503 poison, not run, Retry-After. After 10 s, 5 min, 1 h its home alone lets one through. Why this holds: no router can send what all refuse; each start learns it from another router, or, if all were lost, from the store. A proper request is answered somewhere: whoever has an answer objects before the suspicion begins, and ends that a suspect explains count against nobody.

--- a/internal/app/gateway/answer.go
+++ b/internal/app/gateway/answer.go
@@ -26,7 +26,7 @@
 	case x.ctx.Err() != nil && err != nil:
 		return t.ended()
 	case err != nil:
-		t.fail(t.brokenBy("truncated"), err)
+		t.broken("truncated", err)
 	case len(body) > maxWhole:
 		t.fail("too_large", nil)
 	case !reply.Sealed && answer.Status < http.StatusMultipleChoices:
@@ -38,11 +38,17 @@
 	default:
 		t.outcome = placement.Answered
 		t.firstEvent(true)
+		if reply.Sealed {
+			t.ran()
+		}
 		return t.pass(answer, body)
 	}
 	return x.machine.Step(attempt.Broken{Attempt: t.number})
 }
 
+// ran tells that the target has run the request and goes on.
+func (t *try) ran() { t.run.relay.view.guard.ran(t.run.relay.now(), t.run.fingerprint) }
+
 // promises reports whether callers take a status as the promise that the request
 // has not run. A target's own answer with such a status makes none.
 func promises(status int) bool {
@@ -125,6 +131,10 @@
 		return data, attempt.Action{}
 	}
 	t.firstEvent(true)
+	if t.firstAt.IsZero() {
+		t.firstAt = x.relay.now()
+		t.answering.Store(true)
+	}
 	if id, ok := lastID(data[:whole]); ok {
 		x.stream.last = id
 	}
@@ -158,6 +168,7 @@
 		// Without a length the end of the connection is the end of the answer; one
 		// that is cut off ends with a reset, or in the middle of an event.
 		t.outcome = placement.Answered
+		t.ran()
 		if x.first.IsZero() {
 			x.whole(answer.Status, answer.Header, pending)
 		} else if len(pending) > 0 {
@@ -167,7 +178,7 @@
 	case x.ctx.Err() != nil:
 		return t.ended()
 	}
-	t.fail(t.brokenBy("stream_cut"), err)
+	t.broken("stream_cut", err)
 	return x.machine.Step(attempt.Broken{Attempt: t.number})
 }
 
--- a/internal/app/gateway/control.go
+++ b/internal/app/gateway/control.go
@@ -26,6 +26,8 @@
 	// ReadsAtOnce is false for routers that start together with others that read the
 	// store and pass on what they read.
 	ReadsAtOnce bool
+	// FirstStart: the whole system starts for the first time, so nothing that it has learned is kept anywhere.
+	FirstStart bool
 	// InForceWithin is the time in which a desired state has to be in force, LeftWithin
 	// that in which a leaving target has to be left alone.
 	InForceWithin time.Duration
@@ -67,6 +69,7 @@
 	stopped chan struct{}
 
 	// Owned by the control goroutine.
+	ctx        context.Context // of Run
 	core       *fleet.Core
 	roster     *placement.Roster
 	copies     *copies
@@ -78,6 +81,9 @@
 	routers    int    // the most that were alive at once
 	inForceAt  time.Time
 	targetsAt  time.Time
+
+	poisonFresh bool          // others told something of requests under which targets end that is to be told on
+	keepWake    chan struct{} // something may be to be kept in the store
 }
 
 // inboxSize is how many events may wait. Senders block when it is full.
@@ -95,9 +101,10 @@
 			gates:   make(map[string]*admission.Gate),
 			budgets: make(map[string]*retry.Window), span: s.RetryWindow,
 			limits:   retry.Limits{Ratio: s.RetryRatio, Slack: s.RetrySlack, Routers: 1},
-			attempts: newUnderWay(),
+			attempts: newUnderWay(), guard: newGuard(s.Address, s.FirstStart),
 		},
-		inbox: make(chan func(time.Time), inboxSize), stopped: make(chan struct{}),
+		keepWake: make(chan struct{}, 1),
+		inbox:    make(chan func(time.Time), inboxSize), stopped: make(chan struct{}),
 		core: fleet.New(now(), fleet.Settings{
 			Self: fleet.Address(s.Address), Incarnation: incarnation, Seed: rand.Uint64(), StartsFirst: s.ReadsAtOnce,
 			DataCentre: s.DataCentre, Strength: s.Strength, InForceWithin: s.InForceWithin, LeftWithin: s.LeftWithin,
@@ -115,6 +122,7 @@
 		c.followCtx[t], c.stopFollow[t] = context.WithCancel(ctx)
 		defer func() { c.stopFollow[t]() }()
 	}
+	c.ctx = ctx
 	go c.keepListed(ctx)
 	if len(c.settings.Seeds) > 0 {
 		c.step(ctx, c.now(), fleet.Found{Addresses: addresses(c.settings.Seeds)})
@@ -135,8 +143,9 @@
 }
 
 func (c *Control) tick(ctx context.Context, now time.Time) {
+	c.tickGuard(now)
 	tell := c.view.toTell(now)
-	tell.Departures = c.departures.take()
+	tell.News = c.news(now)
 	c.step(ctx, now, tell)
 	c.view.mu.Lock()
 	c.view.board.Expire(now)
@@ -177,11 +186,24 @@
 		c.act(ctx, now, a)
 	}
 	c.updateBehind(now)
-	if c.departures.fresh {
-		c.step(ctx, now, fleet.Departed{Departures: c.departures.take()})
+	if c.departures.fresh || c.poisonFresh {
+		c.step(ctx, now, fleet.Learned{News: c.news(now)})
 	}
 }
 
+// news returns what is to be told at once.
+func (c *Control) news(now time.Time) fleet.News {
+	c.poisonFresh = false
+	n := c.view.guard.news(now)
+	n.Departures = c.departures.take()
+	return n
+}
+
+// tellNews passes on at once what traffic has learned.
+func (c *Control) tellNews() {
+	c.do(func(now time.Time) { c.step(c.ctx, now, fleet.Learned{News: c.news(now)}) })
+}
+
 func (c *Control) act(ctx context.Context, now time.Time, a fleet.Action) {
 	switch a := a.(type) {
 	case fleet.SendDigest:
@@ -201,6 +223,8 @@
 		c.heard(now, a)
 	case fleet.LoadsForgotten:
 		c.view.forget(a.Sources)
+	case fleet.SuspectsKnown:
+		c.view.guard.learned()
 	case fleet.RoleChanged:
 		c.log.Line(eventlog.RoleChanged).Bool("relay", a.Relay).Str("feeder", string(a.Feeder)).Msg("")
 	case fleet.PeerUp:
@@ -224,6 +248,9 @@
 	c.view.board.HeardRead(now, a.Prompts)
 	c.view.mu.Unlock()
 	c.heardDepartures(now, a.Departures)
+	if !a.Poison.Empty() {
+		c.poisonFresh = c.view.guard.heard(now, a.Poison) || c.poisonFresh
+	}
 	for _, id := range ejected {
 		c.log.Line(eventlog.TargetSuspended).Str("target", id).Str("why", "outlier").Msg("")
 	}
--- a/internal/app/gateway/leaving_test.go
+++ b/internal/app/gateway/leaving_test.go
@@ -20,6 +20,7 @@
 	"github.com/hemlockdyke/hemlockdyke/internal/core/code"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/fleet"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/placement"
+	"github.com/hemlockdyke/hemlockdyke/internal/core/poison"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/replica"
 	"github.com/hemlockdyke/hemlockdyke/internal/eventlog"
 )
@@ -292,3 +293,9 @@
 		Expect(ask(false).GetRows()[0].GetValue()).To(HaveLen(100_000))
 	})
 })
+
+func (*listStore) Suspects(context.Context) ([]poison.Suspect, error) { return nil, nil }
+
+func (refusing) Suspects(context.Context) ([]poison.Suspect, error) {
+	return nil, errors.New("refused")
+}
--- /dev/null
+++ b/internal/app/gateway/poison.go
@@ -0,0 +1,227 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/hemlockdyke/hemlockdyke/internal/core/ablate"
+	"github.com/hemlockdyke/hemlockdyke/internal/core/fleet"
+	"github.com/hemlockdyke/hemlockdyke/internal/core/placement"
+	"github.com/hemlockdyke/hemlockdyke/internal/core/poison"
+	"github.com/hemlockdyke/hemlockdyke/internal/eventlog"
+)
+
+// guard keeps requests from targets that would end under them. Traffic tells it what became of attempts and asks it
+// before each send; the control goroutine tells it what others know. It is safe for concurrent use.
+type guard struct {
+	self string
+	// suspects is how many requests are refused: with none of them traffic takes no lock to ask.
+	suspects atomic.Int64
+
+	mu       sync.Mutex
+	detector *poison.Detector
+	others   []string // routers that are alive
+	known    bool     // this router has learned whom the others suspect
+
+	inquiries map[uint64]*inquiry // by the lifetime of the target
+}
+
+func newGuard(self string, known bool) *guard {
+	return &guard{self: self, known: known, detector: poison.NewDetector(), inquiries: make(map[uint64]*inquiry)}
+}
+
+// admit decides whether a request may be sent.
+func (g *guard) admit(now time.Time, f poison.Fingerprint) poison.Verdict {
+	if g.suspects.Load() == 0 || ablate.Off(ablate.Poison) {
+		return poison.Verdict{}
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.detector.Admit(now, f, f.Home(g.self, g.others))
+}
+
+// ran takes in that a target answered a request.
+func (g *guard) ran(now time.Time, f poison.Fingerprint) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.detector.Ran(now, f)
+	g.count()
+}
+
+func (g *guard) trialOver(now time.Time, f poison.Fingerprint) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.detector.TrialOver(now, f)
+}
+
+// ended takes in that a target ended under requests, and reports whether that is to be told at once.
+func (g *guard) ended(now time.Time, target uint64, requests []poison.Fingerprint) (fresh bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, f := range requests {
+		g.detector.Ended(now, f, target)
+	}
+	return g.detector.Fresh()
+}
+
+// heard takes in what another router tells, and reports whether that is to be told on.
+func (g *guard) heard(now time.Time, n poison.News) (fresh bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.detector.Heard(now, n)
+	g.count()
+	return g.detector.Fresh()
+}
+
+// news returns what is to be told now.
+func (g *guard) news(now time.Time) fleet.News {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return fleet.News{Poison: g.detector.TakeNews(now), Held: g.detector.All(now), HeldKnown: g.known}
+}
+
+// tick lets time pass, with the routers that are alive.
+func (g *guard) tick(now time.Time, others []string) []poison.Change {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.others = others
+	for target, i := range g.inquiries {
+		if i.over(now) {
+			delete(g.inquiries, target)
+		}
+	}
+	changes := g.detector.Tick(now)
+	g.count()
+	return changes
+}
+
+func (g *guard) count() { g.suspects.Store(int64(g.detector.Suspects())) }
+
+// learned notes that this router knows whom the others suspect.
+func (g *guard) learned() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.known = true
+}
+
+// inquiry is the question whether a target has ended, after a connection to it broke.
+type inquiry struct {
+	requests []poison.Fingerprint // whose attempts broke meanwhile
+	answered time.Time            // zero while it is asked
+	ended    bool
+}
+
+const (
+	// inquiryTimeout is how long a target may take to accept or refuse a connection.
+	inquiryTimeout = 300 * time.Millisecond
+	// endedLasts and runsLasts are for how long the answer holds: a lifetime does not come back, but a target that runs may
+	// end a moment later.
+	endedLasts = 5 * time.Second
+	runsLasts  = 50 * time.Millisecond
+)
+
+func (i *inquiry) over(now time.Time) bool {
+	if i.answered.IsZero() {
+		return false
+	}
+	lasts := runsLasts
+	if i.ended {
+		lasts = endedLasts
+	}
+	return now.Sub(i.answered) >= lasts
+}
+
+// inquire notes that a request's attempt at a target broke. ask says that the target is to be asked now; known that it has ended.
+func (g *guard) inquire(now time.Time, target uint64, f poison.Fingerprint) (ask, known bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	i, ok := g.inquiries[target]
+	switch {
+	case !ok || i.over(now):
+		g.inquiries[target] = &inquiry{requests: []poison.Fingerprint{f}}
+		return true, false
+	case i.answered.IsZero():
+		i.requests = append(i.requests, f)
+	}
+	return false, i.ended
+}
+
+// answered ends an inquiry and returns the requests whose attempts broke.
+func (g *guard) answered(now time.Time, target uint64, ended bool) []poison.Fingerprint {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	i := g.inquiries[target]
+	i.answered, i.ended = now, ended
+	requests := i.requests
+	i.requests = nil
+	return requests
+}
+
+// onset is how long after its first event a stream still counts as one that may have ended its target: such a request ends
+// it as it begins to run.
+const onset = time.Second
+
+// blame asks whether the target has ended, if the attempt's connection broke as connections to a process that ends do:
+// other targets break some answers off and go on, and a cut or a lost VM resets nothing. A target that
+// said that it leaves ends for that reason.
+func (t *try) blame(err error) {
+	r, f := t.run.relay, t.run.fingerprint
+	now := r.now()
+	if !resetByPeer(err) || (!t.firstAt.IsZero() && now.Sub(t.firstAt) > onset) || r.view.targetLeaves(t.choice.Target.UID) {
+		return
+	}
+	ask, known := r.view.guard.inquire(now, t.choice.Target.UID, f)
+	switch {
+	case known:
+		r.ended(t.choice.Target, []poison.Fingerprint{f})
+	case ask:
+		go r.inquire(t.choice.Target)
+	}
+}
+
+func resetByPeer(err error) bool {
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+}
+
+// inquire opens a connection: a process that has ended refuses it.
+func (r *Relay) inquire(target placement.Target) {
+	dialer := net.Dialer{Timeout: inquiryTimeout}
+	c, err := dialer.DialContext(context.Background(), "tcp", target.Address)
+	if err == nil {
+		_ = c.Close()
+	}
+	ended := errors.Is(err, syscall.ECONNREFUSED)
+	if requests := r.view.guard.answered(r.now(), target.UID, ended); ended {
+		r.ended(target, requests)
+	}
+}
+
+func (r *Relay) ended(target placement.Target, requests []poison.Fingerprint) {
+	r.log.Line(eventlog.TargetEnded).Str("target", target.ID).Int("requests", len(requests)).Msg("")
+	if r.view.guard.ended(r.now(), target.UID, requests) {
+		r.tell()
+	}
+}
+
+// tickGuard lets time pass for the guard, and tells an operator what changes.
+func (c *Control) tickGuard(now time.Time) {
+	for _, ch := range c.view.guard.tick(now, texts(c.core.AliveAddresses(now))) {
+		cancelled := 0
+		if ch.Kind == poison.Suspected {
+			cancelled = c.view.attempts.suspected(ch.Request)
+		}
+		c.log.Line(eventlog.PoisonChanged).Stringer("fingerprint", ch.Request).Str("change", string(ch.Kind)).Int("ends", ch.Ends).
+			Int("level", ch.Level).Dur("wait", ch.Wait).Int("attempts", cancelled).Msg("")
+		select {
+		case c.keepWake <- struct{}{}:
+		default:
+		}
+	}
+}
--- a/internal/app/gateway/ports.go
+++ b/internal/app/gateway/ports.go
@@ -15,6 +15,7 @@
 	"github.com/hemlockdyke/hemlockdyke/internal/core/code"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/fleet"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/placement"
+	"github.com/hemlockdyke/hemlockdyke/internal/core/poison"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/replica"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/route"
 )
@@ -34,6 +35,10 @@
 	Register(ctx context.Context, addresses []string) error
 	// Registered returns the addresses of all routers that are listed.
 	Registered(ctx context.Context) ([]string, error)
+	// Suspects returns the requests that are kept as suspected, with their levels and generations.
+	Suspects(ctx context.Context) ([]poison.Suspect, error)
+	// KeepSuspects writes suspects and drops others, all or none; a hundred at the most.
+	KeepSuspects(ctx context.Context, put []poison.Suspect, drop []poison.Fingerprint) error
 	// Unregister takes a router's address out of the list.
 	Unregister(ctx context.Context, address string) error
 }
--- a/internal/app/gateway/relay.go
+++ b/internal/app/gateway/relay.go
@@ -51,11 +51,12 @@
 	log      *eventlog.Log
 	now      func() time.Time
 	observer Observer
+	tell     func() // passes news on at once
 }
 
 // NewRelay returns a Relay that goes by what a Control knows.
 func NewRelay(c *Control, wire Wire, up Upstream, observer Observer, log *eventlog.Log, now func() time.Time) *Relay {
-	return &Relay{view: c.view, wire: wire, upstream: up, observer: observer, log: log, now: now}
+	return &Relay{view: c.view, wire: wire, upstream: up, observer: observer, log: log, now: now, tell: c.tellNews}
 }
 
 const (
@@ -168,6 +169,11 @@
 	return time.Duration(float64(d) * (0.5 + rand.Float64()))
 }
 
+// later spreads a time before which coming back makes no sense.
+func later(d time.Duration) time.Duration {
+	return time.Duration(float64(d) * (1 + 0.5*rand.Float64()))
+}
+
 // run is one request under way.
 type run struct {
 	relay   *Relay
@@ -182,8 +188,10 @@
 	denied  bool
 	// retryAfter is when there is room again, 0 if the code alone says it.
 	retryAfter time.Duration
-	first      time.Time
-	status     int
+	// notBefore is when it makes sense to come back at the earliest, 0 if nothing says so.
+	notBefore time.Duration
+	first     time.Time
+	status    int
 	// kept is a target's own failure that is passed on if no other target answers.
 	kept        *kept
 	stream      streamState
@@ -254,6 +262,15 @@
 	if x.ctx.Err() != nil || !now.Before(x.ends) {
 		return x.gaveUp()
 	}
+	suspicion := r.view.guard.admit(now, x.fingerprint)
+	if suspicion.Refused {
+		x.note(eventlog.PoisonRefused).Stringer("fingerprint", x.fingerprint).Dur("wait", suspicion.Wait).Msg("")
+		x.notBefore = suspicion.Wait
+		return x.machine.Step(attempt.Refused{Code: code.Poison})
+	}
+	if suspicion.Trial {
+		defer func() { r.view.guard.trialOver(r.now(), x.fingerprint) }()
+	}
 	choice, verdict, ok := r.view.place(now, placement.Ask{
 		Pool: x.match.pool, Chat: x.match.call.Chat, Prompt: x.match.call.Prompt, Tokens: x.match.call.Tokens,
 		Objective: x.match.route.Objective, Excluded: x.machine.Excluded(),
@@ -303,7 +320,11 @@
 		if after == 0 {
 			after = admission.RetryAfter(c, x.ends.Sub(r.now()))
 		}
-		x.out.Refuse(c, jittered(after))
+		if x.notBefore > 0 {
+			x.out.Refuse(c, later(x.notBefore))
+		} else {
+			x.out.Refuse(c, jittered(after))
+		}
 	default:
 		x.out.Cut()
 	}
--- a/internal/app/gateway/stale_test.go
+++ b/internal/app/gateway/stale_test.go
@@ -17,6 +17,7 @@
 	"github.com/hemlockdyke/hemlockdyke/internal/core/code"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/fleet"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/placement"
+	"github.com/hemlockdyke/hemlockdyke/internal/core/poison"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/replica"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/route"
 	"github.com/hemlockdyke/hemlockdyke/internal/eventlog"
@@ -111,3 +112,5 @@
 		Expect(c.Ready()).To(BeTrue())
 	})
 })
+
+func (frozenStore) Suspects(context.Context) ([]poison.Suspect, error) { return nil, nil }
--- a/internal/app/gateway/status.go
+++ b/internal/app/gateway/status.go
@@ -18,6 +18,7 @@
 	Relay      bool          // of its data centre
 	Feeder     string        // the relay that feeds this router; empty if there is none
 	FedAge     time.Duration // since it did so last; 0 for relays and before the first time
+	Suspects   int           // requests that are refused because targets ended under them
 	OpenAt     map[string]int
 }
 
@@ -36,6 +37,7 @@
 			s.FedAge = now.Sub(at)
 		}
 	})
+	s.Suspects = int(c.view.guard.suspects.Load())
 	c.view.mu.Lock()
 	defer c.view.mu.Unlock()
 	s.OpenAt = c.view.board.OpenAt()
--- a/internal/app/gateway/try.go
+++ b/internal/app/gateway/try.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -23,8 +24,11 @@
 	outcome placement.Outcome
 	failure string // why it failed, for the log; empty if it did not
 	err     error
-	heard   bool // the first event came, or the attempt ended without one
-	events  int  // of a stream, passed on
+	heard   bool      // the first event came, or the attempt ended without one
+	events  int       // of a stream, passed on
+	firstAt time.Time // of the first of them
+	// answering: part of the answer has been passed on.
+	answering atomic.Bool
 
 	ctx    context.Context
 	cancel context.CancelCauseFunc
@@ -40,11 +44,11 @@
 
 // finalOutcome returns what the attempt says of its target now that it has ended. Silence was
 // counted when it was noticed; counted again at the deadline, seconds later, it would speak
-// against a target that has recovered. A lifetime that is over needs no judgement.
+// against a target that has recovered. A lifetime that is over needs no judgement, and one that this router left unheard gets none.
 func (t *try) finalOutcome() placement.Outcome {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if (t.silenceCounted && t.outcome == placement.Failed) || t.failure == failureRestarted {
+	if (t.silenceCounted && t.outcome == placement.Failed) || t.failure == failureRestarted || t.failure == failureSuspected {
 		return placement.Neutral
 	}
 	return t.outcome
@@ -112,10 +116,21 @@
 		t.outcome = placement.Unreachable
 		return x.machine.Step(attempt.NotSent{Attempt: t.number})
 	}
-	t.fail(t.brokenBy("broken"), err)
+	t.broken("broken", err)
 	return x.machine.Step(attempt.Broken{Attempt: t.number})
 }
 
+// broken records that the answer broke off, and asks whether the target has ended.
+func (t *try) broken(why string, err error) {
+	t.fail(t.brokenBy(why), err)
+	if t.failure == why {
+		t.blame(err)
+	}
+}
+
+// failureSuspected is the failure of an attempt whose request is suspected by now.
+const failureSuspected = "suspected"
+
 // failureRestarted is the failure of an attempt whose target has started again.
 const failureRestarted = "restarted"
 
@@ -127,6 +142,8 @@
 		return "silent"
 	case errors.Is(cause, errRestarted):
 		return failureRestarted
+	case errors.Is(cause, errSuspected):
+		return failureSuspected
 	}
 	return otherwise
 }
--- a/internal/app/gateway/underway.go
+++ b/internal/app/gateway/underway.go
@@ -5,6 +5,8 @@
 	"sync"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/hemlockdyke/hemlockdyke/internal/core/poison"
 )
 
 // errRestarted ends an attempt whose target has started again since: nobody works on it any more.
@@ -19,6 +21,9 @@
 	byTarget map[uint64]map[*try]context.CancelCauseFunc
 }
 
+// errSuspected ends an attempt whose request is suspected to end its target. It may still wait there.
+var errSuspected = errors.New("targets have ended under this request")
+
 func newUnderWay() *underWay {
 	return &underWay{byTarget: make(map[uint64]map[*try]context.CancelCauseFunc)}
 }
@@ -43,6 +48,23 @@
 	}
 }
 
+// suspected ends the attempts of a request that have no part of an answer yet, and returns how many there were. One that has
+// an answer may show that the request is proper.
+func (u *underWay) suspected(f poison.Fingerprint) int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	n := 0
+	for _, tries := range u.byTarget {
+		for t, cancel := range tries {
+			if t.run.fingerprint == f && !t.answering.Load() {
+				cancel(errSuspected)
+				n++
+			}
+		}
+	}
+	return n
+}
+
 // restarted ends the attempts at a lifetime that is over and returns how many there were.
 func (u *underWay) restarted(uid uint64) int {
 	u.mu.Lock()
--- a/internal/app/gateway/view.go
+++ b/internal/app/gateway/view.go
@@ -32,6 +32,7 @@
 	targetsRow atomic.Uint64
 
 	attempts *underWay
+	guard    *guard
 
 	mu      sync.Mutex
 	board   *placement.Board
@@ -87,6 +88,13 @@
 	return g
 }
 
+// targetLeaves reports whether a target has said that it leaves, or is gone.
+func (v *view) targetLeaves(target uint64) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.board.Leaves(target)
+}
+
 // silent tells the board of a target that leaves a request unanswered, while the
 // request still waits.
 func (v *view) silent(now time.Time, target uint64) (suspended bool) {
--- a/internal/core/ablate/ablate.go
+++ b/internal/core/ablate/ablate.go
@@ -30,6 +30,7 @@
 	Team        Mechanism = "team"        // teams have no share
 	Yield       Mechanism = "yield"       // routes give up no places
 	GoneGrace   Mechanism = "gonegrace"   // targets that left the list are left at once
+	Poison      Mechanism = "poison"      // requests under which targets end are sent on
 	Outdated    Mechanism = "outdated"    // routers go by the desired state that they have
 )
 
--- a/internal/core/code/code.go
+++ b/internal/core/code/code.go
@@ -55,6 +55,7 @@
 	TargetRefused    Code = 2008
 	ShuttingDown     Code = 2009
 	InProgress       Code = 2010
+	Poison           Code = 2011
 
 	AttemptsSpent   Code = 3001
 	DeadlinePassed  Code = 3002
@@ -108,6 +109,7 @@
 	TargetRefused:    {"target_refused", 503, RanNo, "Come back after Retry-After; the target turned it away."},
 	ShuttingDown:     {"shutting_down", 503, RanNo, "Use another router; this one is stopping."},
 	InProgress:       {"in_progress", 409, RanUnknown, "Ask again later with the same Idempotency-Key."},
+	Poison:           {"poison", 503, RanNo, "Come back after Retry-After; targets have ended under this request."},
 	AttemptsSpent:    {"attempts_spent", 502, RanYes, "Ask again; every attempt failed."},
 	DeadlinePassed:   {"deadline_passed", 504, RanYes, "Ask again with a later deadline."},
 	StreamCut:        {"stream_cut", 502, RanYes, "Ask again; the stream ended before its end marker."},
--- a/internal/core/fleet/events.go
+++ b/internal/core/fleet/events.go
@@ -9,6 +9,7 @@
 
 	peerv1 "github.com/hemlockdyke/hemlockdyke/gen/hemlockdyke/peer/v1"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/placement"
+	"github.com/hemlockdyke/hemlockdyke/internal/core/poison"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/replica"
 )
 
@@ -82,11 +83,10 @@
 		Outcomes []placement.Outcomes
 		// Prompts goes out with the next digest, and with no other.
 		Prompts []placement.Read
-		// Departures go out at once, with a digest to all.
-		Departures []placement.Departure
+		News
 	}
-	// Departed: targets leave, as has just been learned. They are told at once.
-	Departed struct{ Departures []placement.Departure }
+	// Learned: something has just been learned that is told at once.
+	Learned struct{ News }
 	// Leave: this router is to stop.
 	Leave struct{}
 )
@@ -98,9 +98,18 @@
 func (Copied) isEvent()     {}
 func (Found) isEvent()      {}
 func (Tick) isEvent()       {}
-func (Departed) isEvent()   {}
+func (Learned) isEvent()    {}
 func (Leave) isEvent()      {}
 
+// News is what goes out at once, and what this router holds of it.
+type News struct {
+	Departures []placement.Departure
+	Poison     poison.News
+	// Held are all suspects that this router holds, HeldKnown says that it has learned whom the others suspect.
+	Held      []poison.Suspect
+	HeldKnown bool
+}
+
 // Action is an output of the core.
 type Action interface{ isAction() }
 
@@ -148,11 +157,14 @@
 		Outcomes   []placement.Outcomes
 		Prompts    []placement.Read
 		Departures []placement.Departure
-		// Partial: only prompts and departures are told.
+		Poison     poison.News
+		// Partial: only prompts, departures and poison are told.
 		Partial bool
 	}
 	// LoadsForgotten: what these sources told no longer counts; all of them if none is named.
 	LoadsForgotten struct{ Sources []uint32 }
+	// SuspectsKnown: this router holds the same suspects as another one that knows them.
+	SuspectsKnown struct{}
 	// RoleChanged: this router began or ceased to be a relay, or is fed by another one from now on.
 	RoleChanged struct {
 		Relay  bool
@@ -181,6 +193,7 @@
 func (Changed) isAction()        {}
 func (LoadsHeard) isAction()     {}
 func (LoadsForgotten) isAction() {}
+func (SuspectsKnown) isAction()  {}
 func (RoleChanged) isAction()    {}
 func (PeerUp) isAction()         {}
 func (PeerDown) isAction()       {}
--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/hemlockdyke/hemlockdyke/internal/core/placement"
+	"github.com/hemlockdyke/hemlockdyke/internal/core/poison"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/replica"
 )
 
@@ -136,6 +137,9 @@
 	outcomes   []placement.Outcomes
 	prompts    []placement.Read // not told yet
 	departures []placement.Departure
+	poison     poison.News
+	suspects   suspects
+	differ     []Address // hold other suspects, and are told of all
 
 	toldOutcomes time.Time
 	news         bool // something that the others should hear at once
@@ -253,9 +257,12 @@
 		c.found(now, ev)
 	case Tick:
 		c.tick(now, ev)
-	case Departed:
-		c.departures, c.news = ev.Departures, true
-		c.announce = max(c.announce, 1)
+	case Learned:
+		c.learned(ev.News)
+		c.news = true
+		if len(ev.Departures) > 0 || len(ev.Poison.Suspects) > 0 {
+			c.announce = max(c.announce, 1)
+		}
 	case Leave:
 		c.leaving, c.news = true, true
 	}
@@ -268,6 +275,7 @@
 		c.digest(now, c.lastLoads)
 	}
 	c.tellRelays(now)
+	c.tellSuspects()
 	return c.actions
 }
 
@@ -325,7 +333,7 @@
 	c.watchStore(now)
 	c.watchVersions(now)
 	c.outcomes, c.prompts = ev.Outcomes, append(c.prompts, ev.Prompts...)
-	c.departures = ev.Departures
+	c.learned(ev.News)
 	heartbeat, passesOn := heartbeatEvery, false
 	if c.relay && c.centres[c.settings.DataCentre].hasMembers() {
 		heartbeat, passesOn = relayHeartbeat, c.moved || len(c.toFollowers.prompts) > 0
@@ -333,7 +341,7 @@
 	if c.seeks(now) || c.announce > 0 {
 		heartbeat = min(heartbeat, seekEvery)
 	}
-	if len(c.prompts) > 0 || len(c.departures) > 0 || passesOn || !equalLoads(ev.Loads, c.lastLoads) || now.Sub(c.lastDigest) >= heartbeat {
+	if len(c.prompts) > 0 || c.hasNews() || passesOn || !equalLoads(ev.Loads, c.lastLoads) || now.Sub(c.lastDigest) >= heartbeat {
 		c.digest(now, ev.Loads)
 	}
 	c.probe(now)
@@ -345,6 +353,12 @@
 	}
 }
 
+// learned notes what the next digest tells.
+func (c *Core) learned(n News) {
+	c.departures, c.poison = n.Departures, n.Poison
+	c.hold(n)
+}
+
 func equalLoads(a, b []placement.Load) bool {
 	if len(a) != len(b) {
 		return false
--- a/internal/core/fleet/many_test.go
+++ b/internal/core/fleet/many_test.go
@@ -25,6 +25,8 @@
 	DescribeTable("have all content and know their load soon after all start again at once", comeBack,
 		Entry("62", 62), Entry("195", 195), Entry("340", 340))
 
+	DescribeTable("all refuse what ends targets", refusedEverywhere, Entry("62", 62), Entry("195", 195), Entry("340", 340))
+
 	DescribeTable("all meet", allMeet, Entry("40 in five data centres", 40, 5))
 })
 
--- a/internal/core/fleet/net_test.go
+++ b/internal/core/fleet/net_test.go
@@ -13,6 +13,7 @@
 	peerv1 "github.com/hemlockdyke/hemlockdyke/gen/hemlockdyke/peer/v1"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/fleet"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/placement"
+	"github.com/hemlockdyke/hemlockdyke/internal/core/poison"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/replica"
 )
 
@@ -66,6 +67,9 @@
 	fresh      bool
 	left       map[uint64]time.Time // targets of whose leaving it heard
 
+	detector      *poison.Detector
+	knowsSuspects bool
+
 	calls   [fleet.Tables]int // generation: calls of an earlier one were stopped
 	pending [fleet.Tables]int
 	changed []fleet.Changed
@@ -168,6 +172,7 @@
 	n.starts++
 	x := &node{address: a, up: true, told: make(map[uint32]heard), left: make(map[uint64]time.Time), departures: make(map[placement.Departure]int)}
 	dataCentre, strength := n.place(a)
+	x.detector, x.knowsSuspects = poison.NewDetector(), n.now.Equal(start)
 	x.startsAt = n.now
 	if n.now.Equal(start) {
 		x.startsAt = n.now.Add(time.Duration(n.rand.Float64() * float64(startSpread)))
@@ -187,7 +192,8 @@
 func (n *net) tick(x *node) {
 	n.after(fleet.TickInterval, func() {
 		if x.up {
-			n.step(x, fleet.Tick{Loads: x.loads, Departures: x.tell()})
+			x.detector.Tick(n.now)
+			n.step(x, fleet.Tick{Loads: x.loads, News: x.news(n.now)})
 			n.tick(x)
 		}
 	})
@@ -206,8 +212,8 @@
 	for _, a := range append([]fleet.Action(nil), x.core.Step(n.now, ev)...) {
 		n.act(x, a)
 	}
-	if x.fresh {
-		n.step(x, fleet.Departed{Departures: x.tell()})
+	if x.fresh || x.detector.Fresh() {
+		n.step(x, fleet.Learned{News: x.news(n.now)})
 	}
 }
 
@@ -269,11 +275,18 @@
 		for _, s := range a.Sources {
 			delete(x.told, s)
 		}
+	case fleet.SuspectsKnown:
+		x.knowsSuspects = true
 	case fleet.LoadsHeard:
 		x.hear(n.now, a)
 	}
 }
 
+// news returns what is to be told at once.
+func (x *node) news(now time.Time) fleet.News {
+	return fleet.News{Departures: x.tell(), Poison: x.detector.TakeNews(now), Held: x.detector.All(now), HeldKnown: x.knowsSuspects}
+}
+
 // hear takes in what others told, and passes news of departures on as the gateway does.
 func (x *node) hear(now time.Time, a fleet.LoadsHeard) {
 	if !a.Partial {
@@ -282,6 +295,7 @@
 	for _, d := range a.Departures {
 		x.learn(now, d)
 	}
+	x.detector.Heard(now, a.Poison)
 }
 
 // heard is what a source told last.
--- a/internal/core/fleet/peers.go
+++ b/internal/core/fleet/peers.go
@@ -34,8 +34,10 @@
 	readers    int       // how many readers of the store it knows of
 	greeted    time.Time // when it was told of relays last
 	listedAt   time.Time // when it was told which routers run last
-	distrusted time.Time // when it fell silent while it fed this router
-	report     reported
+	// toldSuspects is when it was told of all suspects last.
+	toldSuspects time.Time
+	distrusted   time.Time // when it fell silent while it fed this router
+	report       reported
 }
 
 // direct reports whether a router is heard by this one.
@@ -107,6 +109,7 @@
 		c.arrange(now)
 	}
 	c.takeReport(now, ev.From, p, d)
+	c.compareSuspects(now, p, d)
 	if c.knowsLittle(p, ev.From, d) && now.Sub(p.greeted) >= greetEvery {
 		p.greeted = now
 		c.greet = append(c.greet, ev.From)
@@ -291,6 +294,17 @@
 	return c.count(func(p *peer) bool { return p.alive(now) })
 }
 
+// AliveAddresses returns the other routers that are alive.
+func (c *Core) AliveAddresses(now time.Time) []Address {
+	out := make([]Address, 0, len(c.peers))
+	for _, p := range c.all() {
+		if p.alive(now) {
+			out = append(out, p.address)
+		}
+	}
+	return out
+}
+
 // Direct returns the number of other routers that this one hears itself.
 func (c *Core) Direct(now time.Time) int {
 	return c.count(func(p *peer) bool { return p.direct(now) })
--- a/internal/core/fleet/sums.go
+++ b/internal/core/fleet/sums.go
@@ -12,7 +12,7 @@
 // each other one by its sum; all others count what their relay tells of the fleet.
 func (c *Core) takeReport(now time.Time, from Address, p *peer, d *peerv1.Digest) {
 	loads, outcomes := loadsOf(d.GetReport()), outcomesOf(d.GetReport())
-	h := LoadsHeard{Prompts: promptsOf(d), Departures: departuresOf(d), Partial: true}
+	h := LoadsHeard{Prompts: promptsOf(d), Departures: departuresOf(d), Poison: poisonOf(d), Partial: true}
 	near := p.dataCentre == c.settings.DataCentre
 	if c.relay && d.GetScope() != peerv1.Scope_SCOPE_FLEET {
 		c.toFollowers.add(h.Prompts)
@@ -39,7 +39,7 @@
 	if !h.Partial {
 		h.Loads, h.Outcomes = loads, outcomes
 	}
-	if !h.Partial || len(h.Prompts) > 0 || len(h.Departures) > 0 {
+	if !h.Partial || len(h.Prompts) > 0 || len(h.Departures) > 0 || !h.Poison.Empty() {
 		c.emit(h)
 	}
 }
--- a/internal/core/fleet/tell.go
+++ b/internal/core/fleet/tell.go
@@ -7,6 +7,7 @@
 
 	peerv1 "github.com/hemlockdyke/hemlockdyke/gen/hemlockdyke/peer/v1"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/placement"
+	"github.com/hemlockdyke/hemlockdyke/internal/core/poison"
 )
 
 const (
@@ -66,7 +67,7 @@
 		c.digestCentre(now)
 		c.digestFleet(now)
 	}
-	c.prompts, c.departures = c.prompts[:0], nil
+	c.prompts, c.departures, c.poison = c.prompts[:0], nil, poison.News{}
 }
 
 // digestSelf tells the relays of the own data centre what this router has open, and those of the others if all
@@ -97,7 +98,7 @@
 	d.Seeks = c.seeks(now)
 	d.Report = encode(c.lastLoads, c.outcomes, due(now, &c.toldOutcomes, outcomesEvery))
 	setPrompts(d, c.prompts)
-	c.setDepartures(d)
+	c.setNews(d)
 	if c.relay && !own.hasMembers() && due(now, &c.toCentres.listedAt, listEvery) {
 		c.list(now, d, func(p *peer) bool { return p.direct(now) })
 	}
@@ -116,7 +117,7 @@
 		every = 0
 	}
 	sums := due(now, &c.toCentres.summedAt, every)
-	if !sums && len(c.toCentres.prompts) == 0 && len(c.departures) == 0 && !c.urgent {
+	if !sums && len(c.toCentres.prompts) == 0 && !c.hasNews() && !c.urgent {
 		return
 	}
 	d := c.compose()
@@ -128,7 +129,7 @@
 		d.Counted = uint32(c.counted(now))
 	}
 	setPrompts(d, c.toCentres.take())
-	c.setDepartures(d)
+	c.setNews(d)
 	if due(now, &c.toCentres.listedAt, listEvery) {
 		c.list(now, d, func(p *peer) bool { return p.direct(now) })
 	}
@@ -159,7 +160,7 @@
 		d := c.compose()
 		d.Scope, d.Report = peerv1.Scope_SCOPE_FLEET, report
 		setPrompts(d, prompts)
-		c.setDepartures(d)
+		c.setNews(d)
 		if part.lists {
 			c.list(now, d, func(p *peer) bool { return p.alive(now) })
 		}
@@ -251,6 +252,7 @@
 		Protocol: Protocol, Incarnation: c.settings.Incarnation, Sequence: c.sequence,
 		Reading: c.reading && c.healthy(), Leaving: c.leaving, Readers: uint32(c.readersKnown),
 		DataCentre: c.settings.DataCentre, Strength: c.settings.Strength, Relay: c.relay,
+		SuspectsSum: c.suspects.sum, SuspectsUnknown: !c.suspects.known,
 	}
 	if p, ok := c.peers[c.feeder]; ok {
 		d.Feeder = p.rank.hash
@@ -268,14 +270,6 @@
 	}
 }
 
-func (c *Core) setDepartures(d *peerv1.Digest) {
-	for _, left := range c.departures {
-		d.LeftTarget = append(d.LeftTarget, left.Target)
-		d.LeftList = append(d.LeftList, left.List)
-		d.LeftGone = append(d.LeftGone, left.Gone)
-	}
-}
-
 // with adds an address that is not there yet and not this router's.
 func (c *Core) with(to []Address, a Address) []Address {
 	if a == c.settings.Self || slices.Contains(to, a) {
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -387,6 +387,20 @@
 	return suspended || (weight > 0 && b.detect(now, t))
 }
 
+// Leaves reports whether a target leaves, or is not listed any more.
+func (b *Board) Leaves(uid uint64) bool {
+	t, ok := b.byUID[uid]
+	if !ok || t.Leaving {
+		return true
+	}
+	for _, p := range b.pools {
+		if p == t.pool { // pools are made anew with each list
+			return false
+		}
+	}
+	return true
+}
+
 // Silent takes note of a target that leaves a request unanswered for longer than
 // its answers take. The request still waits, so nothing else would show the failure
 // before the request's deadline, and more would be sent there meanwhile.
--- a/internal/core/poison/fingerprint.go
+++ b/internal/core/poison/fingerprint.go
@@ -15,6 +15,12 @@
 // String returns the fingerprint as logs and the platform's store have it.
 func (f Fingerprint) String() string { return strconv.FormatUint(uint64(f), 16) }
 
+// ParseFingerprint is the reverse of String; false if the text names none.
+func ParseFingerprint(text string) (Fingerprint, bool) {
+	v, err := strconv.ParseUint(text, 16, 64)
+	return Fingerprint(v), err == nil && v > 0
+}
+
 // FingerprintOf returns the fingerprint of a request. The caller is named by what it can't choose: a request that
 // looked like another team's would be blamed on that team. For the same reason the hash is one for which
 // nobody can find a second text.
--- a/internal/eventlog/kinds.go
+++ b/internal/eventlog/kinds.go
@@ -25,6 +25,7 @@
 	RepeatDenied  = Kind{"repeat_denied", zerolog.WarnLevel, 200, "the shared budget of repeats has no room"}
 	NotAdmitted   = Kind{"not_admitted", zerolog.WarnLevel, 400, "refused before it was sent: the wait is too long for its time, objective and rank"}
 	Finished      = Kind{"finished", zerolog.InfoLevel, 400, "the caller has a target's answer"}
+	PoisonRefused = Kind{"poison_refused", zerolog.WarnLevel, 200, "refused before it was sent: targets have ended under this request"}
 	Failed        = Kind{"failed", zerolog.WarnLevel, 400, "the caller got a result code of the router, a cut answer, or left"}
 )
 
@@ -51,10 +52,13 @@
 	Copied               = Kind{"copied", zerolog.InfoLevel, 50, "another router answered a copy request: what of which table, how large, and how long it took"}
 	LinkUse              = Kind{"link", zerolog.InfoLevel, 1, "what the routers' own messages took of this VM's link since the last such line, and whom this router hears"}
 	ListFailed           = Kind{"list_failed", zerolog.WarnLevel, 20, "the store's list of routers could not be read or written"}
+	KeepFailed           = Kind{"keep_failed", zerolog.WarnLevel, 20, "the suspected requests that the store keeps could not be read or written"}
 	PeerUp               = Kind{"peer_up", zerolog.InfoLevel, 100, "another router was heard for the first time, or again"}
 	PeerDown             = Kind{"peer_down", zerolog.WarnLevel, 100, "another router has been silent for too long; its requests no longer count"}
 	PeerUnlisted         = Kind{"peer_unlisted", zerolog.InfoLevel, 20, "a router of which there was no sign for long was taken out of the store's list"}
 	TargetSuspended      = Kind{"target_suspended", zerolog.WarnLevel, 100, "a target gets no new work for a while, and what it did; `outlier`: by what all routers saw"}
+	TargetEnded          = Kind{"target_ended", zerolog.WarnLevel, 50, "a target's connections broke and its port refuses: how many requests of this router it ended under"}
+	PoisonChanged        = Kind{"poison", zerolog.WarnLevel, 50, "a request under which targets end is refused from now on, was let through and ended one again, was answered, or is forgotten"}
 	RoleChanged          = Kind{"role", zerolog.InfoLevel, 20, "this router began or ceased to be a relay of its data centre, or another relay feeds it from now on"}
 	PeerCallFailed       = Kind{"peer_call_failed", zerolog.WarnLevel, 50, "a call to another router failed"}
 	ListenerFailed       = Kind{"listener_failed", zerolog.ErrorLevel, 10, "a listener broke; the process stops"}
@@ -69,10 +73,10 @@
 // Kinds lists every kind.
 func Kinds() []Kind {
 	return []Kind{
-		TicketRefused, Placed, AttemptFailed, RepeatDenied, NotAdmitted, Finished, Failed,
+		TicketRefused, Placed, AttemptFailed, RepeatDenied, NotAdmitted, PoisonRefused, Finished, Failed,
 		Started, Stopping, Stopped, Reloaded, ReloadRejected, RequestsCut, ReadyChanged, StaleChanged, DesiredState,
-		DesiredStateRejected, TargetsChanged, TargetRejected, TargetRestarted, TargetLeft, StoreChanged, StoreReadFailed, CopyFailed, CopyRefused, Copied, LinkUse, ListFailed,
-		PeerUp, PeerDown, PeerUnlisted, RoleChanged, TargetSuspended, PeerCallFailed, ListenerFailed,
+		DesiredStateRejected, TargetsChanged, TargetRejected, TargetRestarted, TargetLeft, StoreChanged, StoreReadFailed, CopyFailed, CopyRefused, Copied, LinkUse, ListFailed, KeepFailed,
+		PeerUp, PeerDown, PeerUnlisted, RoleChanged, TargetSuspended, TargetEnded, PoisonChanged, PeerCallFailed, ListenerFailed,
 		ChangeAccepted, PlannedChange, PlannedChangeFailed, ClaimUnsettled, BurnIncomplete, LeftOut,
 	}
 }
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -25,29 +25,30 @@
 	Request string    `json:"request"`
 	Route   string    `json:"route"`
 
-	Attempt    int     `json:"attempt"`
-	Target     string  `json:"target"`
-	Rule       string  `json:"rule"`
-	Open       int     `json:"open"`
-	Bound      float64 `json:"bound"`
-	LoadsAge   float64 `json:"loads_age"`
-	Version    uint64  `json:"version"`
-	ResumeFrom string  `json:"resume_from"`
-	Why        string  `json:"why"`
-	Error      string  `json:"error"`
-	After      float64 `json:"after"`
-	Wait       float64 `json:"wait"`
-	RetryAfter float64 `json:"retry_after"`
-	Left       float64 `json:"left"`
-	Rank       int     `json:"rank"`
-	Code       int     `json:"code"`
-	Name       string  `json:"name"`
-	Ran        string  `json:"ran"`
-	Status     int     `json:"status"`
-	Attempts   int     `json:"attempts"`
-	First      float64 `json:"first"`
-	Total      float64 `json:"total"`
-	Budget     float64 `json:"budget"`
+	Attempt     int     `json:"attempt"`
+	Target      string  `json:"target"`
+	Rule        string  `json:"rule"`
+	Open        int     `json:"open"`
+	Bound       float64 `json:"bound"`
+	LoadsAge    float64 `json:"loads_age"`
+	Version     uint64  `json:"version"`
+	Fingerprint string  `json:"fingerprint"`
+	ResumeFrom  string  `json:"resume_from"`
+	Why         string  `json:"why"`
+	Error       string  `json:"error"`
+	After       float64 `json:"after"`
+	Wait        float64 `json:"wait"`
+	RetryAfter  float64 `json:"retry_after"`
+	Left        float64 `json:"left"`
+	Rank        int     `json:"rank"`
+	Code        int     `json:"code"`
+	Name        string  `json:"name"`
+	Ran         string  `json:"ran"`
+	Status      int     `json:"status"`
+	Attempts    int     `json:"attempts"`
+	First       float64 `json:"first"`
+	Total       float64 `json:"total"`
+	Budget      float64 `json:"budget"`
 
 	order int
 }
@@ -109,6 +110,8 @@
 		return fmt.Sprintf("attempt %d failed after %.0f ms: %s", e.Attempt, e.After, e.why())
 	case eventlog.RepeatDenied.Name:
 		return "no repeat: the shared budget has no room"
+	case eventlog.PoisonRefused.Name:
+		return fmt.Sprintf("not sent: targets have ended under requests with the fingerprint %s; come back after %.0f ms", e.Fingerprint, e.Wait)
 	case eventlog.NotAdmitted.Name:
 		return fmt.Sprintf("not sent to %s: a wait of %.0f ms expected behind %d open, %.0f ms left, rank %d", e.Target, e.Wait, e.Open, e.Left, e.Rank)
 	case eventlog.TargetSuspended.Name:
@@ -129,6 +132,7 @@
 	"not_sent":      "the target accepted no connection, so nothing ran",
 	"broken":        "the connection to the target broke after the request was sent",
 	"restarted":     "the target has started again since: nobody works on it any more",
+	"suspected":     "targets have ended under this request, so it was taken back",
 	"silent":        "the target stayed silent for longer than its answers take",
 	"truncated":     "the target's answer was cut off",
 	"stream_cut":    "the target broke the stream off",
@@ -163,7 +167,7 @@
 		switch e := &entries[i]; e.Event {
 		case eventlog.Placed.Name:
 			last = e
-		case eventlog.AttemptFailed.Name, eventlog.NotAdmitted.Name, eventlog.RepeatDenied.Name, eventlog.TicketRefused.Name:
+		case eventlog.AttemptFailed.Name, eventlog.NotAdmitted.Name, eventlog.PoisonRefused.Name, eventlog.RepeatDenied.Name, eventlog.TicketRefused.Name:
 			failure = e
 		case eventlog.Finished.Name, eventlog.Failed.Name:
 			end = e
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -25,6 +25,8 @@
 {"level":"info","router":"front-b-1","event":"placed","request":"r4","attempt":1,"target":"i-9","time":"2026-04-21T22:03:07Z"}
 {"level":"warn","router":"front-b-1","event":"failed","request":"r4","code":3006,"name":"caller_gone","total":300,"time":"2026-04-21T22:03:08Z"}
 {"level":"info","router":"front-b-1","event":"finished","request":"r5","status":500,"time":"2026-04-21T22:03:08Z"}
+{"level":"warn","router":"front-b-1","event":"poison_refused","request":"r7","fingerprint":"c0ffee","wait":9000,"time":"2026-04-21T22:03:08Z"}
+{"level":"warn","router":"front-b-1","event":"failed","request":"r7","code":2011,"name":"poison","ran":"no","time":"2026-04-21T22:03:08Z"}
 not a line of ours, r1
 {"request": broken r1
 `
@@ -41,6 +43,7 @@
 		Entry("refused", "r3", "a wait of 700 ms expected behind 80 open"),
 		Entry("the caller left", "r4", "the caller's connection ended after 300 ms, while it was at i-9"),
 		Entry("a target's own failure", "r5", "status 500 is the target's own"),
+		Entry("targets ended under it", "r7", "targets have ended under requests with the fingerprint c0ffee; come back after 9000 ms; ended as poison"),
 		Entry("never logged", "r6", "no router logged r6"),
 	)
 
