Log lines tell what targets say of themselves in answers

Cause: no line told whether a router had seen that a target leaves, or asks for a pause. No decision uses it yet.

--- a/internal/adapter/upstream/upstream.go
+++ b/internal/adapter/upstream/upstream.go
@@ -62,6 +62,8 @@
 	Echoes func(http.Header) bool
 	// Sent is called before the first byte is written.
 	Sent func()
+	// Heard is called with the header of each answer that the target sends, of one to another request too.
+	Heard func(status int, h http.Header)
 }
 
 // Client sends requests. It is safe for concurrent use.
@@ -222,6 +224,9 @@
 		if resp.StatusCode < http.StatusOK {
 			continue
 		}
+		if r.Heard != nil {
+			r.Heard(resp.StatusCode, resp.Header)
+		}
 		if r.Echoes == nil || r.Echoes(resp.Header) {
 			a.take(resp)
 			return nil
--- a/internal/app/gateway/ports.go
+++ b/internal/app/gateway/ports.go
@@ -111,6 +111,12 @@
 	WrongTarget bool
 	// Sealed answers carry the target's proof that they are its own.
 	Sealed bool
+	// Leaving: the target says that it leaves.
+	Leaving bool
+	// Pause is for how long the target wants nothing from this router; 0 if it does not say.
+	Pause time.Duration
+	// BadPause is what it said instead of a time; empty if nothing.
+	BadPause string
 }
 
 // Wire speaks the platform's header names.
--- /dev/null
+++ b/internal/app/gateway/said.go
@@ -0,0 +1,21 @@
+package gateway
+
+import (
+	"net/http"
+
+	"github.com/hemlockdyke/hemlockdyke/internal/eventlog"
+)
+
+// hear takes in what a target says of itself in an answer: of this attempt, or a late one to an earlier request.
+func (t *try) hear(status int, h http.Header) {
+	r := t.run.relay
+	reply := r.wire.Reply(status, h)
+	if reply.WrongTarget || (!reply.Leaving && reply.Pause == 0 && reply.BadPause == "") {
+		return // nothing, or of another target at the same address
+	}
+	r.log.Line(eventlog.TargetSaid).Str("target", t.choice.Target.ID).Bool("leaving", reply.Leaving).
+		Dur("pause", reply.Pause).Str("bad", reply.BadPause[:min(len(reply.BadPause), maxBadShown)]).Msg("")
+}
+
+// maxBadShown bounds what a line shows of a value that makes no sense.
+const maxBadShown = 64
--- a/internal/app/gateway/try.go
+++ b/internal/app/gateway/try.go
@@ -97,6 +97,7 @@
 		Target: t.choice.Target.UID, Address: t.choice.Target.Address,
 		Method: call.Method, URI: call.URI, Host: call.Host, Header: x.relay.wire.Prepare(call, a), Body: x.body,
 		Echoes: func(h http.Header) bool { return x.relay.wire.Echoes(call, h) },
+		Heard:  t.hear,
 		Sent:   func() { x.machine.Step(attempt.Wrote{Attempt: t.number}) },
 	}
 }
--- a/internal/eventlog/kinds.go
+++ b/internal/eventlog/kinds.go
@@ -57,6 +57,7 @@
 	PeerDown             = Kind{"peer_down", zerolog.WarnLevel, 100, "another router has been silent for too long; its requests no longer count"}
 	PeerUnlisted         = Kind{"peer_unlisted", zerolog.InfoLevel, 20, "a router of which there was no sign for long was taken out of the store's list"}
 	TargetSuspended      = Kind{"target_suspended", zerolog.WarnLevel, 100, "a target gets no new work for a while, and what it did; `outlier`: by what all routers saw"}
+	TargetSaid           = Kind{"target_said", zerolog.InfoLevel, 50, "a target's answer says that it leaves, or for how long it wants nothing from this router"}
 	TargetEnded          = Kind{"target_ended", zerolog.WarnLevel, 50, "a target's connections broke and its port refuses: how many requests of this router it ended under"}
 	PoisonChanged        = Kind{"poison", zerolog.WarnLevel, 50, "a request under which targets end is refused from now on, was let through and ended one again, was answered, or is forgotten"}
 	RoleChanged          = Kind{"role", zerolog.InfoLevel, 20, "this router began or ceased to be a relay of its data centre, or another relay feeds it from now on"}
@@ -76,7 +77,7 @@
 		TicketRefused, Placed, AttemptFailed, RepeatDenied, NotAdmitted, PoisonRefused, Finished, Failed,
 		Started, Stopping, Stopped, Reloaded, ReloadRejected, RequestsCut, ReadyChanged, StaleChanged, DesiredState,
 		DesiredStateRejected, TargetsChanged, TargetRejected, TargetRestarted, TargetLeft, StoreChanged, StoreReadFailed, CopyFailed, CopyRefused, Copied, LinkUse, ListFailed, KeepFailed,
-		PeerUp, PeerDown, PeerUnlisted, RoleChanged, TargetSuspended, TargetEnded, PoisonChanged, PeerCallFailed, ListenerFailed,
+		PeerUp, PeerDown, PeerUnlisted, RoleChanged, TargetSuspended, TargetSaid, TargetEnded, PoisonChanged, PeerCallFailed, ListenerFailed,
 		ChangeAccepted, PlannedChange, PlannedChangeFailed, ClaimUnsettled, BurnIncomplete, LeftOut,
 	}
 }
