A target's own word that it leaves counts from the answer that says so, at all routers

Callers saw requests end with a target that had said for twelve seconds that it leaves, as the store was away: routers passed its answers on and sent it the next request. Cause: of an answer they read status, seal and "not run"; what a target says of itself they learned by the store alone. And what is known of a target was asked when a request was placed, not when it was sent: a connection may take 0.3 s to open in between. Change: each header that is read, a late answer's too, is asked for the word before anything else is done with it; the board keeps it by lifetime, whatever the list says, until a later entry has told for a minute that the target stays; it travels in digests as departures do, marked as said; and before the first byte of a request is written the target is looked at once more. Why this holds: word and placement are under one lock, so nothing is placed after it, and nothing placed before it is sent after it.

--- a/internal/adapter/upstream/upstream.go
+++ b/internal/adapter/upstream/upstream.go
@@ -22,6 +22,8 @@
 var (
 	// ErrNotSent: no byte reached the target.
 	ErrNotSent = errors.New("request not sent")
+	// ErrWithdrawn: the sender took the request back as it was about to be sent. It is an ErrNotSent.
+	ErrWithdrawn = errors.New("request withdrawn")
 	// ErrBroken: the connection failed after a byte may have reached the target.
 	ErrBroken = errors.New("connection broken")
 	// ErrForeign: an answer belonged to another request.
@@ -60,8 +62,8 @@
 	Body    []byte
 	// Echoes reports whether an answer belongs to this request.
 	Echoes func(http.Header) bool
-	// Sent is called before the first byte is written.
-	Sent func()
+	// Sent is called before the first byte is written. If it returns false nothing is written.
+	Sent func() bool
 	// Heard is called with the header of each answer that the target sends, of one to another request too.
 	Heard func(status int, h http.Header)
 }
@@ -109,8 +111,9 @@
 	}
 	a := &Answer{client: c, target: r.Target, conn: cn}
 	a.stop = context.AfterFunc(ctx, func() { _ = cn.Close() })
-	if r.Sent != nil {
-		r.Sent()
+	if r.Sent != nil && !r.Sent() {
+		a.abort()
+		return nil, errors.Mark(ErrWithdrawn, ErrNotSent)
 	}
 	if err := a.write(r); err != nil {
 		a.abort()
--- a/internal/app/gateway/control.go
+++ b/internal/app/gateway/control.go
@@ -199,6 +199,14 @@
 	return n
 }
 
+// tellLeaving passes on at once that a target has said that it leaves.
+func (c *Control) tellLeaving(target uint64) {
+	c.do(func(now time.Time) {
+		c.departures.add([]placement.Departure{{Target: target, Said: true}})
+		c.step(c.ctx, now, fleet.Learned{News: c.news(now)})
+	})
+}
+
 // tellNews passes on at once what traffic has learned.
 func (c *Control) tellNews() {
 	c.do(func(now time.Time) { c.step(c.ctx, now, fleet.Learned{News: c.news(now)}) })
--- a/internal/app/gateway/departures.go
+++ b/internal/app/gateway/departures.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"slices"
 	"time"
 
 	"github.com/hemlockdyke/hemlockdyke/internal/core/placement"
@@ -60,7 +61,13 @@
 // heardDepartures takes in what another router tells. What is news is told on: the router that told it may
 // reach few others.
 func (c *Control) heardDepartures(now time.Time, told []placement.Departure) {
-	news, ids := c.roster.Depart(now, told)
+	news, ids := c.roster.Depart(now, slices.DeleteFunc(slices.Clone(told), func(d placement.Departure) bool { return d.Said }))
+	for _, d := range told {
+		if d.Said && c.view.saysLeaving(now, d.Target) {
+			news = append(news, d)
+			c.log.Line(eventlog.TargetLeft).Str("target", c.view.targetID(d.Target)).Bool("said", true).Msg("")
+		}
+	}
 	if len(news) == 0 {
 		return
 	}
--- a/internal/app/gateway/said.go
+++ b/internal/app/gateway/said.go
@@ -6,7 +6,8 @@
 	"github.com/hemlockdyke/hemlockdyke/internal/eventlog"
 )
 
-// hear takes in what a target says of itself in an answer: of this attempt, or a late one to an earlier request.
+// hear takes in what a target says of itself in an answer: of this attempt, or a late one to an earlier request. It counts from the
+// moment at which the header was read: the store may learn it much later, and the next request is placed at once.
 func (t *try) hear(status int, h http.Header) {
 	r := t.run.relay
 	reply := r.wire.Reply(status, h)
@@ -15,6 +16,9 @@
 	}
 	r.log.Line(eventlog.TargetSaid).Str("target", t.choice.Target.ID).Bool("leaving", reply.Leaving).
 		Dur("pause", reply.Pause).Str("bad", reply.BadPause[:min(len(reply.BadPause), maxBadShown)]).Msg("")
+	if reply.Leaving && r.view.saysLeaving(r.now(), t.choice.Target.UID) {
+		r.tellLeaving(t.choice.Target.UID)
+	}
 }
 
 // maxBadShown bounds what a line shows of a value that makes no sense.
--- a/internal/app/gateway/try.go
+++ b/internal/app/gateway/try.go
@@ -98,7 +98,7 @@
 		Method: call.Method, URI: call.URI, Host: call.Host, Header: x.relay.wire.Prepare(call, a), Body: x.body,
 		Echoes: func(h http.Header) bool { return x.relay.wire.Echoes(call, h) },
 		Heard:  t.hear,
-		Sent:   func() { x.machine.Step(attempt.Wrote{Attempt: t.number}) },
+		Sent:   t.sent,
 	}
 }
 
@@ -112,6 +112,10 @@
 	if x.ctx.Err() != nil {
 		return t.ended()
 	}
+	if errors.Is(err, upstream.ErrWithdrawn) {
+		t.failure = failureWithdrawn
+		return x.machine.Step(attempt.NotSent{Attempt: t.number})
+	}
 	if errors.Is(err, upstream.ErrNotSent) {
 		t.fail("not_sent", err)
 		t.outcome = placement.Unreachable
@@ -129,6 +133,19 @@
 	}
 }
 
+// failureWithdrawn is the failure of an attempt whose target wanted nothing more by the time it was to be sent.
+const failureWithdrawn = "withdrawn"
+
+// sent notes that the request is sent from now on, unless its target has said meanwhile that it leaves: a connection may take some
+// tenths of a second to open.
+func (t *try) sent() bool {
+	if t.run.relay.view.targetLeaves(t.choice.Target.UID) {
+		return false
+	}
+	t.run.machine.Step(attempt.Wrote{Attempt: t.number})
+	return true
+}
+
 // failureSuspected is the failure of an attempt whose request is suspected by now.
 const failureSuspected = "suspected"
 
--- a/internal/app/gateway/view.go
+++ b/internal/app/gateway/view.go
@@ -95,6 +95,20 @@
 	return v.board.Leaves(target)
 }
 
+// saysLeaving takes in that a target says that it leaves, and reports whether that is news.
+func (v *view) saysLeaving(now time.Time, target uint64) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.board.SaysLeaving(now, target)
+}
+
+// targetID returns the name of a target's lifetime, empty if it is not known.
+func (v *view) targetID(target uint64) string {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.board.ID(target)
+}
+
 // silent tells the board of a target that leaves a request unanswered, while the
 // request still waits.
 func (v *view) silent(now time.Time, target uint64) (suspended bool) {
--- a/internal/core/fleet/report.go
+++ b/internal/core/fleet/report.go
@@ -169,6 +169,9 @@
 	out := make([]placement.Departure, n)
 	for i := range n {
 		out[i] = placement.Departure{Target: d.GetLeftTarget()[i], List: d.GetLeftList()[i], Gone: d.GetLeftGone()[i]}
+		if i < len(d.GetLeftSaid()) { // routers of earlier releases tell none
+			out[i].Said = d.GetLeftSaid()[i]
+		}
 	}
 	return out
 }
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -46,7 +46,8 @@
 	Address    string
 	DataCentre string
 	Leaving    bool
-	Slots      int // 0 if unknown
+	Row        uint64 // version of its entry
+	Slots      int    // 0 if unknown
 	// Started is the Unix millisecond at which the lifetime began, 0 if it is not known. A target that
 	// starts again keeps its ID, its chats find it by that, and nothing else of it is the same.
 	Started int64
@@ -167,7 +168,8 @@
 	peers    map[uint32]*peerView
 	held     *inventory
 	models   map[string]*model // by pool
-	sequence uint64            // of placements
+	said     map[uint64]*said
+	sequence uint64 // of placements
 }
 
 // New returns an empty Board.
@@ -175,7 +177,7 @@
 	return &Board{
 		settings: s, rand: rnd, pools: make(map[string]*pool), maxConns: make(map[string]int),
 		byUID: make(map[uint64]*target), peers: make(map[uint32]*peerView), held: newInventory(),
-		models: make(map[string]*model),
+		models: make(map[string]*model), said: make(map[uint64]*said),
 	}
 }
 
@@ -218,6 +220,7 @@
 				b.byUID[t.UID] = known
 			}
 			known.Target, known.pool = t, p
+			b.applySaid(now, known)
 			listed[t.UID] = true
 			p.targets = append(p.targets, known)
 		}
@@ -293,13 +296,14 @@
 	}
 }
 
-// Expire forgets the loads of routers that have been silent for too long.
+// Expire forgets the loads of routers that have been silent for too long, and words of targets that no longer count.
 func (b *Board) Expire(now time.Time) {
 	for id, p := range b.peers {
 		if now.Sub(p.heard) > b.settings.LoadsExpire {
 			b.Forget(id)
 		}
 	}
+	b.expireSaid(now)
 }
 
 // Forget drops what a router has open: it has ended or restarted. The outcomes that it told
@@ -387,6 +391,14 @@
 	return suspended || (weight > 0 && b.detect(now, t))
 }
 
+// ID returns the name of a target's lifetime, empty if it is not known.
+func (b *Board) ID(uid uint64) string {
+	if t, ok := b.byUID[uid]; ok {
+		return t.ID
+	}
+	return ""
+}
+
 // Leaves reports whether a target leaves, or is not listed any more.
 func (b *Board) Leaves(uid uint64) bool {
 	t, ok := b.byUID[uid]
--- a/internal/core/placement/roster.go
+++ b/internal/core/placement/roster.go
@@ -64,6 +64,8 @@
 	// List is the version of the list that says so. A later list knows better.
 	List uint64
 	Gone bool
+	// Said: the target has said so itself, in an answer. No list says it yet, and none counts against it.
+	Said bool
 }
 
 // departed is a departure by a later list than the one in force.
