A target that turns a request away for a time gets nothing from that router until then

Callers saw requests turned away, and repeats spent on them, by a target that had said for how long it wants nothing. Cause: a router took a 503 with Retry-After for that of a full target, which may have room a moment later, and did not read the time: the same class as the leaving target's word. Change: the board closes a target for its pause, chats at home there and cached parts to be fetched from there included, and looks again before the first byte is sent. After it one request is sent first. If all targets of a pool pause, callers get 503 targets_paused at once, with the first target's time, spread over half as much again. Why this holds: word and placement are under one lock; of two words the longer counts; the next lifetime begins without.

--- a/internal/adapter/metrics/gateway.go
+++ b/internal/adapter/metrics/gateway.go
@@ -87,6 +87,9 @@
 	return l
 }
 
+// Said counts what targets say of themselves.
+func (g *Gateway) Said(what string) { g.add("targets_said_total", "what", what, 1) }
+
 // Refused counts a refusal before a route was known.
 func (g *Gateway) Refused(c code.Code) { g.add("refused_total", "code", c.Lookup().Name, 1) }
 
--- a/internal/app/gateway/leaving_test.go
+++ b/internal/app/gateway/leaving_test.go
@@ -200,6 +200,7 @@
 func (nobody) Refuse(code.Code, time.Duration) {}
 func (nobody) Cut()                            {}
 func (nobody) Observe(gateway.Result)          {}
+func (nobody) Said(string)                     {}
 
 var _ = Describe("a router that can't copy the list of targets", func() {
 	const bound = time.Second
--- a/internal/app/gateway/relay.go
+++ b/internal/app/gateway/relay.go
@@ -20,11 +20,20 @@
 	"github.com/hemlockdyke/hemlockdyke/internal/eventlog"
 )
 
-// Observer is told how each request ended.
+// Observer is told how each request ended, and what targets say of themselves.
 type Observer interface {
 	Observe(r Result)
+	// Said counts a target's word: that it leaves, a pause, or a time that makes no sense.
+	Said(what string)
 }
 
+// What targets say of themselves.
+const (
+	SaidLeaving = "leaving"
+	SaidPause   = "pause"
+	SaidBad     = "bad"
+)
+
 // Result is how a request ended.
 type Result struct {
 	Route    string
@@ -171,6 +180,11 @@
 	return time.Duration(float64(d) * (0.5 + rand.Float64()))
 }
 
+// comesBack reports whether a code sends its caller away until some target takes requests.
+func comesBack(c code.Code) bool {
+	return c == code.TargetsPaused || c == code.TargetRefused || c == code.NoTarget
+}
+
 // later spreads a time before which coming back makes no sense.
 func later(d time.Duration) time.Duration {
 	return time.Duration(float64(d) * (1 + 0.5*rand.Float64()))
@@ -279,7 +293,7 @@
 	}, admission.Ask{Team: x.match.teamName(), Rank: x.match.rank(), RouteRank: x.match.route.Priority, Left: x.ends.Sub(now), Objective: x.match.route.Objective}, x.machine.MayHaveRun())
 	switch {
 	case !ok:
-		return x.machine.Step(attempt.Refused{Code: code.NoTarget})
+		return x.machine.Step(attempt.Refused{Code: r.view.noTarget(now, x.match.pool)})
 	case verdict.Code != code.OK:
 		x.note(eventlog.NotAdmitted).Str("target", choice.Target.ID).Int("open", choice.Open).
 			Dur("wait", verdict.Wait).Dur("left", x.ends.Sub(now)).Int("rank", x.match.rank()).Msg("")
@@ -318,6 +332,9 @@
 		// A target's own failure is the better answer: it is the caller's to read.
 		x.whole(x.kept.status, x.kept.header, x.kept.body)
 	case x.first.IsZero():
+		if wait := r.view.resumes(r.now(), x.match.pool); wait > 0 && x.notBefore == 0 && comesBack(c) {
+			x.notBefore = wait
+		}
 		after := x.retryAfter
 		if after == 0 {
 			after = admission.RetryAfter(c, x.ends.Sub(r.now()))
--- a/internal/app/gateway/said.go
+++ b/internal/app/gateway/said.go
@@ -16,6 +16,12 @@
 	}
 	r.log.Line(eventlog.TargetSaid).Str("target", t.choice.Target.ID).Bool("leaving", reply.Leaving).
 		Dur("pause", reply.Pause).Str("bad", reply.BadPause[:min(len(reply.BadPause), maxBadShown)]).Msg("")
+	for what, said := range map[string]bool{SaidLeaving: reply.Leaving, SaidPause: reply.Pause > 0, SaidBad: reply.BadPause != ""} {
+		if said {
+			r.observer.Said(what)
+		}
+	}
+	r.view.saysPause(r.now(), t.choice.Target.UID, reply.Pause)
 	if reply.Leaving && r.view.saysLeaving(r.now(), t.choice.Target.UID) {
 		r.tellLeaving(t.choice.Target.UID)
 	}
--- a/internal/app/gateway/try.go
+++ b/internal/app/gateway/try.go
@@ -136,10 +136,10 @@
 // failureWithdrawn is the failure of an attempt whose target wanted nothing more by the time it was to be sent.
 const failureWithdrawn = "withdrawn"
 
-// sent notes that the request is sent from now on, unless its target has said meanwhile that it leaves: a connection may take some
-// tenths of a second to open.
+// sent notes that the request is sent from now on, unless its target has said meanwhile that it leaves, or that it wants nothing for a
+// time: a connection may take some tenths of a second to open.
 func (t *try) sent() bool {
-	if t.run.relay.view.targetLeaves(t.choice.Target.UID) {
+	if !t.run.relay.view.wants(t.run.relay.now(), t.choice.Target.UID) {
 		return false
 	}
 	t.run.machine.Step(attempt.Wrote{Attempt: t.number})
@@ -178,8 +178,11 @@
 
 func (t *try) turnedAway(reply Reply) attempt.Action {
 	t.failure, t.outcome = "turned_away", placement.Refused
-	if reply.WrongTarget {
+	switch {
+	case reply.WrongTarget:
 		t.fail("wrong_target", nil)
+	case reply.Pause > 0:
+		t.outcome = placement.Neutral // it says what it wants
 	}
 	return t.run.machine.Step(attempt.TurnedAway{Attempt: t.number})
 }
--- a/internal/app/gateway/view.go
+++ b/internal/app/gateway/view.go
@@ -102,6 +102,35 @@
 	return v.board.SaysLeaving(now, target)
 }
 
+// saysPause takes in for how long a target wants nothing from this router.
+func (v *view) saysPause(now time.Time, target uint64, d time.Duration) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.board.SaysPause(now, target, d)
+}
+
+// wants reports whether a request that was placed may be sent to its target now.
+func (v *view) wants(now time.Time, target uint64) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.board.Wants(now, target)
+}
+
+// noTarget returns the code for a request that found no target.
+func (v *view) noTarget(now time.Time, pool string) code.Code {
+	if v.resumes(now, pool) > 0 {
+		return code.TargetsPaused
+	}
+	return code.NoTarget
+}
+
+// resumes returns in what time the first target of a pool wants requests again, if none does now; 0 otherwise.
+func (v *view) resumes(now time.Time, pool string) time.Duration {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.board.Resumes(now, pool)
+}
+
 // targetID returns the name of a target's lifetime, empty if it is not known.
 func (v *view) targetID(target uint64) string {
 	v.mu.Lock()
--- a/internal/core/code/code.go
+++ b/internal/core/code/code.go
@@ -56,6 +56,7 @@
 	ShuttingDown     Code = 2009
 	InProgress       Code = 2010
 	Poison           Code = 2011
+	TargetsPaused    Code = 2012
 
 	AttemptsSpent   Code = 3001
 	DeadlinePassed  Code = 3002
@@ -110,6 +111,7 @@
 	ShuttingDown:     {"shutting_down", 503, RanNo, "Use another router; this one is stopping."},
 	InProgress:       {"in_progress", 409, RanUnknown, "Ask again later with the same Idempotency-Key."},
 	Poison:           {"poison", 503, RanNo, "Come back after Retry-After; targets have ended under this request."},
+	TargetsPaused:    {"targets_paused", 503, RanNo, "Come back after Retry-After; all targets of the pool want nothing for now."},
 	AttemptsSpent:    {"attempts_spent", 502, RanYes, "Ask again; every attempt failed."},
 	DeadlinePassed:   {"deadline_passed", 504, RanYes, "Ask again with a later deadline."},
 	StreamCut:        {"stream_cut", 502, RanYes, "Ask again; the stream ended before its end marker."},
--- a/internal/core/placement/choose.go
+++ b/internal/core/placement/choose.go
@@ -30,7 +30,7 @@
 func passedOver(now time.Time, p *pool) func(*target) bool {
 	staying, suspended, ejected := 0, 0, 0
 	for _, t := range p.targets {
-		if t.Leaving || (t.health.unreachable && t.health.suspended(now)) {
+		if t.closed(now) || (t.health.unreachable && t.health.suspended(now)) {
 			continue
 		}
 		staying++
@@ -45,6 +45,9 @@
 	suspend := always || float64(suspended) <= panicShare*float64(staying)
 	eject := always || float64(suspended+ejected) <= ejectShare*float64(staying)
 	return func(t *target) bool {
+		if t.pause.holds(now) {
+			return true
+		}
 		if t.health.suspended(now) {
 			return t.health.unreachable || suspend
 		}
@@ -191,7 +194,7 @@
 	var best *target
 	bestCost := 0.0
 	for _, t := range p.targets {
-		if t.Leaving || a.excludes(t.UID) || skip(t) || float64(t.open()+1) > p.maxOpen {
+		if t.closed(now) || a.excludes(t.UID) || skip(t) || float64(t.open()+1) > p.maxOpen {
 			continue
 		}
 		cost := b.cost(now, t)
--- a/internal/core/placement/model.go
+++ b/internal/core/placement/model.go
@@ -136,6 +136,7 @@
 	if !ok {
 		return
 	}
+	t.pause.answered(now, answered)
 	w, ok := t.waiting.end(c.sequence)
 	if !ok || !answered {
 		return
--- /dev/null
+++ b/internal/core/placement/pause_test.go
@@ -0,0 +1,142 @@
+package placement_test
+
+import (
+	"math/rand/v2"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/hemlockdyke/hemlockdyke/internal/core/placement"
+	"github.com/hemlockdyke/hemlockdyke/internal/testkit"
+)
+
+var _ = Describe("a target that wants nothing for a time", func() {
+	var (
+		b   *placement.Board
+		now time.Time
+	)
+	place := func() (placement.Choice, bool) { return b.Place(now, placement.Ask{Pool: "p", Chat: 7}) }
+	end := func(c placement.Choice, answered bool) {
+		b.FirstEvent(now, c, answered)
+		o := placement.Answered
+		if !answered {
+			o = placement.Neutral
+		}
+		b.Done(now, c.Target.UID, o)
+	}
+
+	BeforeEach(func() {
+		now = time.Unix(1_000_000, 0)
+		b = placement.New(placement.DefaultSettings("a"), rand.New(rand.NewPCG(1, 1)))
+		b.SetTargets(now, map[string][]placement.Target{"p": {{UID: 1, ID: "i-1", Slots: 8}, {UID: 2, ID: "i-2", Slots: 8}}})
+	})
+
+	It("gets nothing until then, its chats neither", func() {
+		home, _ := place()
+		end(home, true)
+		b.SaysPause(now, home.Target.UID, 3*time.Second)
+		for range 50 {
+			c, ok := place()
+			Expect(ok).To(BeTrue())
+			Expect(c.Target.UID).NotTo(Equal(home.Target.UID))
+			end(c, true)
+			now = now.Add(50 * time.Millisecond)
+		}
+		now = now.Add(2 * time.Second)
+		c, _ := place()
+		Expect(c.Target.UID).To(Equal(home.Target.UID), "the chat comes home")
+	})
+
+	It("gets one request first, and the others when that has its first event", func() {
+		home, _ := place()
+		end(home, true)
+		b.SaysPause(now, home.Target.UID, time.Second)
+		now = now.Add(2 * time.Second)
+		first, _ := place()
+		Expect(first.Target.UID).To(Equal(home.Target.UID))
+		second, _ := place()
+		Expect(second.Target.UID).NotTo(Equal(home.Target.UID))
+		b.FirstEvent(now, first, true)
+		third, _ := place()
+		Expect(third.Target.UID).To(Equal(home.Target.UID))
+	})
+
+	It("goes on pausing if the first request is turned away for a time again", func() {
+		home, _ := place()
+		end(home, true)
+		b.SaysPause(now, home.Target.UID, time.Second)
+		now = now.Add(2 * time.Second)
+		first, _ := place()
+		b.SaysPause(now, first.Target.UID, time.Second)
+		end(first, false)
+		c, _ := place()
+		Expect(c.Target.UID).NotTo(Equal(home.Target.UID))
+	})
+
+	It("pauses for the longer of two words", func() {
+		b.SaysPause(now, 1, 10*time.Second)
+		b.SaysPause(now, 1, time.Second)
+		now = now.Add(5 * time.Second)
+		Expect(b.Wants(now, 1)).To(BeFalse())
+	})
+
+	It("is believed no longer by its next lifetime", func() {
+		b.SaysPause(now, 1, time.Minute)
+		b.SetTargets(now, map[string][]placement.Target{"p": {{UID: 3, ID: "i-1", Slots: 8}}})
+		_, ok := place()
+		Expect(ok).To(BeTrue())
+	})
+
+	It("leaves nobody to be sent to if all want nothing, and says when the first does", func() {
+		b.SaysPause(now, 1, 4*time.Second)
+		Expect(b.Resumes(now, "p")).To(BeZero())
+		b.SaysPause(now, 2, 2*time.Second)
+		_, ok := place()
+		Expect(ok).To(BeFalse())
+		Expect(b.Resumes(now, "p")).To(BeNumerically("~", 2250*time.Millisecond, 250*time.Millisecond))
+	})
+
+	It("gets at most what was on its way, in any order of words, ends and placements", func() {
+		testkit.Check("300", func(t *rapid.T) {
+			now := time.Unix(1_000_000, 0)
+			b := placement.New(placement.DefaultSettings("a"), rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1)))
+			b.SetTargets(now, map[string][]placement.Target{"p": {{UID: 1, ID: "i-1", Slots: 8}, {UID: 2, ID: "i-2", Slots: 8}, {UID: 3, ID: "i-3", Slots: 8}}})
+			paused := make(map[uint64]time.Time)
+			var open []placement.Choice
+			for range rapid.IntRange(5, 80).Draw(t, "steps") {
+				switch rapid.IntRange(0, 3).Draw(t, "what") {
+				case 0:
+					if c, ok := b.Place(now, placement.Ask{Pool: "p", Chat: uint64(rapid.IntRange(0, 3).Draw(t, "chat"))}); ok {
+						if now.Before(paused[c.Target.UID]) {
+							t.Fatalf("placed at a target that wants nothing for %s", paused[c.Target.UID].Sub(now))
+						}
+						open = append(open, c)
+					}
+				case 1:
+					if len(open) > 0 {
+						c := open[0]
+						open = open[1:]
+						b.FirstEvent(now, c, true)
+						b.Done(now, c.Target.UID, placement.Answered)
+					}
+				case 2:
+					if len(open) > 0 {
+						c := open[len(open)-1]
+						open = open[:len(open)-1]
+						d := time.Duration(rapid.IntRange(1, 5000).Draw(t, "pause")) * time.Millisecond
+						b.SaysPause(now, c.Target.UID, d)
+						if until := now.Add(d); until.After(paused[c.Target.UID]) {
+							paused[c.Target.UID] = until
+						}
+						b.FirstEvent(now, c, false)
+						b.Done(now, c.Target.UID, placement.Neutral)
+					}
+				case 3:
+					now = now.Add(time.Duration(rapid.IntRange(1, 3000).Draw(t, "ms")) * time.Millisecond)
+				}
+			}
+		})
+	})
+})
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -114,6 +114,7 @@
 	own    int
 	peers  int // of all other routers, from their last digests
 	health health
+	pause  pause
 
 	pool    *pool
 	centre  int // index of its data centre in the pool
@@ -363,6 +364,7 @@
 	t.own++
 	t.serves(now)
 	t.health.placed()
+	t.pause.placed()
 	return c, true
 }
 
--- a/internal/core/placement/source.go
+++ b/internal/core/placement/source.go
@@ -38,12 +38,15 @@
 	return ""
 }
 
+// gives reports whether cached parts may be fetched from a target.
+func (t *target) gives(now time.Time) bool { return !t.health.suspended(now) && !t.pause.holds(now) }
+
 // deepest returns the longest beginning of the prompt that another target holds, and that target; the Part
 // is empty if there is none.
 func (b *Board) deepest(now time.Time, a Ask, t *target) (Part, *target) {
 	return b.held.deepest(now, a.Prompt, t, func(uid uint64) (*target, bool) {
 		o, ok := b.byUID[uid]
-		return o, ok && o.pool == t.pool && !o.health.suspended(now)
+		return o, ok && o.pool == t.pool && o.gives(now)
 	})
 }
 
@@ -64,7 +67,7 @@
 	var bestWeight uint64
 	for _, o := range p.targets {
 		w := order.weight(o)
-		if o == t || o.health.suspended(now) || (!young && w < weight) {
+		if o == t || !o.gives(now) || (!young && w < weight) {
 			continue
 		}
 		if young && !o.servedBefore(t.joined) || !young && now.Sub(o.joined) < youngFor {
