What a target says to routers is taken off its answers

Callers saw headers that a target means for its router, as if the router had said them. Cause: all headers of an answer but those of a connection went on. Why this holds: it is done once, where an answer's header is first read, for every way that it goes on.

--- a/internal/app/gateway/leaving_test.go
+++ b/internal/app/gateway/leaving_test.go
@@ -191,6 +191,7 @@
 
 func (plainWire) Prepare(*gateway.Call, gateway.Attempt) http.Header { return http.Header{} }
 func (plainWire) Echoes(*gateway.Call, http.Header) bool             { return true }
+func (plainWire) ForCaller(http.Header)                              {}
 func (plainWire) Reply(int, http.Header) gateway.Reply               { return gateway.Reply{} }
 
 type nobody struct{}
--- a/internal/app/gateway/ports.go
+++ b/internal/app/gateway/ports.go
@@ -127,6 +127,8 @@
 	Echoes(call *Call, h http.Header) bool
 	// Reply decodes an answer's header.
 	Reply(status int, h http.Header) Reply
+	// ForCaller takes off an answer's header what a target says to routers.
+	ForCaller(h http.Header)
 }
 
 // Responder answers the caller.
--- a/internal/app/gateway/try.go
+++ b/internal/app/gateway/try.go
@@ -77,6 +77,7 @@
 	}
 	defer answer.Close()
 	reply := x.relay.wire.Reply(answer.Status, answer.Header)
+	x.relay.wire.ForCaller(answer.Header) // or the caller would take it for this router's word
 	switch {
 	case reply.Unrun:
 		return t.turnedAway(reply)
