A target's end that one router sees is known to all

Callers saw requests placed at ended targets, up to four in a row, and refused for that, while other targets ran. Cause: that a target's port refuses was learned by each router for itself, again after each short suspension, until the list dropped the target seconds later. The same class as the poison request's: what a broken connection tells was told to nobody. Change: an end that is certain (connection broken, port refuses) rests the target for four seconds at once, and travels in digests as departures do, marked as seen; a new entry of the target ends the rest. Why this holds: a lifetime does not come back, and a new one has another name or a new entry.

--- a/internal/app/gateway/control.go
+++ b/internal/app/gateway/control.go
@@ -199,10 +199,10 @@
 	return n
 }
 
-// tellLeaving passes on at once that a target has said that it leaves.
-func (c *Control) tellLeaving(target uint64) {
+// tellDeparture passes on at once what traffic has learned of a target.
+func (c *Control) tellDeparture(d placement.Departure) {
 	c.do(func(now time.Time) {
-		c.departures.add([]placement.Departure{{Target: target, Said: true}})
+		c.departures.add([]placement.Departure{d})
 		c.step(c.ctx, now, fleet.Learned{News: c.news(now)})
 	})
 }
--- a/internal/app/gateway/poison.go
+++ b/internal/app/gateway/poison.go
@@ -205,7 +205,11 @@
 
 func (r *Relay) ended(target placement.Target, requests []poison.Fingerprint) {
 	r.log.Line(eventlog.TargetEnded).Str("target", target.ID).Int("requests", len(requests)).Msg("")
-	if r.view.guard.ended(r.now(), target.UID, requests) {
+	fresh := r.view.guard.ended(r.now(), target.UID, requests)
+	switch {
+	case r.view.targetEnded(r.now(), target.UID):
+		r.depart(placement.Departure{Target: target.UID, Ended: true})
+	case fresh:
 		r.tell()
 	}
 }
--- a/internal/app/gateway/relay.go
+++ b/internal/app/gateway/relay.go
@@ -60,14 +60,13 @@
 	log      *eventlog.Log
 	now      func() time.Time
 	observer Observer
-	tell     func() // passes news on at once
-	// tellLeaving passes on at once that a target says that it leaves.
-	tellLeaving func(target uint64)
+	tell     func()                    // passes news on at once
+	depart   func(placement.Departure) // passes it on at once
 }
 
 // NewRelay returns a Relay that goes by what a Control knows.
 func NewRelay(c *Control, wire Wire, up Upstream, observer Observer, log *eventlog.Log, now func() time.Time) *Relay {
-	return &Relay{view: c.view, wire: wire, upstream: up, observer: observer, log: log, now: now, tell: c.tellNews, tellLeaving: c.tellLeaving}
+	return &Relay{view: c.view, wire: wire, upstream: up, observer: observer, log: log, now: now, tell: c.tellNews, depart: c.tellDeparture}
 }
 
 const (
--- a/internal/app/gateway/said.go
+++ b/internal/app/gateway/said.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 
+	"github.com/hemlockdyke/hemlockdyke/internal/core/placement"
 	"github.com/hemlockdyke/hemlockdyke/internal/eventlog"
 )
 
@@ -23,7 +24,7 @@
 	}
 	r.view.saysPause(r.now(), t.choice.Target.UID, reply.Pause)
 	if reply.Leaving && r.view.saysLeaving(r.now(), t.choice.Target.UID) {
-		r.tellLeaving(t.choice.Target.UID)
+		r.depart(placement.Departure{Target: t.choice.Target.UID, Said: true})
 	}
 }
 
--- a/internal/app/gateway/view.go
+++ b/internal/app/gateway/view.go
@@ -102,6 +102,13 @@
 	return v.board.SaysLeaving(now, target)
 }
 
+// targetEnded takes in that a target's process has ended, and reports whether that is news.
+func (v *view) targetEnded(now time.Time, target uint64) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.board.Ended(now, target)
+}
+
 // saysPause takes in for how long a target wants nothing from this router.
 func (v *view) saysPause(now time.Time, target uint64, d time.Duration) {
 	v.mu.Lock()
--- a/internal/core/fleet/report.go
+++ b/internal/core/fleet/report.go
@@ -172,6 +172,9 @@
 		if i < len(d.GetLeftSaid()) { // routers of earlier releases tell none
 			out[i].Said = d.GetLeftSaid()[i]
 		}
+		if i < len(d.GetLeftEnded()) {
+			out[i].Ended = d.GetLeftEnded()[i]
+		}
 	}
 	return out
 }
--- a/internal/core/fleet/suspects.go
+++ b/internal/core/fleet/suspects.go
@@ -73,6 +73,7 @@
 		d.LeftList = append(d.LeftList, left.List)
 		d.LeftGone = append(d.LeftGone, left.Gone)
 		d.LeftSaid = append(d.LeftSaid, left.Said)
+		d.LeftEnded = append(d.LeftEnded, left.Ended)
 	}
 	for _, e := range c.poison.Ends {
 		d.EndedRequest = append(d.EndedRequest, uint64(e.Request))
--- a/internal/core/placement/health.go
+++ b/internal/core/placement/health.go
@@ -75,6 +75,19 @@
 	return h.until.After(before)
 }
 
+// endedRest is for how long a target gets nothing whose process has ended. A lifetime does not come back; where another
+// process is the same lifetime by name, its new entry ends the rest.
+const endedRest = suspendMax
+
+// ended takes in that the target's process has ended.
+func (h *health) ended(now time.Time) {
+	h.unreachable = true
+	h.suspensions = max(h.suspensions, 1)
+	if until := now.Add(endedRest); until.After(h.until) {
+		h.until = until
+	}
+}
+
 // suspend takes the target out for a while. Requests that were sent before it began
 // and fail in it say nothing new.
 func (h *health) suspend(now time.Time) {
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -115,6 +115,7 @@
 	peers  int // of all other routers, from their last digests
 	health health
 	pause  pause
+	ended  time.Time // when its process was told to have ended; zero if it was not
 
 	pool    *pool
 	centre  int // index of its data centre in the pool
@@ -220,6 +221,9 @@
 				known = &target{joined: joined, seed: rendezvous.Hash(t.ID)}
 				b.byUID[t.UID] = known
 			}
+			if !known.ended.IsZero() && t.Row > known.Row {
+				known.ended, known.health = time.Time{}, health{} // it has written again
+			}
 			known.Target, known.pool = t, p
 			b.applySaid(now, known)
 			listed[t.UID] = true
@@ -415,6 +419,18 @@
 	return true
 }
 
+// Ended takes in that a target's process has ended, as this router saw it or another one tells, and reports whether that is
+// news. Each router would learn it by a request of its own otherwise.
+func (b *Board) Ended(now time.Time, uid uint64) (news bool) {
+	t, ok := b.byUID[uid]
+	if !ok || ablate.Off(ablate.Suspension) || (!t.ended.IsZero() && now.Sub(t.ended) < endedRest) {
+		return false
+	}
+	t.ended = now
+	t.health.ended(now)
+	return true
+}
+
 // Silent takes note of a target that leaves a request unanswered for longer than
 // its answers take. The request still waits, so nothing else would show the failure
 // before the request's deadline, and more would be sent there meanwhile.
--- a/internal/core/placement/roster.go
+++ b/internal/core/placement/roster.go
@@ -66,6 +66,8 @@
 	Gone bool
 	// Said: the target has said so itself, in an answer. No list says it yet, and none counts against it.
 	Said bool
+	// Ended: the target's process has ended, as a router saw by its connections and its port.
+	Ended bool
 }
 
 // departed is a departure by a later list than the one in force.
--- a/internal/eventlog/kinds.go
+++ b/internal/eventlog/kinds.go
@@ -44,7 +44,7 @@
 	TargetsChanged       = Kind{"targets", zerolog.InfoLevel, 50, "a list of targets is in force"}
 	TargetRejected       = Kind{"target_rejected", zerolog.ErrorLevel, 20, "a version of an entry of the list can't be trusted and names no target; the others stay"}
 	TargetRestarted      = Kind{"target_restarted", zerolog.WarnLevel, 50, "a target has started again under its id: when its earlier lifetime began, and how many attempts ended with that"}
-	TargetLeft           = Kind{"target_left", zerolog.InfoLevel, 50, "another router tells that a target leaves or is gone, before the list that says so is here; `said`: by the target's own answer"}
+	TargetLeft           = Kind{"target_left", zerolog.InfoLevel, 50, "another router tells that a target leaves or is gone, before the list that says so is here; `said`: by the target's own answer, `ended`: its process has ended"}
 	StoreChanged         = Kind{"store", zerolog.InfoLevel, 50, "this router began or ceased to read the store, or the store was lost or regained"}
 	StoreReadFailed      = Kind{"store_read_failed", zerolog.WarnLevel, 50, "a call to the store failed"}
 	CopyFailed           = Kind{"copy_failed", zerolog.WarnLevel, 50, "another router did not answer a copy request"}
