A fleet that has lost all its routers reads its suspects within half a second, not three

Cause: the store's suspects were read with the first look at the list of routers, one to three seconds after a start, so that a request which ends targets could reach three more before anybody knew it again. Change: a loop of its own: 0.4 s after the start, then only when something changes or there are suspects.

--- a/internal/app/gateway/control.go
+++ b/internal/app/gateway/control.go
@@ -126,6 +126,7 @@
 	}
 	c.ctx = ctx
 	go c.keepListed(ctx)
+	go c.keepSuspects(ctx)
 	if len(c.settings.Seeds) > 0 {
 		c.step(ctx, c.now(), fleet.Found{Addresses: addresses(c.settings.Seeds)})
 	}
--- a/internal/app/gateway/keep.go
+++ b/internal/app/gateway/keep.go
@@ -20,8 +20,38 @@
 	retry   time.Duration
 }
 
-func newKeeper(c *Control) *keeper {
-	return &keeper{control: c, kept: make(map[poison.Fingerprint]int), retry: listPause}
+const (
+	// learnPause is how often a router that has started looks whether it knows whom the others suspect.
+	learnPause = 400 * time.Millisecond
+	// keepPause is how often it looks while there are suspects: one whose home has ended has another one.
+	keepPause = 2 * time.Second
+)
+
+// keepSuspects runs until ctx ends.
+func (c *Control) keepSuspects(ctx context.Context) {
+	k := &keeper{control: c, kept: make(map[poison.Fingerprint]int), retry: keepPause}
+	for k.wait(ctx) {
+		k.look(ctx)
+	}
+}
+
+// wait waits until there may be something to do, and reports whether ctx still runs.
+func (k *keeper) wait(ctx context.Context) bool {
+	guard := k.control.view.guard
+	var due <-chan time.Time
+	switch {
+	case !guard.isKnown():
+		due = time.After(learnPause)
+	case guard.suspects.Load() > 0 || len(k.kept) > 0:
+		due = time.After(keepPause)
+	}
+	select {
+	case <-due:
+	case <-k.control.keepWake:
+	case <-ctx.Done():
+		return false
+	}
+	return true
 }
 
 func (k *keeper) look(ctx context.Context) {
@@ -47,7 +77,7 @@
 		k.retry = min(2*k.retry, listRetryMax)
 		return
 	}
-	k.retry = listPause
+	k.retry = keepPause
 }
 
 // load takes in what an earlier fleet kept.
--- a/internal/app/gateway/listing.go
+++ b/internal/app/gateway/listing.go
@@ -35,13 +35,11 @@
 	sweep   fleet.Sweep
 }
 
-// keepListed keeps what this router has in the store until ctx ends.
+// keepListed runs until ctx ends.
 func (c *Control) keepListed(ctx context.Context) {
 	l := &listing{control: c, retry: listPause, sweptAt: c.now(), listed: make(map[fleet.Address]bool)}
-	k := newKeeper(c)
-	for c.pause(ctx, listPause) {
+	for pause(ctx, listPause) {
 		l.look(ctx)
-		k.look(ctx)
 	}
 }
 
@@ -136,15 +134,13 @@
 	return c.store.Unregister(ctx, c.settings.Address)
 }
 
-// pause waits for about d, or until there may be something to keep, and reports whether ctx still runs.
-func (c *Control) pause(ctx context.Context, d time.Duration) bool {
+// pause waits for about d and reports whether ctx still runs.
+func pause(ctx context.Context, d time.Duration) bool {
 	timer := time.NewTimer(time.Duration(float64(d) * (0.5 + rand.Float64())))
 	defer timer.Stop()
 	select {
 	case <-timer.C:
 		return true
-	case <-c.keepWake:
-		return true
 	case <-ctx.Done():
 		return false
 	}
