--- a/internal/app/gateway/control.go
+++ b/internal/app/gateway/control.go
@@ -210,11 +210,6 @@
 	})
 }
 
-// tellNews passes on at once what traffic has learned.
-func (c *Control) tellNews() {
-	c.do(func(now time.Time) { c.step(c.ctx, now, fleet.Learned{News: c.news(now)}) })
-}
-
 func (c *Control) act(ctx context.Context, now time.Time, a fleet.Action) {
 	switch a := a.(type) {
 	case fleet.SendDigest:
--- a/internal/app/gateway/poison.go
+++ b/internal/app/gateway/poison.go
@@ -61,14 +61,13 @@
 	g.detector.TrialOver(now, f)
 }
 
-// ended takes in that a target ended under requests, and reports whether that is to be told at once.
-func (g *guard) ended(now time.Time, target uint64, requests []poison.Fingerprint) (fresh bool) {
+// ended takes in that a target ended under requests.
+func (g *guard) ended(now time.Time, target uint64, requests []poison.Fingerprint) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, f := range requests {
 		g.detector.Ended(now, f, target)
 	}
-	return g.detector.Fresh()
 }
 
 // heard takes in what another router tells, and reports whether that is to be told on.
@@ -205,12 +204,9 @@
 
 func (r *Relay) ended(target placement.Target, requests []poison.Fingerprint) {
 	r.log.Line(eventlog.TargetEnded).Str("target", target.ID).Int("requests", len(requests)).Msg("")
-	fresh := r.view.guard.ended(r.now(), target.UID, requests)
-	switch {
-	case r.view.targetEnded(r.now(), target.UID):
+	r.view.guard.ended(r.now(), target.UID, requests)
+	if r.view.targetEnded(r.now(), target.UID) {
 		r.depart(placement.Departure{Target: target.UID, Ended: true})
-	case fresh:
-		r.tell()
 	}
 }
 
--- a/internal/app/gateway/relay.go
+++ b/internal/app/gateway/relay.go
@@ -60,13 +60,12 @@
 	log      *eventlog.Log
 	now      func() time.Time
 	observer Observer
-	tell     func()                    // passes news on at once
 	depart   func(placement.Departure) // passes it on at once
 }
 
 // NewRelay returns a Relay that goes by what a Control knows.
 func NewRelay(c *Control, wire Wire, up Upstream, observer Observer, log *eventlog.Log, now func() time.Time) *Relay {
-	return &Relay{view: c.view, wire: wire, upstream: up, observer: observer, log: log, now: now, tell: c.tellNews, depart: c.tellDeparture}
+	return &Relay{view: c.view, wire: wire, upstream: up, observer: observer, log: log, now: now, depart: c.tellDeparture}
 }
 
 const (
--- a/internal/core/fleet/poison_test.go
+++ b/internal/core/fleet/poison_test.go
@@ -60,6 +60,9 @@
 	for i, a := range []fleet.Address{address(routers - 1), address(routers / 2), address(1)} {
 		n.ends(a, poisonous, uint64(100+i))
 		n.ends(a, harmless, uint64(100+i))
+		for k := range 16 { // others that were there, each sent once, each at another router
+			n.ends(address((i+k*7)%routers), poison.Fingerprint(1000*(i+1)+k), uint64(100+i))
+		}
 		n.run(200 * time.Millisecond)
 		// A fourth router has an answer to the other request that was there.
 		n.nodes[address(routers/3)].detector.Ran(n.now, harmless)
--- a/internal/core/poison/news.go
+++ b/internal/core/poison/news.go
@@ -61,11 +61,14 @@
 // newsQueue holds what is still to be told.
 type newsQueue struct {
 	waiting []item
-	fresh   bool // some have never been told
+	// fresh: a suspicion has never been told. Ends and answers wait for the next digest: many requests are at a target that
+	// ends, each at another router, and a digest for each of them to all would fill relays' links.
+	fresh bool
 }
 
 func (q *newsQueue) add(one item) {
-	one.left, q.fresh = newsTold, true
+	one.left = newsTold
+	q.fresh = q.fresh || one.kind == itemSuspect
 	if i := slices.IndexFunc(q.waiting, one.same); i >= 0 {
 		q.waiting[i] = one
 		return
@@ -105,7 +108,7 @@
 	return out
 }
 
-// Fresh reports whether there is something that was never told.
+// Fresh reports whether there is something that is to be told at once.
 func (d *Detector) Fresh() bool { return d.news.fresh }
 
 // TakeNews returns what the next digest tells.
