A suspect's home is asked for only when it may be tried; lines of a placement tell a trial

Cause, by reading: while any request was suspected, each request hashed all routers' addresses to find whether this router is its home, 340 at the aimed size; and no line said that a copy was let through. Change: the home is computed when a wait is over; placed has trial.

--- a/internal/app/gateway/poison.go
+++ b/internal/app/gateway/poison.go
@@ -44,7 +44,7 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.detector.Admit(now, f, f.Home(g.self, g.others))
+	return g.detector.Admit(now, f, func() bool { return f.Home(g.self, g.others) })
 }
 
 // ran takes in that a target answered a request.
--- a/internal/app/gateway/relay.go
+++ b/internal/app/gateway/relay.go
@@ -210,6 +210,7 @@
 	kept        *kept
 	stream      streamState
 	fingerprint poison.Fingerprint
+	trial       bool // the attempt under way is that of a suspect which is let through
 }
 
 // kept is a whole answer.
@@ -282,7 +283,8 @@
 		x.notBefore = suspicion.Wait
 		return x.machine.Step(attempt.Refused{Code: code.Poison})
 	}
-	if suspicion.Trial {
+	x.trial = suspicion.Trial
+	if x.trial {
 		defer func() { r.view.guard.trialOver(r.now(), x.fingerprint) }()
 	}
 	choice, verdict, ok := r.view.place(now, placement.Ask{
@@ -383,5 +385,5 @@
 		Stringer("fingerprint", x.fingerprint).Str("target", c.Target.ID).Str("rule", string(c.Rule)).Int("open", c.Open).Float64("bound", c.Bound).
 		Str("source", c.Source).Dur("loads_age", loadsAge).Uint64("version", x.match.version).
 		Uint64("targets_row", x.relay.view.targetsRow.Load()).
-		Str("resume_from", x.stream.last).Msg("")
+		Str("resume_from", x.stream.last).Bool("trial", x.trial).Msg("")
 }
--- a/internal/core/fleet/poison_test.go
+++ b/internal/core/fleet/poison_test.go
@@ -28,7 +28,7 @@
 	for _, o := range x.core.AliveAddresses(n.now) {
 		others = append(others, string(o))
 	}
-	v := x.detector.Admit(n.now, f, f.Home(string(a), others))
+	v := x.detector.Admit(n.now, f, func() bool { return f.Home(string(a), others) })
 	return !v.Refused
 }
 
--- a/internal/core/poison/detector_test.go
+++ b/internal/core/poison/detector_test.go
@@ -20,6 +20,10 @@
 	tick   = 100 * time.Millisecond
 )
 
+// Whether this router is a request's home.
+func here() bool      { return true }
+func elsewhere() bool { return false }
+
 // alone is a detector of one router, with a clock.
 type alone struct {
 	*poison.Detector
@@ -38,7 +42,7 @@
 }
 
 func (a *alone) refused(f poison.Fingerprint) bool {
-	v := a.Admit(a.now, f, true)
+	v := a.Admit(a.now, f, here)
 	if v.Trial {
 		a.TrialOver(a.now, f)
 	}
@@ -109,22 +113,22 @@
 		a := newAlone()
 		a.end(bad, 1, 2, 3)
 		a.pass(10 * time.Second)
-		Expect(a.Admit(a.now, bad, false).Refused).To(BeTrue(), "another router tries")
-		Expect(a.Admit(a.now, bad, true).Trial).To(BeTrue())
-		Expect(a.Admit(a.now, bad, true).Refused).To(BeTrue(), "one at a time")
+		Expect(a.Admit(a.now, bad, elsewhere).Refused).To(BeTrue(), "another router tries")
+		Expect(a.Admit(a.now, bad, here).Trial).To(BeTrue())
+		Expect(a.Admit(a.now, bad, here).Refused).To(BeTrue(), "one at a time")
 		a.Ended(a.now, bad, 4)
 		a.TrialOver(a.now, bad)
 		a.pass(5*time.Minute - time.Second)
 		Expect(a.refused(bad)).To(BeTrue())
 		a.pass(2 * time.Second)
-		Expect(a.Admit(a.now, bad, true).Trial).To(BeTrue())
+		Expect(a.Admit(a.now, bad, here).Trial).To(BeTrue())
 	})
 
 	It("is cleared when the one that is let through is answered", func() {
 		a := newAlone()
 		a.end(bad, 1, 2, 3)
 		a.pass(10 * time.Second)
-		Expect(a.Admit(a.now, bad, true).Trial).To(BeTrue())
+		Expect(a.Admit(a.now, bad, here).Trial).To(BeTrue())
 		a.Ran(a.now, bad)
 		a.TrialOver(a.now, bad)
 		Expect(a.refused(bad)).To(BeFalse())
@@ -135,11 +139,11 @@
 		a := newAlone()
 		a.end(bad, 1, 2, 3)
 		a.pass(10 * time.Second)
-		Expect(a.Admit(a.now, bad, true).Trial).To(BeTrue())
+		Expect(a.Admit(a.now, bad, here).Trial).To(BeTrue())
 		a.TrialOver(a.now, bad)
 		Expect(a.refused(bad)).To(BeTrue())
 		a.pass(10 * time.Second)
-		Expect(a.Admit(a.now, bad, true).Trial).To(BeTrue())
+		Expect(a.Admit(a.now, bad, here).Trial).To(BeTrue())
 		a.Ended(a.now, bad, 4)
 		a.TrialOver(a.now, bad)
 		a.pass(11 * time.Second)
--- a/internal/core/poison/suspect.go
+++ b/internal/core/poison/suspect.go
@@ -148,8 +148,8 @@
 }
 
 // Admit decides whether a request is sent. After its wait a suspect is tried once at a time, by the router that is its home
-// alone: each router trying for itself would end a target each.
-func (d *Detector) Admit(now time.Time, f Fingerprint, home bool) Verdict {
+// alone, which home is asked for only then: each router trying for itself would end a target each.
+func (d *Detector) Admit(now time.Time, f Fingerprint, home func() bool) Verdict {
 	s := d.suspects[f]
 	if s == nil || s.level == 0 {
 		return Verdict{}
@@ -159,7 +159,7 @@
 	switch {
 	case left > 0:
 		return Verdict{Refused: true, Wait: left}
-	case s.trial || !home:
+	case s.trial || !home():
 		return Verdict{Refused: true, Wait: trialLasts}
 	}
 	s.trial = true
