An answer without a length clears no request that its target may have ended under

Callers would have seen what the poison request did before: targets ending one after the other. Cause: an answer without a length ends with its connection. That of a target which ends looks the same, and was taken for an answer: it cleared the request, each time. Change: only answers whose end is marked clear; after others the target's port is asked, as after a broken one. Why this holds: a target that goes on accepts the connection, and nothing is held against the request.

--- a/internal/app/gateway/answer.go
+++ b/internal/app/gateway/answer.go
@@ -38,16 +38,22 @@
 	default:
 		t.outcome = placement.Answered
 		t.firstEvent(true)
-		if reply.Sealed {
-			t.ran()
-		}
+		t.ran(answer, reply.Sealed)
 		return t.pass(answer, body)
 	}
 	return x.machine.Step(attempt.Broken{Attempt: t.number})
 }
 
-// ran tells that the target has run the request and goes on.
-func (t *try) ran() { t.run.relay.view.guard.ran(t.run.relay.now(), t.run.fingerprint) }
+// ran tells that the target has run the request and goes on. An answer without a length ends with its connection, as one does whose
+// target has ended: it clears nobody, and the target is asked.
+func (t *try) ran(answer *upstream.Answer, sealed bool) {
+	switch {
+	case !answer.Framed:
+		t.blame(io.EOF)
+	case sealed:
+		t.run.relay.view.guard.ran(t.run.relay.now(), t.run.fingerprint)
+	}
+}
 
 // promises reports whether callers take a status as the promise that the request
 // has not run. A target's own answer with such a status makes none.
@@ -168,7 +174,7 @@
 		// Without a length the end of the connection is the end of the answer; one
 		// that is cut off ends with a reset, or in the middle of an event.
 		t.outcome = placement.Answered
-		t.ran()
+		t.ran(answer, true)
 		if x.first.IsZero() {
 			x.whole(answer.Status, answer.Header, pending)
 		} else if len(pending) > 0 {
