A target whose process has ended rests until the list has dropped it

A rest of four seconds ends as the list drops the target: 3 s in the test, and 0.7 s for which a target that left the list is used. On the platform three heartbeats and that time are 4.3 s and more. Change: the rest is six seconds.

--- a/internal/core/placement/health.go
+++ b/internal/core/placement/health.go
@@ -75,9 +75,10 @@
 	return h.until.After(before)
 }
 
-// endedRest is for how long a target gets nothing whose process has ended. A lifetime does not come back; where another
-// process is the same lifetime by name, its new entry ends the rest.
-const endedRest = suspendMax
+// endedRest is for how long a target gets nothing whose process has ended: until the list has dropped it, after three of its
+// heartbeats, and it is no longer used after that. A lifetime does not come back; where another process is the same lifetime by
+// name, its new entry ends the rest.
+const endedRest = 6 * time.Second
 
 // ended takes in that the target's process has ended.
 func (h *health) ended(now time.Time) {
