A target whose process has ended rests until its port accepts connections again

Cause: the rest of an ended lifetime was six seconds, then one request went there as a trial; while a list names the target for longer than that (heartbeats end, entries linger) each router met the refusing port anew every six seconds. Change: a second before the rest ends the router opens a connection, without a request, to the port; while none is accepted the rest begins again. A new entry of the same lifetime still ends it at once. Ruled out: a rest without end. A router that was cut off may take a running target for ended and would never use it again.

--- a/internal/app/gateway/control.go
+++ b/internal/app/gateway/control.go
@@ -163,6 +163,7 @@
 	if c.roster.Expire(now, grace) {
 		c.publishTargets(now)
 	}
+	c.askEnded(ctx, now)
 	c.upstream.Prune(c.roster.Has)
 	if n := c.core.Alive(now) + 1; n > c.routers {
 		c.routers = n
--- a/internal/app/gateway/poison.go
+++ b/internal/app/gateway/poison.go
@@ -191,17 +191,34 @@
 
 // inquire opens a connection: a process that has ended refuses it.
 func (r *Relay) inquire(target placement.Target) {
-	dialer := net.Dialer{Timeout: inquiryTimeout}
-	c, err := dialer.DialContext(context.Background(), "tcp", target.Address)
-	if err == nil {
-		_ = c.Close()
-	}
-	ended := errors.Is(err, syscall.ECONNREFUSED)
+	ended := errors.Is(knock(context.Background(), target.Address), syscall.ECONNREFUSED)
 	if requests := r.view.guard.answered(r.now(), target.UID, ended); ended {
 		r.ended(target, requests)
 	}
 }
 
+// knock opens a connection and closes it. No request is sent.
+func knock(ctx context.Context, address string) error {
+	dialer := net.Dialer{Timeout: inquiryTimeout}
+	c, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return err
+	}
+	return c.Close()
+}
+
+// askEnded asks targets that have ended, as far as is known, before their rest is over: a request in place of the question would
+// be refused, and its caller would wait for another target.
+func (c *Control) askEnded(ctx context.Context, now time.Time) {
+	for _, t := range c.view.endedToAsk(now) {
+		go func() {
+			if knock(ctx, t.Address) != nil {
+				c.view.endedStill(c.now(), t.UID)
+			}
+		}()
+	}
+}
+
 func (r *Relay) ended(target placement.Target, requests []poison.Fingerprint) {
 	r.log.Line(eventlog.TargetEnded).Str("target", target.ID).Int("requests", len(requests)).Msg("")
 	r.view.guard.ended(r.now(), target.UID, requests)
--- a/internal/app/gateway/view.go
+++ b/internal/app/gateway/view.go
@@ -109,6 +109,20 @@
 	return v.board.Ended(now, target)
 }
 
+// endedToAsk returns the targets that have ended, as far as is known, and whose ports are to be asked now.
+func (v *view) endedToAsk(now time.Time) []placement.Target {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.board.EndedToAsk(now)
+}
+
+// endedStill takes in that a target accepts no connection.
+func (v *view) endedStill(now time.Time, target uint64) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.board.EndedStill(now, target)
+}
+
 // saysPause takes in for how long a target wants nothing from this router.
 func (v *view) saysPause(now time.Time, target uint64, d time.Duration) {
 	v.mu.Lock()
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -116,6 +116,8 @@
 	health health
 	pause  pause
 	ended  time.Time // when its process was told to have ended; zero if it was not
+	// askedEnded is when its port was asked last whether it has.
+	askedEnded time.Time
 
 	pool    *pool
 	centre  int // index of its data centre in the pool
@@ -222,7 +224,7 @@
 				b.byUID[t.UID] = known
 			}
 			if !known.ended.IsZero() && t.Row > known.Row {
-				known.ended, known.health = time.Time{}, health{} // it has written again
+				known.ended, known.askedEnded, known.health = time.Time{}, time.Time{}, health{} // it has written again
 			}
 			known.Target, known.pool = t, p
 			b.applySaid(now, known)
@@ -431,6 +433,26 @@
 	return true
 }
 
+// EndedToAsk returns the listed targets that rest because their process has ended and whose port is to be asked now.
+func (b *Board) EndedToAsk(now time.Time) []Target {
+	var out []Target
+	for _, t := range b.byUID {
+		if !t.ended.IsZero() && now.Sub(t.ended) >= askEndedAfter && now.Sub(t.askedEnded) >= askEndedAfter && !b.Leaves(t.UID) {
+			t.askedEnded = now
+			out = append(out, t.Target)
+		}
+	}
+	return out
+}
+
+// EndedStill takes in that a target's port accepts no connection: its rest begins again.
+func (b *Board) EndedStill(now time.Time, uid uint64) {
+	if t, ok := b.byUID[uid]; ok && !t.ended.IsZero() {
+		t.ended = now
+		t.health.ended(now)
+	}
+}
+
 // Silent takes note of a target that leaves a request unanswered for longer than
 // its answers take. The request still waits, so nothing else would show the failure
 // before the request's deadline, and more would be sent there meanwhile.
