An evacuated data centre gets nothing from any router, however late the order comes

Cause: no router read op/evacuate/ZONE. Change: internal/core/evacuation holds the orders; the board excludes targets there from placing, retries, resumed streams and at the moment of sending; refusals are 2013, not run. The orders travel as rows of the table of the desired state, which every router copies by its version, so a router that can't get them serves nobody after three quarters of InForceWithin. Ruled out: a way of its own in digests, as departures have. The rows need no decoding beside others, a copy of changes is one packet, and the bound is longer than that of a desired state, which the same way keeps. All data centres evacuated: weighed serving against refusing; refused, since the order may be a power cut to come.

--- a/internal/app/gateway/bench_test.go
+++ b/internal/app/gateway/bench_test.go
@@ -19,6 +19,8 @@
 // entries decodes rows of JSON, as targets write them.
 type entries struct{}
 
+func (entries) Evacuated([]replica.Row) []string { return nil }
+
 func (entries) Desired([]replica.Row) (*route.State, error) { return nil, nil }
 
 func (entries) Targets(rows []replica.Row) (map[string][]placement.Target, []RejectedEntry) {
--- a/internal/app/gateway/control.go
+++ b/internal/app/gateway/control.go
@@ -10,6 +10,7 @@
 	"github.com/hemlockdyke/hemlockdyke/internal/core/admission"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/fleet"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/placement"
+	"github.com/hemlockdyke/hemlockdyke/internal/core/replica"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/retry"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/route"
 	"github.com/hemlockdyke/hemlockdyke/internal/eventlog"
@@ -81,6 +82,7 @@
 	version    uint64 // of the desired state in force
 	routers    int    // the most that were alive at once
 	inForceAt  time.Time
+	evacuated  int // data centres that are to get nothing
 	targetsAt  time.Time
 
 	poisonFresh bool          // others told something of requests under which targets end that is to be told on
@@ -271,6 +273,7 @@
 func (c *Control) changed(now time.Time, a fleet.Changed) {
 	rows, _ := c.core.Rows(a.Table)
 	if a.Table == fleet.Desired {
+		c.evacuate(now, rows, a)
 		state, err := c.decoder.Desired(rows)
 		switch {
 		case err != nil:
@@ -287,6 +290,16 @@
 		Strs("left", left[:min(len(left), maxLeftTold)]).Msg("")
 }
 
+// evacuate puts orders to evacuate data centres in force. They count whether the desired state beside them can be decoded or not.
+func (c *Control) evacuate(now time.Time, rows []replica.Row, a fleet.Changed) {
+	dataCentres := c.decoder.Evacuated(rows)
+	for _, ch := range c.view.evacuate(now, dataCentres) {
+		c.log.Line(eventlog.Evacuation).Str("data_centre", ch.DataCentre).Bool("evacuated", ch.Evacuated).Uint64("row", a.Version).
+			Str("source", a.Source).Msg("")
+	}
+	c.evacuated = len(dataCentres)
+}
+
 // putInForce swaps the routing table. Versions only rise within one process, by
 // whichever way a state comes.
 func (c *Control) putInForce(now time.Time, state *route.State, a fleet.Changed) {
--- a/internal/app/gateway/ports.go
+++ b/internal/app/gateway/ports.go
@@ -47,6 +47,8 @@
 type Decoder interface {
 	// Desired returns the newest desired state, nil if there is none yet.
 	Desired(rows []replica.Row) (*route.State, error)
+	// Evacuated returns the data centres that are to get nothing, by rows of the same table as the desired state.
+	Evacuated(rows []replica.Row) []string
 	// Targets returns the targets by pool, and the rows that name none.
 	Targets(rows []replica.Row) (map[string][]placement.Target, []RejectedEntry)
 }
--- a/internal/app/gateway/stale_test.go
+++ b/internal/app/gateway/stale_test.go
@@ -44,6 +44,8 @@
 // versions decodes a row into a state whose version is the row's, with a route named /old/.
 type versions struct{}
 
+func (versions) Evacuated([]replica.Row) []string { return nil }
+
 func (versions) Desired(rows []replica.Row) (*route.State, error) {
 	s := &route.State{Version: rows[0].Version, Pools: []route.Pool{{Name: "p"}}}
 	s.Routes = []route.Route{{Name: "old", Host: "h", Prefix: "/old/", Public: true, Split: []route.Share{{Pool: "p", Weight: 1}}}}
--- a/internal/app/gateway/status.go
+++ b/internal/app/gateway/status.go
@@ -18,6 +18,7 @@
 	Relay      bool          // of its data centre
 	Feeder     string        // the relay that feeds this router; empty if there is none
 	FedAge     time.Duration // since it did so last; 0 for relays and before the first time
+	Evacuated  int           // data centres that are to get nothing
 	Suspects   int           // requests that are refused because targets ended under them
 	OpenAt     map[string]int
 }
@@ -28,7 +29,7 @@
 	c.query(func(now time.Time) {
 		s = Status{
 			Ready: c.Ready(), Reading: c.core.Reading(), Version: c.version,
-			DesiredAge: now.Sub(c.inForceAt), TargetsAge: now.Sub(c.targetsAt), Peers: c.core.Alive(now), Heard: c.core.Direct(now),
+			Evacuated: c.evacuated, DesiredAge: now.Sub(c.inForceAt), TargetsAge: now.Sub(c.targetsAt), Peers: c.core.Alive(now), Heard: c.core.Direct(now),
 		}
 		var feeder fleet.Address
 		s.Relay, feeder = c.core.Role()
--- a/internal/app/gateway/view.go
+++ b/internal/app/gateway/view.go
@@ -7,6 +7,7 @@
 
 	"github.com/hemlockdyke/hemlockdyke/internal/core/admission"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/code"
+	"github.com/hemlockdyke/hemlockdyke/internal/core/evacuation"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/fleet"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/placement"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/retry"
@@ -139,12 +140,24 @@
 
 // noTarget returns the code for a request that found no target.
 func (v *view) noTarget(now time.Time, pool string) code.Code {
-	if v.resumes(now, pool) > 0 {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	switch {
+	case v.board.Evacuated(pool):
+		return code.Evacuated
+	case v.board.Resumes(now, pool) > 0:
 		return code.TargetsPaused
 	}
 	return code.NoTarget
 }
 
+// evacuate puts orders to evacuate data centres in force and returns what has changed.
+func (v *view) evacuate(now time.Time, dataCentres []string) []evacuation.Change {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.board.Evacuate(now, dataCentres)
+}
+
 // resumes returns in what time the first target of a pool wants requests again, if none does now; 0 otherwise.
 func (v *view) resumes(now time.Time, pool string) time.Duration {
 	v.mu.Lock()
--- a/internal/core/admission/retryafter.go
+++ b/internal/core/admission/retryafter.go
@@ -29,7 +29,7 @@
 		return retryElsewhere
 	case code.NotReady, code.StaleConfig:
 		return retryStarting
-	case code.NoTarget, code.TargetRefused, code.QueueFull:
+	case code.NoTarget, code.Evacuated, code.TargetRefused, code.QueueFull:
 		return time.Duration(retryShare * float64(left))
 	}
 	return 0
--- /dev/null
+++ b/internal/core/evacuation/evacuation_test.go
@@ -0,0 +1,47 @@
+package evacuation_test
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/hemlockdyke/hemlockdyke/internal/core/evacuation"
+)
+
+func TestEvacuation(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "evacuation")
+}
+
+var _ = Describe("orders", func() {
+	// Guards against a data centre that is used although the last list of orders names it, or left alone after it no longer does.
+	It("are those of the last update, whatever came before", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			var o evacuation.Orders
+			now := time.Unix(1000, 0)
+			var before []string
+			names := rapid.SliceOf(rapid.SampledFrom([]string{"a", "b", "c", "d"}))
+			for range 8 {
+				now = now.Add(time.Second)
+				next := names.Draw(t, "orders")
+				changes := o.Update(now, next)
+				slices.Sort(next)
+				next = slices.Compact(next)
+				Expect(o.DataCentres()).To(ConsistOf(next))
+				for _, dc := range []string{"a", "b", "c", "d"} {
+					is, was := slices.Contains(next, dc), slices.Contains(before, dc)
+					Expect(o.Holds(dc)).To(Equal(is))
+					Expect(slices.Contains(changes, evacuation.Change{DataCentre: dc, Evacuated: is})).To(Equal(is != was))
+					if was && !is {
+						Expect(o.ReturnedAt(dc)).To(Equal(now))
+					}
+				}
+				before = next
+			}
+		})
+	})
+})
--- a/internal/core/placement/choose.go
+++ b/internal/core/placement/choose.go
@@ -100,7 +100,7 @@
 	var top rendezvous.Top
 	order := p.order(a.Chat, skip)
 	for i, t := range p.targets {
-		if !t.Leaving && !a.excludes(t.UID) {
+		if t.stays() && !a.excludes(t.UID) {
 			top.Offer(int32(i), order.weight(t), rendezvous.MaxTop)
 		}
 	}
--- /dev/null
+++ b/internal/core/placement/evacuate.go
@@ -0,0 +1,41 @@
+package placement
+
+import (
+	"time"
+
+	"github.com/hemlockdyke/hemlockdyke/internal/core/evacuation"
+)
+
+// Evacuate puts the operators' orders to evacuate data centres in force, in place of those before, and returns what has changed.
+func (b *Board) Evacuate(now time.Time, dataCentres []string) []evacuation.Change {
+	changes := b.orders.Update(now, dataCentres)
+	if len(changes) == 0 {
+		return nil
+	}
+	for _, t := range b.byUID {
+		t.evacuated = b.orders.Holds(t.DataCentre)
+	}
+	for _, p := range b.pools {
+		p.centres = centres(p.targets)
+	}
+	return changes
+}
+
+// Evacuated reports whether all targets of a pool that stay are in evacuated data centres.
+func (b *Board) Evacuated(pool string) bool {
+	p, ok := b.pools[pool]
+	if !ok {
+		return false
+	}
+	evacuated := false
+	for _, t := range p.targets {
+		if t.stays() {
+			return false
+		}
+		evacuated = evacuated || (t.evacuated && !t.Leaving)
+	}
+	return evacuated
+}
+
+// stays reports whether the target may get requests at all: it does not leave, and its data centre is not evacuated.
+func (t *target) stays() bool { return !t.Leaving && !t.evacuated }
--- a/internal/core/placement/order.go
+++ b/internal/core/placement/order.go
@@ -24,7 +24,8 @@
 // A data centre's weight is the number of its staying targets against the mean of all, rounded
 // to a power of two. A weight that followed each target that comes or goes would move chats
 // between data centres, where a move takes twice as long and is paid for twice; rounded, a
-// target's share differs from the mean by at most the square root of two before spills even it out.
+// target's share differs from the mean by at most the square root of two before spills even it out. A data centre of which none
+// stays counts for nothing: the others' weights are the same with it and without.
 func centres(targets []*target) []centre {
 	var out []centre
 	index := make(map[string]int)
@@ -37,12 +38,18 @@
 			out = append(out, centre{name: t.DataCentre, seed: rendezvous.Hash(t.DataCentre)})
 		}
 		t.centre = i
-		if !t.Leaving {
+		if t.stays() {
 			out[i].weight++
 			staying++
 		}
 	}
-	mean := float64(staying) / float64(max(len(out), 1))
+	used := 0
+	for i := range out {
+		if out[i].weight > 0 {
+			used++
+		}
+	}
+	mean := float64(staying) / float64(max(used, 1))
 	for i := range out {
 		out[i].staying = out[i].weight
 		if out[i].weight > 0 {
@@ -76,7 +83,7 @@
 	o := order{chat: chat}
 	var passedOver [maxCentres]float64
 	for _, t := range p.targets {
-		if t.centre < maxCentres && !t.Leaving && skip(t) {
+		if t.centre < maxCentres && t.stays() && skip(t) {
 			passedOver[t.centre]++
 		}
 	}
--- a/internal/core/placement/pause.go
+++ b/internal/core/placement/pause.go
@@ -43,13 +43,13 @@
 	}
 }
 
-// closed reports whether a target gets nothing at all: it leaves, or wants nothing for now.
-func (t *target) closed(now time.Time) bool { return t.Leaving || t.pause.holds(now) }
+// closed reports whether a target gets nothing at all: it leaves, its data centre is evacuated, or it wants nothing for now.
+func (t *target) closed(now time.Time) bool { return !t.stays() || t.pause.holds(now) }
 
 // Wants reports whether a request that was placed may be sent to its target now.
 func (b *Board) Wants(now time.Time, uid uint64) bool {
 	t, ok := b.byUID[uid]
-	return ok && !b.Leaves(uid) && !t.pause.until.After(now)
+	return ok && !b.Leaves(uid) && !t.evacuated && !t.pause.until.After(now)
 }
 
 // Resumes returns in what time the first target of a pool wants requests again, if all of those that stay want none; 0 otherwise.
@@ -60,7 +60,7 @@
 	}
 	first := time.Duration(0)
 	for _, t := range p.targets {
-		if t.Leaving {
+		if !t.stays() {
 			continue
 		}
 		left := t.pause.until.Sub(now)
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/hemlockdyke/hemlockdyke/internal/core/ablate"
+	"github.com/hemlockdyke/hemlockdyke/internal/core/evacuation"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/rendezvous"
 )
 
@@ -119,6 +120,9 @@
 	// askedEnded is when its port was asked last whether it has.
 	askedEnded time.Time
 
+	// evacuated: operators want nothing sent to its data centre.
+	evacuated bool
+
 	pool    *pool
 	centre  int // index of its data centre in the pool
 	waiting waiting
@@ -174,6 +178,7 @@
 	models   map[string]*model // by pool
 	said     map[uint64]*said
 	sequence uint64 // of placements
+	orders   evacuation.Orders
 }
 
 // New returns an empty Board.
@@ -227,6 +232,7 @@
 				known.ended, known.askedEnded, known.health = time.Time{}, time.Time{}, health{} // it has written again
 			}
 			known.Target, known.pool = t, p
+			known.evacuated = b.orders.Holds(t.DataCentre)
 			b.applySaid(now, known)
 			listed[t.UID] = true
 			p.targets = append(p.targets, known)
--- a/internal/eventlog/kinds.go
+++ b/internal/eventlog/kinds.go
@@ -38,6 +38,7 @@
 	ReloadRejected       = Kind{"reload_rejected", zerolog.ErrorLevel, 10, "the settings file is bad; the last good settings stay"}
 	RequestsCut          = Kind{"requests_cut", zerolog.ErrorLevel, 10, "the grace time ended with requests open"}
 	ReadyChanged         = Kind{"ready", zerolog.InfoLevel, 20, "the answer to the balancer's checks changed"}
+	Evacuation           = Kind{"evacuation", zerolog.InfoLevel, 20, "an operator's order to evacuate a data centre is in force, or was taken back"}
 	StaleChanged         = Kind{"stale", zerolog.WarnLevel, 20, "this router serves nobody, as others have had a newer desired state for too long, or serves again"}
 	DesiredState         = Kind{"desired_state", zerolog.InfoLevel, 50, "a desired state is in force: its version, the row's, and who it came from"}
 	DesiredStateRejected = Kind{"desired_state_rejected", zerolog.ErrorLevel, 20, "a desired state can't be decoded; the last good one stays in force"}
@@ -75,7 +76,7 @@
 func Kinds() []Kind {
 	return []Kind{
 		TicketRefused, Placed, AttemptFailed, RepeatDenied, NotAdmitted, PoisonRefused, Finished, Failed,
-		Started, Stopping, Stopped, Reloaded, ReloadRejected, RequestsCut, ReadyChanged, StaleChanged, DesiredState,
+		Started, Stopping, Stopped, Reloaded, ReloadRejected, RequestsCut, ReadyChanged, StaleChanged, DesiredState, Evacuation,
 		DesiredStateRejected, TargetsChanged, TargetRejected, TargetRestarted, TargetLeft, StoreChanged, StoreReadFailed, CopyFailed, CopyRefused, Copied, LinkUse, ListFailed, KeepFailed,
 		PeerUp, PeerDown, PeerUnlisted, RoleChanged, TargetSuspended, TargetSaid, TargetEnded, PoisonChanged, PeerCallFailed, ListenerFailed,
 		ChangeAccepted, PlannedChange, PlannedChangeFailed, ClaimUnsettled, BurnIncomplete, LeftOut,
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -132,7 +132,7 @@
 	"not_sent":      "the target accepted no connection, so nothing ran",
 	"broken":        "the connection to the target broke after the request was sent",
 	"restarted":     "the target has started again since: nobody works on it any more",
-	"withdrawn":     "the target wanted nothing more by the time it was to be sent",
+	"withdrawn":     "the target was to get nothing more by the time it was to be sent: it said so, it is cold, or its data centre is evacuated",
 	"suspected":     "targets have ended under this request, so it was taken back",
 	"silent":        "the target stayed silent for longer than its answers take",
 	"truncated":     "the target's answer was cut off",
