Of all routers a few may send to a cold target, each one request a second

Change: internal/core/warmup. A target is cold by its entry, by its answers' header, and when its data centre comes back from an evacuation. Cold targets are passed over, which all routers see alike, so that chats stay where their cache is; a request goes to a cold one only if it would wait elsewhere and this router is one of the few, half of what the target bears, drawn by rendezvous hashing. It is asked again at the moment of sending.

--- a/internal/adapter/metrics/gateway.go
+++ b/internal/adapter/metrics/gateway.go
@@ -148,6 +148,7 @@
 		{"desired_state_age_seconds", s.DesiredAge.Seconds()}, {"targets_age_seconds", s.TargetsAge.Seconds()},
 		{"peers_alive", float64(s.Peers)}, {"peers_heard", float64(s.Heard)}, {"relay", boolean(s.Relay)},
 		{"feed_age_seconds", s.FedAge.Seconds()}, {"suspects", float64(s.Suspects)}, {"evacuated_data_centres", float64(s.Evacuated)},
+		{"cold_targets", float64(s.Cold)},
 	} {
 		fmt.Fprintf(w, "%s%s %g\n", prefix, one.name, one.value)
 	}
--- a/internal/app/gateway/control.go
+++ b/internal/app/gateway/control.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	peerv1 "github.com/hemlockdyke/hemlockdyke/gen/hemlockdyke/peer/v1"
@@ -13,6 +14,7 @@
 	"github.com/hemlockdyke/hemlockdyke/internal/core/replica"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/retry"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/route"
+	"github.com/hemlockdyke/hemlockdyke/internal/core/warmup"
 	"github.com/hemlockdyke/hemlockdyke/internal/eventlog"
 )
 
@@ -40,6 +42,9 @@
 	// LoadMultiple and LoadSlack bound what a target holds, see placement.Settings.
 	LoadMultiple float64
 	LoadSlack    float64
+	// ColdMultiple and ColdSlack bound what a cold target gets, see placement.Settings.
+	ColdMultiple float64
+	ColdSlack    float64
 	// LinkBytes is what the VM's link carries a second, each way; 0 if it is not known.
 	LinkBytes int64
 }
@@ -81,6 +86,8 @@
 	followCtx  [fleet.Tables]context.Context
 	version    uint64 // of the desired state in force
 	routers    int    // the most that were alive at once
+	startedAt  time.Time
+	fleet      []string // the other routers as placement knows them, nil if it knows none yet
 	inForceAt  time.Time
 	evacuated  int // data centres that are to get nothing
 	targetsAt  time.Time
@@ -97,8 +104,10 @@
 	incarnation := rand.Uint64()
 	board := placement.DefaultSettings(s.DataCentre)
 	board.Multiple, board.Slack = s.LoadMultiple, s.LoadSlack
+	board.ColdMultiple, board.ColdSlack = s.ColdMultiple, s.ColdSlack
 	return &Control{
-		settings: s, store: store, decoder: decoder, peers: peers, upstream: up, log: log, now: now,
+		startedAt: now(),
+		settings:  s, store: store, decoder: decoder, peers: peers, upstream: up, log: log, now: now,
 		view: &view{
 			board:   placement.New(board, rand.New(rand.NewPCG(incarnation, 1))),
 			gates:   make(map[string]*admission.Gate),
@@ -166,6 +175,7 @@
 		c.publishTargets(now)
 	}
 	c.askEnded(ctx, now)
+	c.updateFleet(now)
 	c.upstream.Prune(c.roster.Has)
 	if n := c.core.Alive(now) + 1; n > c.routers {
 		c.routers = n
@@ -175,6 +185,17 @@
 	}
 }
 
+// updateFleet tells placement which routers there are, once this one has had the time to learn it.
+func (c *Control) updateFleet(now time.Time) {
+	if now.Sub(c.startedAt) < warmup.Hold {
+		return
+	}
+	if known := texts(c.core.Others()); c.fleet == nil || !slices.Equal(known, c.fleet) {
+		c.fleet = known
+		c.view.setFleet(warmup.NewFleet(c.settings.Address, known))
+	}
+}
+
 // post hands an event to the control goroutine.
 func (c *Control) post(ctx context.Context, ev fleet.Event) {
 	c.do(func(now time.Time) { c.step(ctx, now, ev) })
@@ -310,7 +331,7 @@
 	table := route.Build(state)
 	c.view.table.Store(table)
 	c.view.mu.Lock()
-	c.view.board.SetConnections(table.Connections())
+	c.view.board.SetLimits(limitsOf(table))
 	c.view.mu.Unlock()
 	c.inForceAt = now
 	if rows, version := c.core.Rows(fleet.Targets); len(rows) > 0 {
@@ -321,6 +342,14 @@
 		Str("source", a.Source).Int("routes", len(state.Routes)).Msg("")
 }
 
+func limitsOf(table *route.Table) map[string]placement.PoolLimits {
+	out := make(map[string]placement.PoolLimits)
+	for name, p := range table.Pools() {
+		out[name] = placement.PoolLimits{Connections: p.MaxConnections, ColdPerSecond: p.ColdPerSecond, ColdFor: p.ColdFor}
+	}
+	return out
+}
+
 // updateReady makes the router ready once it knows the desired state and the list
 // of targets. From then on it stays ready without the store: what it knows is kept
 // up by the other routers, and refusing would help nobody.
@@ -374,7 +403,7 @@
 	c.view.mu.Lock()
 	defer c.view.mu.Unlock()
 	c.view.limits.Ratio, c.view.limits.Slack = s.RetryRatio, s.RetrySlack
-	c.view.board.SetBound(s.LoadMultiple, s.LoadSlack)
+	c.view.board.SetBound(s.LoadMultiple, s.LoadSlack, s.ColdMultiple, s.ColdSlack)
 }
 
 // Digest takes in another router's digest.
--- a/internal/app/gateway/ports.go
+++ b/internal/app/gateway/ports.go
@@ -117,6 +117,8 @@
 	Leaving bool
 	// Pause is for how long the target wants nothing from this router; 0 if it does not say.
 	Pause time.Duration
+	// Cold is for how long the target says that it is cold; 0 if it does not say.
+	Cold time.Duration
 	// BadPause is what it said instead of a time; empty if nothing.
 	BadPause string
 }
--- a/internal/app/gateway/relay.go
+++ b/internal/app/gateway/relay.go
@@ -180,7 +180,7 @@
 
 // comesBack reports whether a code sends its caller away until some target takes requests.
 func comesBack(c code.Code) bool {
-	return c == code.TargetsPaused || c == code.TargetRefused || c == code.NoTarget
+	return c == code.TargetsPaused || c == code.TargetsCold || c == code.TargetRefused || c == code.NoTarget
 }
 
 // later spreads a time before which coming back makes no sense.
--- a/internal/app/gateway/said.go
+++ b/internal/app/gateway/said.go
@@ -12,8 +12,14 @@
 func (t *try) hear(status int, h http.Header) {
 	r := t.run.relay
 	reply := r.wire.Reply(status, h)
-	if reply.WrongTarget || (!reply.Leaving && reply.Pause == 0 && reply.BadPause == "") {
-		return // nothing, or of another target at the same address
+	if reply.WrongTarget {
+		return // another target has the address
+	}
+	if reply.Cold > 0 && r.view.saysCold(r.now(), t.choice.Target.UID, reply.Cold) {
+		r.log.Line(eventlog.TargetCold).Str("target", t.choice.Target.ID).Dur("cold", reply.Cold).Msg("")
+	}
+	if !reply.Leaving && reply.Pause == 0 && reply.BadPause == "" {
+		return
 	}
 	r.log.Line(eventlog.TargetSaid).Str("target", t.choice.Target.ID).Bool("leaving", reply.Leaving).
 		Dur("pause", reply.Pause).Str("bad", reply.BadPause[:min(len(reply.BadPause), maxBadShown)]).Msg("")
--- a/internal/app/gateway/status.go
+++ b/internal/app/gateway/status.go
@@ -19,6 +19,7 @@
 	Feeder     string        // the relay that feeds this router; empty if there is none
 	FedAge     time.Duration // since it did so last; 0 for relays and before the first time
 	Evacuated  int           // data centres that are to get nothing
+	Cold       int           // targets that are cold
 	Suspects   int           // requests that are refused because targets ended under them
 	OpenAt     map[string]int
 }
@@ -41,6 +42,7 @@
 	s.Suspects = int(c.view.guard.suspects.Load())
 	c.view.mu.Lock()
 	defer c.view.mu.Unlock()
+	s.Cold = c.view.board.Cold(c.now())
 	s.OpenAt = c.view.board.OpenAt()
 	return s
 }
--- a/internal/app/gateway/try.go
+++ b/internal/app/gateway/try.go
@@ -140,7 +140,7 @@
 // sent notes that the request is sent from now on, unless its target has said meanwhile that it leaves, or that it wants nothing for a
 // time: a connection may take some tenths of a second to open.
 func (t *try) sent() bool {
-	if !t.run.relay.view.wants(t.run.relay.now(), t.choice.Target.UID) {
+	if !t.run.relay.view.wants(t.run.relay.now(), t.choice) {
 		return false
 	}
 	t.run.machine.Step(attempt.Wrote{Attempt: t.number})
--- a/internal/app/gateway/view.go
+++ b/internal/app/gateway/view.go
@@ -12,6 +12,7 @@
 	"github.com/hemlockdyke/hemlockdyke/internal/core/placement"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/retry"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/route"
+	"github.com/hemlockdyke/hemlockdyke/internal/core/warmup"
 )
 
 // view is what traffic reads and changes: the routing table, swapped whole, and the
@@ -131,11 +132,25 @@
 	v.board.SaysPause(now, target, d)
 }
 
+// saysCold takes in for how long a target says that it is cold, and reports whether that is news.
+func (v *view) saysCold(now time.Time, target uint64, d time.Duration) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.board.SaysCold(now, target, d)
+}
+
+// setFleet tells which routers there are.
+func (v *view) setFleet(f *warmup.Fleet) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.board.SetFleet(f)
+}
+
 // wants reports whether a request that was placed may be sent to its target now.
-func (v *view) wants(now time.Time, target uint64) bool {
+func (v *view) wants(now time.Time, c placement.Choice) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return v.board.Wants(now, target)
+	return v.board.Wants(now, c)
 }
 
 // noTarget returns the code for a request that found no target.
@@ -147,6 +162,8 @@
 		return code.Evacuated
 	case v.board.Resumes(now, pool) > 0:
 		return code.TargetsPaused
+	case v.board.AllCold(now, pool) > 0:
+		return code.TargetsCold
 	}
 	return code.NoTarget
 }
@@ -158,11 +175,12 @@
 	return v.board.Evacuate(now, dataCentres)
 }
 
-// resumes returns in what time the first target of a pool wants requests again, if none does now; 0 otherwise.
+// resumes returns in what time the first target of a pool takes requests again, if none does now because they want none or are cold; 0
+// otherwise.
 func (v *view) resumes(now time.Time, pool string) time.Duration {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return v.board.Resumes(now, pool)
+	return max(v.board.Resumes(now, pool), v.board.AllCold(now, pool))
 }
 
 // targetID returns the name of a target's lifetime, empty if it is not known.
--- a/internal/core/code/code.go
+++ b/internal/core/code/code.go
@@ -58,6 +58,7 @@
 	Poison           Code = 2011
 	TargetsPaused    Code = 2012
 	Evacuated        Code = 2013
+	TargetsCold      Code = 2014
 
 	AttemptsSpent   Code = 3001
 	DeadlinePassed  Code = 3002
@@ -114,6 +115,7 @@
 	Poison:           {"poison", 503, RanNo, "Come back after Retry-After; targets have ended under this request."},
 	TargetsPaused:    {"targets_paused", 503, RanNo, "Come back after Retry-After; all targets of the pool want nothing for now."},
 	Evacuated:        {"evacuated", 503, RanNo, "Come back after Retry-After; take the order to evacuate back if the pool is to serve."},
+	TargetsCold:      {"targets_cold", 503, RanNo, "Come back after Retry-After; all targets of the pool have just started."},
 	AttemptsSpent:    {"attempts_spent", 502, RanYes, "Ask again; every attempt failed."},
 	DeadlinePassed:   {"deadline_passed", 504, RanYes, "Ask again with a later deadline."},
 	StreamCut:        {"stream_cut", 502, RanYes, "Ask again; the stream ended before its end marker."},
--- a/internal/core/evacuation/evacuation.go
+++ b/internal/core/evacuation/evacuation.go
@@ -6,7 +6,7 @@
 import (
 	"maps"
 	"slices"
-	"time"
+	"strings"
 )
 
 // Change is an order that has come, or was taken back.
@@ -18,11 +18,10 @@
 // Orders are those in force. The zero value has none. It is not safe for concurrent use.
 type Orders struct {
 	evacuated map[string]bool
-	returned  map[string]time.Time // when an order was taken back last
 }
 
 // Update takes in the data centres of the orders in force, in place of those before, and returns what has changed, in order.
-func (o *Orders) Update(now time.Time, dataCentres []string) []Change {
+func (o *Orders) Update(dataCentres []string) []Change {
 	next := make(map[string]bool, len(dataCentres))
 	var changes []Change
 	for _, dc := range dataCentres {
@@ -34,27 +33,15 @@
 	for dc := range o.evacuated {
 		if !next[dc] {
 			changes = append(changes, Change{DataCentre: dc})
-			if o.returned == nil {
-				o.returned = make(map[string]time.Time)
-			}
-			o.returned[dc] = now
 		}
 	}
 	o.evacuated = next
-	slices.SortFunc(changes, func(a, b Change) int {
-		if a.DataCentre < b.DataCentre {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(changes, func(a, b Change) int { return strings.Compare(a.DataCentre, b.DataCentre) })
 	return changes
 }
 
 // Holds reports whether a data centre is to get nothing.
 func (o *Orders) Holds(dataCentre string) bool { return o.evacuated[dataCentre] }
 
-// ReturnedAt returns when the last order for a data centre was taken back; zero if none was, as far as this router saw.
-func (o *Orders) ReturnedAt(dataCentre string) time.Time { return o.returned[dataCentre] }
-
 // DataCentres returns the evacuated ones, sorted.
 func (o *Orders) DataCentres() []string { return slices.Sorted(maps.Keys(o.evacuated)) }
--- a/internal/core/fleet/peers.go
+++ b/internal/core/fleet/peers.go
@@ -305,6 +305,16 @@
 	return out
 }
 
+// Others returns the other routers of which there was a sign within forgetAfter, or that were told of then, in order, whether they run
+// or not.
+func (c *Core) Others() []Address {
+	out := make([]Address, 0, len(c.peers))
+	for _, p := range c.all() {
+		out = append(out, p.address)
+	}
+	return out
+}
+
 // Direct returns the number of other routers that this one hears itself.
 func (c *Core) Direct(now time.Time) int {
 	return c.count(func(p *peer) bool { return p.direct(now) })
--- a/internal/core/placement/choose.go
+++ b/internal/core/placement/choose.go
@@ -45,7 +45,7 @@
 	suspend := always || float64(suspended) <= panicShare*float64(staying)
 	eject := always || float64(suspended+ejected) <= ejectShare*float64(staying)
 	return func(t *target) bool {
-		if t.pause.holds(now) {
+		if t.pause.holds(now) || t.isCold(now) {
 			return true
 		}
 		if t.health.suspended(now) {
@@ -57,16 +57,27 @@
 
 // choose returns the target for an ask and the rule that chose it, nil if there is none.
 func (b *Board) choose(now time.Time, p *pool, a Ask, bound float64) (*target, Rule) {
+	t, rule := b.chooseWarm(now, p, a, bound)
+	if t == nil || !t.hasRoom() {
+		if c := b.coldWithRoom(now, p, a); c != nil {
+			return c, RuleCold
+		}
+	}
+	if t != nil {
+		return t, rule
+	}
+	return b.leastLoaded(now, p, a, func(*target) bool { return false }), RuleSuspect
+}
+
+// chooseWarm chooses among the targets that nothing speaks against.
+func (b *Board) chooseWarm(now time.Time, p *pool, a Ask, bound float64) (*target, Rule) {
 	skip := passedOver(now, p)
 	if a.Chat != 0 {
 		if t, rule := b.byChat(now, p, a, bound, skip); t != nil {
 			return t, rule
 		}
 	}
-	if t := b.leastLoaded(now, p, a, skip); t != nil {
-		return t, RuleLeast
-	}
-	return b.leastLoaded(now, p, a, func(*target) bool { return false }), RuleSuspect
+	return b.leastLoaded(now, p, a, skip), RuleLeast
 }
 
 // byChat returns the first target in the chat's rendezvous order that is below the bound and not
@@ -194,7 +205,7 @@
 	var best *target
 	bestCost := 0.0
 	for _, t := range p.targets {
-		if t.closed(now) || a.excludes(t.UID) || skip(t) || float64(t.open()+1) > p.maxOpen {
+		if t.closed(now) || t.isCold(now) || a.excludes(t.UID) || skip(t) || float64(t.open()+1) > p.maxOpen {
 			continue
 		}
 		cost := b.cost(now, t)
--- a/internal/core/placement/evacuate.go
+++ b/internal/core/placement/evacuate.go
@@ -8,12 +8,19 @@
 
 // Evacuate puts the operators' orders to evacuate data centres in force, in place of those before, and returns what has changed.
 func (b *Board) Evacuate(now time.Time, dataCentres []string) []evacuation.Change {
-	changes := b.orders.Update(now, dataCentres)
+	changes := b.orders.Update(dataCentres)
 	if len(changes) == 0 {
 		return nil
 	}
+	returned := make(map[string]bool)
+	for _, ch := range changes {
+		returned[ch.DataCentre] = !ch.Evacuated
+	}
 	for _, t := range b.byUID {
 		t.evacuated = b.orders.Holds(t.DataCentre)
+		if returned[t.DataCentre] {
+			t.cold.learn(now, t.pool.limits.ColdFor) // it may have been switched off meanwhile, and say so too late
+		}
 	}
 	for _, p := range b.pools {
 		p.centres = centres(p.targets)
--- a/internal/core/placement/pause.go
+++ b/internal/core/placement/pause.go
@@ -46,10 +46,20 @@
 // closed reports whether a target gets nothing at all: it leaves, its data centre is evacuated, or it wants nothing for now.
 func (t *target) closed(now time.Time) bool { return !t.stays() || t.pause.holds(now) }
 
-// Wants reports whether a request that was placed may be sent to its target now.
-func (b *Board) Wants(now time.Time, uid uint64) bool {
-	t, ok := b.byUID[uid]
-	return ok && !b.Leaves(uid) && !t.evacuated && !t.pause.until.After(now)
+// Wants reports whether a request that was placed may be sent to its target now. If it may and the target is cold, it counts as
+// sent from now on.
+func (b *Board) Wants(now time.Time, c Choice) bool {
+	t, ok := b.byUID[c.Target.UID]
+	if !ok || b.Leaves(t.UID) || t.evacuated || t.pause.until.After(now) {
+		return false
+	}
+	if t.isCold(now) {
+		if t.cold.holder != c.sequence && !b.bears(now, t) {
+			return false
+		}
+		t.cold.placed(now, c.sequence)
+	}
+	return true
 }
 
 // Resumes returns in what time the first target of a pool wants requests again, if all of those that stay want none; 0 otherwise.
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -12,6 +12,7 @@
 	"github.com/hemlockdyke/hemlockdyke/internal/core/ablate"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/evacuation"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/rendezvous"
+	"github.com/hemlockdyke/hemlockdyke/internal/core/warmup"
 )
 
 // Settings are the limits of a Board.
@@ -25,6 +26,10 @@
 	// Margin is how many requests below the bound a placement stays: routers place
 	// for up to a digest interval without knowing of each other's last requests.
 	Margin float64
+	// ColdMultiple and ColdSlack bound what a cold target gets in a second from all routers: ColdMultiple x what its pool says
+	// that it bears + ColdSlack.
+	ColdMultiple float64
+	ColdSlack    float64
 	// LoadsExpire is how long a silent router's loads still count. Its requests end
 	// with it, but a short silence may be lost datagrams.
 	LoadsExpire time.Duration
@@ -49,6 +54,8 @@
 	Leaving    bool
 	Row        uint64 // version of its entry
 	Slots      int    // 0 if unknown
+	// Cold is how long the target stays cold, as its entry says.
+	Cold time.Duration
 	// Started is the Unix millisecond at which the lifetime began, 0 if it is not known. A target that
 	// starts again keeps its ID, its chats find it by that, and nothing else of it is the same.
 	Started int64
@@ -89,6 +96,7 @@
 	RuleSpill   Rule = "spill"        // a later one: those before it are at the bound or suspended
 	RuleFaster  Rule = "faster"       // a later one: those before it would answer late
 	RuleLeast   Rule = "least_loaded" // no chat, or every target at the bound
+	RuleCold    Rule = "cold"         // a cold one: the others have no place free
 	RuleSuspect Rule = "suspect"      // all others are suspended or have failed the request
 	// RuleTicket is that of routers that place by tickets of a pool's owner.
 	RuleTicket Rule = "ticket"
@@ -120,6 +128,7 @@
 	// askedEnded is when its port was asked last whether it has.
 	askedEnded time.Time
 
+	cold cold
 	// evacuated: operators want nothing sent to its data centre.
 	evacuated bool
 
@@ -154,8 +163,21 @@
 	targets []*target
 	centres []centre
 	model   *model
+	limits  PoolLimits
 	// maxOpen is what each target may have open, by the connections it accepts.
 	maxOpen float64
+	// coldPerSecond is what a cold target may get in a second from all routers; 0 if there is no bound.
+	coldPerSecond int
+}
+
+// PoolLimits are what operators say of the targets of a pool.
+type PoolLimits struct {
+	// Connections are what one target accepts; 0 if it is not known.
+	Connections int
+	// ColdPerSecond is how many requests a second a cold target bears, 0 if that is not bounded; ColdFor is how long one is
+	// cold that has started, or whose data centre was evacuated.
+	ColdPerSecond float64
+	ColdFor       time.Duration
 }
 
 // peerView is what another router told last.
@@ -171,7 +193,7 @@
 	settings Settings
 	rand     *rand.Rand
 	pools    map[string]*pool
-	maxConns map[string]int
+	limits   map[string]PoolLimits
 	byUID    map[uint64]*target
 	peers    map[uint32]*peerView
 	held     *inventory
@@ -179,12 +201,13 @@
 	said     map[uint64]*said
 	sequence uint64 // of placements
 	orders   evacuation.Orders
+	fleet    *warmup.Fleet // nil until something is known of it
 }
 
 // New returns an empty Board.
 func New(s Settings, rnd *rand.Rand) *Board {
 	return &Board{
-		settings: s, rand: rnd, pools: make(map[string]*pool), maxConns: make(map[string]int),
+		settings: s, rand: rnd, pools: make(map[string]*pool), limits: make(map[string]PoolLimits),
 		byUID: make(map[uint64]*target), peers: make(map[uint32]*peerView), held: newInventory(),
 		models: make(map[string]*model), said: make(map[uint64]*said),
 	}
@@ -195,20 +218,20 @@
 // target resets connections with requests on them.
 const connectionShare = 0.9
 
-// SetConnections puts the connections that one target of each pool accepts in force;
-// 0 means that it is not known.
-func (b *Board) SetConnections(byPool map[string]int) {
-	b.maxConns = byPool
+// SetLimits puts what operators say of the targets of each pool in force.
+func (b *Board) SetLimits(byPool map[string]PoolLimits) {
+	b.limits = byPool
 	for name, p := range b.pools {
-		p.maxOpen = b.maxOpen(name)
+		b.limit(name, p)
 	}
 }
 
-func (b *Board) maxOpen(pool string) float64 {
-	if limit := b.maxConns[pool]; limit > 0 {
-		return connectionShare * float64(limit)
+func (b *Board) limit(name string, p *pool) {
+	p.limits, p.maxOpen = b.limits[name], math.Inf(1)
+	if n := p.limits.Connections; n > 0 {
+		p.maxOpen = connectionShare * float64(n)
 	}
-	return math.Inf(1)
+	p.coldPerSecond = warmup.PerSecond(p.limits.ColdPerSecond, b.settings.ColdMultiple, b.settings.ColdSlack)
 }
 
 // SetTargets puts the targets of all pools in force. A target that is gone keeps
@@ -221,7 +244,8 @@
 	b.pools = make(map[string]*pool, len(pools))
 	listed := make(map[uint64]bool)
 	for name, targets := range pools {
-		p := &pool{maxOpen: b.maxOpen(name), model: b.model(name)}
+		p := &pool{model: b.model(name)}
+		b.limit(name, p)
 		for _, t := range targets {
 			known, ok := b.byUID[t.UID]
 			if !ok {
@@ -231,6 +255,9 @@
 			if !known.ended.IsZero() && t.Row > known.Row {
 				known.ended, known.askedEnded, known.health = time.Time{}, time.Time{}, health{} // it has written again
 			}
+			if t.Row > known.Row {
+				known.cold.learn(now, t.Cold)
+			}
 			known.Target, known.pool = t, p
 			known.evacuated = b.orders.Holds(t.DataCentre)
 			b.applySaid(now, known)
@@ -258,9 +285,11 @@
 	return m
 }
 
-// SetBound changes what a target may hold.
-func (b *Board) SetBound(multiple, slack float64) {
+// SetBound changes what a target may hold, and what a cold one may get.
+func (b *Board) SetBound(multiple, slack, coldMultiple, coldSlack float64) {
 	b.settings.Multiple, b.settings.Slack = multiple, slack
+	b.settings.ColdMultiple, b.settings.ColdSlack = coldMultiple, coldSlack
+	b.SetLimits(b.limits)
 }
 
 // Heard takes in what another router has open and what came of its requests at failing targets, in place
@@ -377,6 +406,7 @@
 	t.serves(now)
 	t.health.placed()
 	t.pause.placed()
+	t.cold.placed(now, c.sequence)
 	return c, true
 }
 
--- a/internal/core/route/route.go
+++ b/internal/core/route/route.go
@@ -64,6 +64,10 @@
 	Name string
 	// MaxConnections is what one target accepts from all routers together; 0 if unknown.
 	MaxConnections int
+	// ColdPerSecond is how many requests a second a target bears that is cold, 0 if that is not bounded, and ColdFor how long one
+	// is cold that has started.
+	ColdPerSecond float64
+	ColdFor       time.Duration
 }
 
 // Team is whoever a request is charged to.
@@ -138,14 +142,8 @@
 // NamesPool reports whether the state names a pool at all.
 func (t *Table) NamesPool(name string) bool { return t.named[name] }
 
-// Connections returns what one target of each pool accepts.
-func (t *Table) Connections() map[string]int {
-	out := make(map[string]int, len(t.pools))
-	for name, p := range t.pools {
-		out[name] = p.MaxConnections
-	}
-	return out
-}
+// Pools returns the pools that the state defines, by name. It is not to be changed.
+func (t *Table) Pools() map[string]Pool { return t.pools }
 
 // hostName returns the host of a Host header as routes are found by it.
 func hostName(host string) string {
--- a/internal/eventlog/kinds.go
+++ b/internal/eventlog/kinds.go
@@ -39,6 +39,7 @@
 	RequestsCut          = Kind{"requests_cut", zerolog.ErrorLevel, 10, "the grace time ended with requests open"}
 	ReadyChanged         = Kind{"ready", zerolog.InfoLevel, 20, "the answer to the balancer's checks changed"}
 	Evacuation           = Kind{"evacuation", zerolog.InfoLevel, 20, "an operator's order to evacuate a data centre is in force, or was taken back"}
+	TargetCold           = Kind{"target_cold", zerolog.InfoLevel, 50, "a target that was taken for warm says that it is cold"}
 	StaleChanged         = Kind{"stale", zerolog.WarnLevel, 20, "this router serves nobody, as others have had a newer desired state for too long, or serves again"}
 	DesiredState         = Kind{"desired_state", zerolog.InfoLevel, 50, "a desired state is in force: its version, the row's, and who it came from"}
 	DesiredStateRejected = Kind{"desired_state_rejected", zerolog.ErrorLevel, 20, "a desired state can't be decoded; the last good one stays in force"}
@@ -76,7 +77,7 @@
 func Kinds() []Kind {
 	return []Kind{
 		TicketRefused, Placed, AttemptFailed, RepeatDenied, NotAdmitted, PoisonRefused, Finished, Failed,
-		Started, Stopping, Stopped, Reloaded, ReloadRejected, RequestsCut, ReadyChanged, StaleChanged, DesiredState, Evacuation,
+		Started, Stopping, Stopped, Reloaded, ReloadRejected, RequestsCut, ReadyChanged, StaleChanged, DesiredState, Evacuation, TargetCold,
 		DesiredStateRejected, TargetsChanged, TargetRejected, TargetRestarted, TargetLeft, StoreChanged, StoreReadFailed, CopyFailed, CopyRefused, Copied, LinkUse, ListFailed, KeepFailed,
 		PeerUp, PeerDown, PeerUnlisted, RoleChanged, TargetSuspended, TargetSaid, TargetEnded, PoisonChanged, PeerCallFailed, ListenerFailed,
 		ChangeAccepted, PlannedChange, PlannedChangeFailed, ClaimUnsettled, BurnIncomplete, LeftOut,
