Requests that are shorter than the news of them are admitted and placed by what targets answer

Cause: of plain targets with 15 ms of work routers hear counts that are four generations old. All see the same peak and refuse together, then the same trough and send together; with several targets all send to the one that was the least loaded. Change: where a request holds its place for less time than the news of it takes (both measured), admission goes by the part of requests that targets turn away, the less urgent refused first, and placement draws a target by its places, its pace and its data centre instead of taking the least loaded one. Gates of longer work decide as before.

--- a/internal/app/gateway/relay.go
+++ b/internal/app/gateway/relay.go
@@ -306,7 +306,7 @@
 	action = a.make()
 	a.firstEvent(false)
 	took := r.now().Sub(now)
-	if r.view.done(r.now(), x.match.pool, x.match.teamName(), choice.Target.UID, a.finalOutcome(), took) {
+	if r.view.done(r.now(), x.match.pool, x.match.teamName(), choice.Target.UID, a.finalOutcome(), took, a.ofLoad(took)) {
 		x.note(eventlog.TargetSuspended).Str("target", choice.Target.ID).Str("why", a.failure).Msg("")
 	}
 	if a.failure != "" {
--- a/internal/app/gateway/try.go
+++ b/internal/app/gateway/try.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/hemlockdyke/hemlockdyke/internal/adapter/upstream"
+	"github.com/hemlockdyke/hemlockdyke/internal/core/admission"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/attempt"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/placement"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/route"
@@ -54,6 +55,18 @@
 	return t.outcome
 }
 
+// ofLoad returns what the attempt tells of its target's load.
+func (t *try) ofLoad(took time.Duration) admission.Answer {
+	objective := t.run.match.route.Objective
+	switch {
+	case t.failure == failureTurnedAway:
+		return admission.TurnedAway
+	case t.outcome == placement.Answered && objective > 0 && took > objective:
+		return admission.Late
+	}
+	return admission.InTime
+}
+
 // firstEvent tells the board, once, how long the target took to its first event.
 func (t *try) firstEvent(answered bool) {
 	if !t.heard {
@@ -177,8 +190,11 @@
 	return x.gaveUp()
 }
 
+// failureTurnedAway is the failure of an attempt that its target did not run.
+const failureTurnedAway = "turned_away"
+
 func (t *try) turnedAway(reply Reply) attempt.Action {
-	t.failure, t.outcome = "turned_away", placement.Refused
+	t.failure, t.outcome = failureTurnedAway, placement.Refused
 	switch {
 	case reply.WrongTarget:
 		t.fail("wrong_target", nil)
--- a/internal/app/gateway/view.go
+++ b/internal/app/gateway/view.go
@@ -51,12 +51,13 @@
 func (v *view) place(now time.Time, a placement.Ask, q admission.Ask, begun bool) (c placement.Choice, verdict admission.Verdict, ok bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	gate, age := v.gate(a.Pool), v.newsAge(now)
+	a.Stale = gate.Short(age)
 	c, ok = v.board.Place(now, a)
 	if !ok {
 		return c, verdict, false
 	}
-	gate := v.gate(a.Pool)
-	verdict = gate.Decide(now, q, admission.Load{Open: c.Open, Slots: c.Target.Slots})
+	verdict = gate.Decide(now, q, admission.Load{Open: c.Open, Slots: c.Target.Slots, Age: age})
 	if verdict.Code != code.OK && !begun {
 		v.board.FirstEvent(now, c, false)
 		v.board.Done(now, c.Target.UID, placement.Neutral)
@@ -73,11 +74,20 @@
 	v.board.FirstEvent(now, c, answered)
 }
 
+// newsAge returns how old what is known of the others' open requests is: they tell it once in a tick, and it takes its way. It is 0 if
+// there are no others.
+func (v *view) newsAge(now time.Time) time.Duration {
+	if v.updated.IsZero() {
+		return 0
+	}
+	return fleet.TickInterval + now.Sub(v.updated)
+}
+
 // done takes an attempt off its target, after it held a place there for a while.
-func (v *view) done(now time.Time, pool, team string, target uint64, o placement.Outcome, took time.Duration) (suspended bool) {
+func (v *view) done(now time.Time, pool, team string, target uint64, o placement.Outcome, took time.Duration, answer admission.Answer) (suspended bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.gate(pool).Ended(team, took)
+	v.gate(pool).Ended(now, team, took, answer)
 	return v.board.Done(now, target, o)
 }
 
--- a/internal/core/ablate/ablate.go
+++ b/internal/core/ablate/ablate.go
@@ -29,6 +29,7 @@
 	Rank        Mechanism = "rank"        // ranks wait as long as the first
 	Team        Mechanism = "team"        // teams have no share
 	Yield       Mechanism = "yield"       // routes give up no places
+	Short       Mechanism = "short"       // short work is admitted by the fleet's counts too
 	GoneGrace   Mechanism = "gonegrace"   // targets that left the list are left at once
 	Poison      Mechanism = "poison"      // requests under which targets end are sent on
 	Outdated    Mechanism = "outdated"    // routers go by the desired state that they have
--- a/internal/core/admission/admission.go
+++ b/internal/core/admission/admission.go
@@ -14,6 +14,8 @@
 type Load struct {
 	Open  int // this request not counted
 	Slots int // requests that it works on at once; 0 if unknown
+	// Age is how old Open is; 0 if it is exact.
+	Age time.Duration
 }
 
 // Ask is one request.
@@ -83,6 +85,7 @@
 	duration time.Duration // mean time that a request holds a place
 	teams    map[string]*team
 	total    int // open requests of all teams
+	throttle throttle
 	routes   map[urgency]*asking
 }
 
@@ -91,6 +94,7 @@
 	objective time.Duration // of the last one; 0 if its route names none
 	asked     time.Time     // last
 	yielded   float64       // the part of a request that is due to more urgent ones
+	throttled float64       // the part of a request that is due to what targets answered
 }
 
 // urgency orders requests: by rank, and by their routes' ranks among equal ones.
@@ -115,7 +119,10 @@
 	t := g.team(a.Team)
 	t.asked = now
 	u := urgency{rank: min(max(a.Rank, 0), maxRank), route: min(max(a.RouteRank, 0), maxRank)}
-	g.asked(now, u, a.Objective)
+	k := g.asked(now, u, a.Objective)
+	if g.Short(l.Age) && !ablate.Off(ablate.Short) {
+		return g.byAnswers(now, k, u, a)
+	}
 	wait := g.wait(l)
 	if wait == 0 || ablate.Off(ablate.Admission) {
 		return Verdict{Code: code.OK}
@@ -131,13 +138,39 @@
 	return v
 }
 
-func (g *Gate) asked(now time.Time, u urgency, objective time.Duration) {
+// Short reports whether a request holds its place for less time than the news of it takes.
+func (g *Gate) Short(newsAge time.Duration) bool { return g.duration <= newsAge }
+
+// byAnswers decides where the work takes less time than the news of it. A part of a request is due with each that is admitted, so that
+// the refused ones are spread evenly.
+func (g *Gate) byAnswers(now time.Time, k *asking, u urgency, a Ask) Verdict {
+	k.throttled += g.throttle.refuses(now, u == g.mostUrgent(now))
+	if k.throttled < 1 || ablate.Off(ablate.Admission) {
+		return Verdict{Code: code.OK}
+	}
+	k.throttled--
+	return Verdict{Code: code.QueueFull, Wait: g.duration, RetryAfter: time.Duration(retryShare * float64(a.Left))}
+}
+
+// mostUrgent returns the most urgent of what is asked for lately.
+func (g *Gate) mostUrgent(now time.Time) urgency {
+	most := urgency{rank: maxRank, route: maxRank}
+	for u, k := range g.routes {
+		if u.before(most) && now.Sub(k.asked) <= askLasts {
+			most = u
+		}
+	}
+	return most
+}
+
+func (g *Gate) asked(now time.Time, u urgency, objective time.Duration) *asking {
 	k, ok := g.routes[u]
 	if !ok {
 		k = &asking{}
 		g.routes[u] = k
 	}
 	k.objective, k.asked = objective, now
+	return k
 }
 
 // allowed returns the longest wait that a request may have. It is no longer than that of any
@@ -215,8 +248,9 @@
 	g.total++
 }
 
-// Ended takes a request off and learns how long it held its place.
-func (g *Gate) Ended(name string, took time.Duration) {
+// Ended takes a request off and learns how long it held its place, and what its target answered.
+func (g *Gate) Ended(now time.Time, name string, took time.Duration, answer Answer) {
+	g.throttle.answered(now, answer)
 	g.total--
 	g.team(name).open--
 	g.duration += time.Duration(durationWeight * float64(took-g.duration))
--- a/internal/core/admission/admission_test.go
+++ b/internal/core/admission/admission_test.go
@@ -64,7 +64,7 @@
 			e := heap.Pop(&running).(end)
 			took := e.at - e.sent
 			if gate != nil {
-				gate.Ended(kinds[e.kind].team, took)
+				gate.Ended(start.Add(now), kinds[e.kind].team, took, admission.InTime)
 			}
 			if took <= kinds[e.kind].budget {
 				out[e.kind].inTime++
--- a/internal/core/placement/choose.go
+++ b/internal/core/placement/choose.go
@@ -77,6 +77,9 @@
 			return t, rule
 		}
 	}
+	if a.Stale && !ablate.Off(ablate.Short) {
+		return b.atRandom(now, p, a, skip), RuleRandom
+	}
 	return b.leastLoaded(now, p, a, skip), RuleLeast
 }
 
@@ -216,6 +219,32 @@
 	return best
 }
 
+// atRandom returns a target drawn by its places and its pace, those in this data centre more often. All routers see the same target as
+// the least loaded one: by the time that they have heard so, their requests are answered, and all that they send there next come at
+// once, while the others are idle.
+func (b *Board) atRandom(now time.Time, p *pool, a Ask, skip func(*target) bool) *target {
+	var best *target
+	first := 0.0
+	for _, t := range p.targets {
+		if t.closed(now) || t.isCold(now) || a.excludes(t.UID) || skip(t) || float64(t.own+1) > p.maxOpen {
+			continue
+		}
+		// Of times drawn by exponential distributions one is the first as often as its rate is of all rates.
+		rate := float64(max(t.Slots, 1)) / b.pace(now, t)
+		if t.DataCentre == b.settings.DataCentre {
+			rate *= localPreference
+		}
+		if at := b.rand.ExpFloat64() / rate; best == nil || at < first {
+			best, first = t, at
+		}
+	}
+	return best
+}
+
+// localPreference is how many times as often a target in the own data centre is drawn: it answers sooner, and bytes between data centres
+// are paid for. More would overrun the targets of the data centre with the most callers.
+const localPreference = 2
+
 // remoteCost is what another data centre adds to a target's count: two requests
 // more in the own one are answered as soon as none across the link, and bytes
 // between data centres are paid for.
--- a/internal/core/placement/cold.go
+++ b/internal/core/placement/cold.go
@@ -36,7 +36,9 @@
 }
 
 // isCold reports whether the target gets next to nothing because it is cold.
-func (t *target) isCold(now time.Time) bool { return t.cold.until.After(now) && t.pool.coldPerSecond > 0 }
+func (t *target) isCold(now time.Time) bool {
+	return t.cold.until.After(now) && t.pool.coldPerSecond > 0
+}
 
 // bears reports whether this router may send a request to the target, which is cold.
 func (b *Board) bears(now time.Time, t *target) bool {
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -79,6 +79,8 @@
 	// Objective is the time to the first event that the route aims at; 0 if none.
 	Objective time.Duration
 	Excluded  []uint64
+	// Stale: a request of the pool takes less time than the news of what others have open there.
+	Stale bool
 }
 
 // Load is how many requests one router has open at a target.
@@ -96,6 +98,7 @@
 	RuleSpill   Rule = "spill"        // a later one: those before it are at the bound or suspended
 	RuleFaster  Rule = "faster"       // a later one: those before it would answer late
 	RuleLeast   Rule = "least_loaded" // no chat, or every target at the bound
+	RuleRandom  Rule = "random"       // no chat, and what is known of the others' requests is out of date
 	RuleCold    Rule = "cold"         // a cold one: the others have no place free
 	RuleSuspect Rule = "suspect"      // all others are suspended or have failed the request
 	// RuleTicket is that of routers that place by tickets of a pool's owner.
