--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -172,19 +172,6 @@
 	actions []Action
 }
 
-// copying is the state of copying one table.
-type copying struct {
-	until    time.Time // when the request under way is given up; zero if there is none
-	failures int       // in a row
-	// behindSince is since when others tell of a newer version; zero if none does.
-	behindSince time.Time
-}
-
-// timeout returns how long the next request may take.
-func (c *copying) timeout() time.Duration {
-	return min(copyTimeout<<min(c.failures, 8), copyTimeoutMost)
-}
-
 // New returns a Core that knows nothing.
 func New(now time.Time, s Settings) *Core {
 	c := &Core{
--- /dev/null
+++ b/internal/core/placement/ended.go
@@ -0,0 +1,56 @@
+package placement
+
+import (
+	"time"
+
+	"github.com/hemlockdyke/hemlockdyke/internal/core/ablate"
+)
+
+// endedRest is for how long a target gets nothing whose process has ended. A lifetime does not come back, but a list that lags
+// may name it for long; the rest begins again while its port refuses. Where another process is the same lifetime by name, its
+// new entry ends the rest.
+const endedRest = 6 * time.Second
+
+// askEndedAfter is how long into the rest its port is asked: early enough for the answer to come before the rest ends.
+const askEndedAfter = endedRest - time.Second
+
+// ended takes in that the target's process has ended.
+func (h *health) ended(now time.Time) {
+	h.unreachable = true
+	h.suspensions = max(h.suspensions, 1)
+	if until := now.Add(endedRest); until.After(h.until) {
+		h.until = until
+	}
+}
+
+// Ended takes in that a target's process has ended, as this router saw it or another one tells, and reports whether that is
+// news. Each router would learn it by a request of its own otherwise.
+func (b *Board) Ended(now time.Time, uid uint64) (news bool) {
+	t, ok := b.byUID[uid]
+	if !ok || ablate.Off(ablate.Suspension) || (!t.ended.IsZero() && now.Sub(t.ended) < endedRest) {
+		return false
+	}
+	t.ended = now
+	t.health.ended(now)
+	return true
+}
+
+// EndedToAsk returns the listed targets that rest because their process has ended and whose port is to be asked now.
+func (b *Board) EndedToAsk(now time.Time) []Target {
+	var out []Target
+	for _, t := range b.byUID {
+		if !t.ended.IsZero() && now.Sub(t.ended) >= askEndedAfter && now.Sub(t.askedEnded) >= askEndedAfter && !b.Leaves(t.UID) {
+			t.askedEnded = now
+			out = append(out, t.Target)
+		}
+	}
+	return out
+}
+
+// EndedStill takes in that a target's port accepts no connection: its rest begins again.
+func (b *Board) EndedStill(now time.Time, uid uint64) {
+	if t, ok := b.byUID[uid]; ok && !t.ended.IsZero() {
+		t.ended = now
+		t.health.ended(now)
+	}
+}
--- a/internal/core/placement/health.go
+++ b/internal/core/placement/health.go
@@ -75,23 +75,6 @@
 	return h.until.After(before)
 }
 
-// endedRest is for how long a target gets nothing whose process has ended. A lifetime does not come back, but a list that lags
-// may name it for long; the rest begins again while its port refuses. Where another process is the same lifetime by name, its
-// new entry ends the rest.
-const endedRest = 6 * time.Second
-
-// askEndedAfter is how long into the rest its port is asked: early enough for the answer to come before the rest ends.
-const askEndedAfter = endedRest - time.Second
-
-// ended takes in that the target's process has ended.
-func (h *health) ended(now time.Time) {
-	h.unreachable = true
-	h.suspensions = max(h.suspensions, 1)
-	if until := now.Add(endedRest); until.After(h.until) {
-		h.until = until
-	}
-}
-
 // suspend takes the target out for a while. Requests that were sent before it began
 // and fail in it say nothing new.
 func (h *health) suspend(now time.Time) {
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -9,7 +9,6 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/hemlockdyke/hemlockdyke/internal/core/ablate"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/evacuation"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/rendezvous"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/warmup"
@@ -43,125 +42,6 @@
 	}
 }
 
-// Target is one lifetime of a back end as a placement sees it.
-type Target struct {
-	// UID names the lifetime: all that is believed of a target is kept by it, so that nothing
-	// of it is believed of the next one.
-	UID        uint64
-	ID         string // the name that the target gives itself in its answers
-	Address    string
-	DataCentre string
-	Leaving    bool
-	Row        uint64 // version of its entry
-	Slots      int    // 0 if unknown
-	// Cold is how long the target stays cold, as its entry says.
-	Cold time.Duration
-	// Started is the Unix millisecond at which the lifetime began, 0 if it is not known. A target that
-	// starts again keeps its ID, its chats find it by that, and nothing else of it is the same.
-	Started int64
-}
-
-// UID returns the UID of a target's lifetime. All routers compute the same.
-func UID(id string, started int64) uint64 {
-	return rendezvous.Mix(rendezvous.Hash(id), uint64(started))
-}
-
-// Ask is one request that needs a target.
-type Ask struct {
-	Pool string
-	// Chat is the hash of what the request shares with earlier ones; 0 if nothing.
-	Chat uint64
-	// Prompt are the beginnings of the prompt that other requests share, the shortest first;
-	// empty if it is not known.
-	Prompt []Part
-	// Tokens are those of the whole prompt, what belongs to the request alone included; 0 if it has none.
-	Tokens int
-	// Objective is the time to the first event that the route aims at; 0 if none.
-	Objective time.Duration
-	Excluded  []uint64
-	// Stale: a request of the pool takes less time than the news of what others have open there.
-	Stale bool
-}
-
-// Load is how many requests one router has open at a target.
-type Load struct {
-	Target uint64
-	Open   int
-}
-
-// Rule names why a target was chosen, for the log.
-type Rule string
-
-// The rules.
-const (
-	RuleHome    Rule = "home"         // first in the chat's order
-	RuleSpill   Rule = "spill"        // a later one: those before it are at the bound or suspended
-	RuleFaster  Rule = "faster"       // a later one: those before it would answer late
-	RuleLeast   Rule = "least_loaded" // no chat, or every target at the bound
-	RuleRandom  Rule = "random"       // no chat, and what is known of the others' requests is out of date
-	RuleCold    Rule = "cold"         // a cold one: the others have no place free
-	RuleSuspect Rule = "suspect"      // all others are suspended or have failed the request
-	// RuleTicket is that of routers that place by tickets of a pool's owner.
-	RuleTicket Rule = "ticket"
-)
-
-// Choice is a placement with the figures that decided.
-type Choice struct {
-	Target Target
-	Rule   Rule
-	Open   int     // what the fleet had open at the target, this request not counted
-	Bound  float64 // what it may hold
-	// Source is the address of a target that probably holds the chat's cache while
-	// the chosen one does not; empty if there is none.
-	Source string
-
-	sequence uint64
-}
-
-type target struct {
-	Target
-	joined time.Time
-	served time.Time // when it was seen with a request first; zero if never
-	seed   uint64
-	own    int
-	peers  int // of all other routers, from their last digests
-	health health
-	pause  pause
-	ended  time.Time // when its process was told to have ended; zero if it was not
-	// askedEnded is when its port was asked last whether it has.
-	askedEnded time.Time
-
-	cold cold
-	// evacuated: operators want nothing sent to its data centre.
-	evacuated bool
-
-	pool    *pool
-	centre  int // index of its data centre in the pool
-	waiting waiting
-	counts  counts // of this router's requests
-	// peerCounts are those of all other routers, from their last digests with outcomes.
-	peerCounts counts
-	ejection   ejection
-	// reportedAt is when another router told last that the target failed it.
-	reportedAt time.Time
-	detectedAt time.Time // when what others told was looked at last
-}
-
-func (t *target) open() int { return t.own + t.peers }
-
-// serves notes that the target has requests.
-func (t *target) serves(now time.Time) {
-	if t.served.IsZero() {
-		t.served = now
-	}
-}
-
-// servedBefore reports whether the target was seen with requests before a time.
-func (t *target) servedBefore(at time.Time) bool { return !t.served.IsZero() && t.served.Before(at) }
-
-// hasRoom reports whether the target has places free as far as the fleet knows.
-func (t *target) hasRoom() bool { return t.Slots > 0 && t.open() < t.Slots }
-
 type pool struct {
 	targets []*target
 	centres []centre
@@ -295,102 +175,6 @@
 	b.SetLimits(b.limits)
 }
 
-// Heard takes in what another router has open and what came of its requests at failing targets, in place
-// of what it said before, and returns the ids of targets that are ejected by it. outcomes are nil
-// if it did not tell any this time.
-func (b *Board) Heard(now time.Time, router uint32, loads []Load, outcomes []Outcomes) (ejected []string) {
-	p, ok := b.peers[router]
-	if !ok {
-		p = &peerView{}
-		b.peers[router] = p
-	}
-	for _, l := range p.loads {
-		b.addPeer(l, -1)
-	}
-	if ablate.Off(ablate.Loads) {
-		loads = nil
-	}
-	p.heard, p.loads = now, loads
-	for _, l := range p.loads {
-		b.addPeer(l, 1)
-		if t, ok := b.byUID[l.Target]; ok && l.Open > 0 {
-			t.serves(now)
-		}
-	}
-	if outcomes == nil {
-		return nil
-	}
-	return b.told(now, p, outcomes)
-}
-
-func (b *Board) addPeer(l Load, sign int) {
-	if t, ok := b.byUID[l.Target]; ok {
-		t.peers += sign * l.Open
-	}
-}
-
-// sumPeers counts all digests again: targets may have come and gone since.
-func (b *Board) sumPeers() {
-	for _, t := range b.byUID {
-		t.peers = 0
-	}
-	for _, p := range b.peers {
-		for _, l := range p.loads {
-			b.addPeer(l, 1)
-		}
-	}
-}
-
-// Expire forgets the loads of routers that have been silent for too long, and words of targets that no longer count.
-func (b *Board) Expire(now time.Time) {
-	for id, p := range b.peers {
-		if now.Sub(p.heard) > b.settings.LoadsExpire {
-			b.Forget(id)
-		}
-	}
-	b.expireSaid(now)
-}
-
-// Forget drops what a router has open: it has ended or restarted. The outcomes that it told
-// stay, they decay by themselves.
-func (b *Board) Forget(router uint32) {
-	if p, ok := b.peers[router]; ok {
-		for _, l := range p.loads {
-			b.addPeer(l, -1)
-		}
-		delete(b.peers, router)
-	}
-}
-
-// ForgetAll drops what all others have open.
-func (b *Board) ForgetAll() {
-	for id := range b.peers {
-		b.Forget(id)
-	}
-}
-
-// Own returns what this router has open, for its digest.
-func (b *Board) Own() []Load {
-	var out []Load
-	for uid, t := range b.byUID {
-		if t.own > 0 {
-			out = append(out, Load{Target: uid, Open: t.own})
-		}
-	}
-	return out
-}
-
-// OpenAt returns what the fleet has open at each listed target, by its id.
-func (b *Board) OpenAt() map[string]int {
-	out := make(map[string]int)
-	for _, p := range b.pools {
-		for _, t := range p.targets {
-			out[t.ID] = t.open()
-		}
-	}
-	return out
-}
-
 // Place chooses a target and counts the request there; false if the pool has none.
 func (b *Board) Place(now time.Time, a Ask) (Choice, bool) {
 	p, ok := b.pools[a.Pool]
@@ -460,38 +244,6 @@
 	return true
 }
 
-// Ended takes in that a target's process has ended, as this router saw it or another one tells, and reports whether that is
-// news. Each router would learn it by a request of its own otherwise.
-func (b *Board) Ended(now time.Time, uid uint64) (news bool) {
-	t, ok := b.byUID[uid]
-	if !ok || ablate.Off(ablate.Suspension) || (!t.ended.IsZero() && now.Sub(t.ended) < endedRest) {
-		return false
-	}
-	t.ended = now
-	t.health.ended(now)
-	return true
-}
-
-// EndedToAsk returns the listed targets that rest because their process has ended and whose port is to be asked now.
-func (b *Board) EndedToAsk(now time.Time) []Target {
-	var out []Target
-	for _, t := range b.byUID {
-		if !t.ended.IsZero() && now.Sub(t.ended) >= askEndedAfter && now.Sub(t.askedEnded) >= askEndedAfter && !b.Leaves(t.UID) {
-			t.askedEnded = now
-			out = append(out, t.Target)
-		}
-	}
-	return out
-}
-
-// EndedStill takes in that a target's port accepts no connection: its rest begins again.
-func (b *Board) EndedStill(now time.Time, uid uint64) {
-	if t, ok := b.byUID[uid]; ok && !t.ended.IsZero() {
-		t.ended = now
-		t.health.ended(now)
-	}
-}
-
 // Silent takes note of a target that leaves a request unanswered for longer than
 // its answers take. The request still waits, so nothing else would show the failure
 // before the request's deadline, and more would be sent there meanwhile.
