A router that hears nobody sends nothing to cold targets until it has read who there is

Cause, by reading: a router that starts again while it is cut off from the others knows only itself, and takes itself for one of the few; each of many such would send. Change: until it hears another router it waits for the store's list of routers. Test seen failing without the condition.

--- a/internal/app/gateway/control.go
+++ b/internal/app/gateway/control.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	peerv1 "github.com/hemlockdyke/hemlockdyke/gen/hemlockdyke/peer/v1"
@@ -54,7 +55,8 @@
 	version    uint64 // of the desired state in force
 	routers    int    // the most that were alive at once
 	startedAt  time.Time
-	fleet      []string // the other routers as placement knows them, nil if it knows none yet
+	listRead   atomic.Bool // the store's list of routers has been read
+	fleet      []string    // the other routers as placement knows them, nil if it knows none yet
 	inForceAt  time.Time
 	evacuated  int // data centres that are to get nothing
 	targetsAt  time.Time
@@ -152,9 +154,10 @@
 	}
 }
 
-// updateFleet tells placement which routers there are, once this one has had the time to learn it.
+// updateFleet tells placement which routers there are, once this one has had the time to learn it. One that hears nobody goes by the
+// store's list: it may be the only router, or cut off from all others, of which each would take itself for the only one.
 func (c *Control) updateFleet(now time.Time) {
-	if now.Sub(c.startedAt) < warmup.Hold {
+	if now.Sub(c.startedAt) < warmup.Hold || (c.fleet == nil && !c.listRead.Load() && c.core.Alive(now) == 0) {
 		return
 	}
 	if known := texts(c.core.Others()); c.fleet == nil || !slices.Equal(known, c.fleet) {
--- a/internal/app/gateway/listing.go
+++ b/internal/app/gateway/listing.go
@@ -102,6 +102,7 @@
 	maps.DeleteFunc(l.listed, func(a fleet.Address, _ bool) bool { return !slices.Contains(listed, string(a)) })
 	found := addresses(listed)
 	c.post(ctx, fleet.Found{Addresses: found})
+	c.listRead.Store(true)
 	return found, nil
 }
 
