--- a/internal/core/admission/short_test.go
+++ b/internal/core/admission/short_test.go
@@ -53,6 +53,19 @@
 	// newsAge is how old what a router hears of the others is; exact is set if they take it for exact.
 	newsAge time.Duration
 	exact   bool
+	// clump is how many requests come at the same moment.
+	clump int
+}
+
+// arrivals draws how many requests come at a moment at which n come in the mean.
+func (l *shortLoad) arrivals(n float64, rnd *rand.Rand) int {
+	clump := max(l.clump, 1)
+	n /= float64(clump)
+	whole := int(n)
+	if rnd.Float64() < n-float64(whole) {
+		whole++
+	}
+	return whole * clump
 }
 
 // answer is the way of an answer back to its router.
@@ -140,10 +153,7 @@
 			}
 		}
 		for rank, perSec := range l.perSec {
-			for n := perSec * step.Seconds(); n > 0; n-- {
-				if n < 1 && rnd.Float64() >= n {
-					break
-				}
+			for range l.arrivals(perSec*step.Seconds(), rnd) {
 				if now >= 2*time.Second {
 					got[rank].asked++
 				}
@@ -219,4 +229,16 @@
 	},
 		Entry("half of their capacity", 0.5, 0.99), Entry("0.8", 0.8, 0.99), Entry("0.9", 0.9, 0.97), Entry("their capacity", 1.0, 0.9),
 	)
+
+	// Guards against a pool that refuses a fifth of what it could serve because requests come in clumps.
+	DescribeTable("bears clumps of requests", func(load, least float64) {
+		l := one(load)
+		l.clump = 4
+		share, got := inTime(l)
+		asked := float64(got[0].asked + got[1].asked)
+		Expect(share * 4000).To(BeNumerically(">=", least*asked), "%+v", got)
+		Expect(got[0].failureRate()).To(BeNumerically(">=", got[1].failureRate()-0.02))
+	},
+		Entry("half of its capacity", 0.5, 0.98), Entry("0.8", 0.8, 0.96), Entry("its capacity", 1.0, 0.88), Entry("1.5", 1.5, 0.6),
+	)
 })
--- a/internal/core/admission/throttle.go
+++ b/internal/core/admission/throttle.go
@@ -20,13 +20,16 @@
 	throttleHalfLife = time.Second
 	// throttleDoubt is how many answers without a refusal a router begins with.
 	throttleDoubt = 1.0
-	// patientGain is how many times the part that targets turn away is refused here of what is less urgent than the most urgent.
-	patientGain = 8.0
+	// tolerated is the part that targets may turn away before anything is refused here: requests that come together by chance are
+	// turned away by a target that has room a moment later.
+	tolerated = 0.05
+	// patientGain is how many times the part beyond that is refused here of what is less urgent than the most urgent.
+	patientGain = 4.0
 	// urgentMost is the part that targets may turn away before the most urgent are refused here as well.
 	urgentMost = 0.5
 	// lateCounts is what an answer beyond the objective counts as a refusal: less of them come late if fewer are sent, unless the
 	// target is slow for another reason.
-	lateCounts = 0.05
+	lateCounts = 0.1
 	// throttleMost is the largest part that is refused here, or a router would never learn that there is room again.
 	throttleMost = 0.9
 )
@@ -45,7 +48,7 @@
 	if urgent {
 		return min(max((turnedAway-urgentMost)/urgentMost, 0), throttleMost)
 	}
-	return min(patientGain*turnedAway, throttleMost)
+	return min(patientGain*max(turnedAway-tolerated, 0), throttleMost)
 }
 
 // Answer is how a request that was sent ended, as far as it tells of its target's load.
