Callers that a pool of short work has no room for come back within their objective

Change: Retry-After is 0.35 of the objective before jitter, also where the target turned the request away. A team over its share is refused first where anybody is turned away, as in pools of longer work.

--- a/internal/app/gateway/relay.go
+++ b/internal/app/gateway/relay.go
@@ -304,6 +304,9 @@
 	a := &try{run: x, choice: choice, number: action.Attempt, began: now, outcome: placement.Neutral}
 	x.notePlaced(a, r.view.loadsAge(now))
 	action = a.make()
+	if a.failure == failureTurnedAway {
+		x.retryAfter = verdict.RetryAfter
+	}
 	a.firstEvent(false)
 	took := r.now().Sub(now)
 	if r.view.done(r.now(), x.match.pool, x.match.teamName(), choice.Target.UID, a.finalOutcome(), took, a.ofLoad(took)) {
--- a/internal/app/gateway/view.go
+++ b/internal/app/gateway/view.go
@@ -64,7 +64,8 @@
 		return c, verdict, true
 	}
 	gate.Began(q.Team)
-	return c, admission.Verdict{Code: code.OK}, true
+	verdict.Code = code.OK
+	return c, verdict, true
 }
 
 // firstEvent tells the board that an attempt has its first event, or will have none.
--- a/internal/core/admission/admission.go
+++ b/internal/core/admission/admission.go
@@ -34,7 +34,9 @@
 type Verdict struct {
 	Code       code.Code // OK if the request is sent
 	Wait       time.Duration
-	RetryAfter time.Duration // before jitter
+	// RetryAfter is when a caller that is refused should come back, before jitter; of a request that is sent, if its target turns
+	// it away, 0 if the code alone says it.
+	RetryAfter time.Duration
 }
 
 const (
@@ -55,6 +57,8 @@
 	// routes in the order of their ranks are served in time; if each waits by its own objective,
 	// 0.07, 0.89 and 0.35.
 	yieldShare = 0.15
+	// soonShare is the part of its objective after which a caller comes back to a pool of short work.
+	soonShare = 0.35
 	// retryShare is the part of its time after which a refused caller comes back at the
 	// earliest. Overload lasts for seconds; a caller that has time is better off later.
 	retryShare = 0.25
@@ -121,7 +125,7 @@
 	u := urgency{rank: min(max(a.Rank, 0), maxRank), route: min(max(a.RouteRank, 0), maxRank)}
 	k := g.asked(now, u, a.Objective)
 	if g.Short(l.Age) && !ablate.Off(ablate.Short) {
-		return g.byAnswers(now, k, u, a)
+		return g.byAnswers(now, k, u, t, a)
 	}
 	wait := g.wait(l)
 	if wait == 0 || ablate.Off(ablate.Admission) {
@@ -143,13 +147,29 @@
 
 // byAnswers decides where the work takes less time than the news of it. A part of a request is due with each that is admitted, so that
 // the refused ones are spread evenly.
-func (g *Gate) byAnswers(now time.Time, k *asking, u urgency, a Ask) Verdict {
+func (g *Gate) byAnswers(now time.Time, k *asking, u urgency, t *team, a Ask) Verdict {
+	v := Verdict{Code: code.OK, RetryAfter: soon(a)}
+	if ablate.Off(ablate.Admission) {
+		return v
+	}
 	k.throttled += g.throttle.refuses(now, u == g.mostUrgent(now))
-	if k.throttled < 1 || ablate.Off(ablate.Admission) {
-		return Verdict{Code: code.OK}
+	switch {
+	case k.throttled >= 1:
+		k.throttled--
+		v.Code, v.Wait = code.QueueFull, g.duration
+	case g.throttle.refuses(now, false) > 0 && g.over(now, t):
+		v.Code, v.Wait = code.TeamLimit, g.duration
+	}
+	return v
+}
+
+// soon returns when a caller should come back whom a pool of short work has no room for. Its queues are empty again within some
+// requests' time, and come back within the objective the answer is still in time.
+func soon(a Ask) time.Duration {
+	if a.Objective > 0 {
+		return min(time.Duration(soonShare*float64(a.Objective)), a.Left)
 	}
-	k.throttled--
-	return Verdict{Code: code.QueueFull, Wait: g.duration, RetryAfter: time.Duration(retryShare * float64(a.Left))}
+	return time.Duration(retryShare * float64(a.Left))
 }
 
 // mostUrgent returns the most urgent of what is asked for lately.
--- a/internal/core/admission/short_test.go
+++ b/internal/core/admission/short_test.go
@@ -241,4 +241,40 @@
 	},
 		Entry("half of its capacity", 0.5, 0.98), Entry("0.8", 0.8, 0.96), Entry("its capacity", 1.0, 0.88), Entry("1.5", 1.5, 0.6),
 	)
+
+	// Guards against callers of short work that stay away until their answer is late, though there is room a moment later.
+	It("has callers come back within their objective", func() {
+		g := admission.NewGate()
+		load := admission.Load{Slots: 6, Age: 200 * time.Millisecond}
+		ask := admission.Ask{Left: time.Second, Objective: 120 * time.Millisecond}
+		refused := 0
+		for range 50 {
+			v := g.Decide(start, ask, load)
+			Expect(v.RetryAfter).To(And(BeNumerically(">", 20*time.Millisecond), BeNumerically("<", 60*time.Millisecond)))
+			if v.Code != code.OK {
+				refused++
+				continue
+			}
+			g.Began("")
+			g.Ended(start, "", time.Millisecond, admission.TurnedAway)
+		}
+		Expect(refused).To(BeNumerically(">", 10))
+	})
+
+	// Guards against a team that takes the places of all others where their counts are out of date.
+	It("keeps a team that surges from taking the others' places", func() {
+		g := admission.NewGate()
+		load := admission.Load{Slots: 6, Age: 200 * time.Millisecond}
+		for range 8 {
+			g.Decide(start, admission.Ask{Team: "surge", Left: time.Second}, load)
+			g.Began("surge")
+		}
+		g.Decide(start, admission.Ask{Team: "b", Left: time.Second}, load)
+		g.Decide(start, admission.Ask{Team: "c", Left: time.Second}, load)
+		Expect(g.Decide(start, admission.Ask{Team: "surge", Left: time.Second}, load).Code).To(Equal(code.OK), "nobody is turned away")
+		g.Began("b")
+		g.Ended(start, "b", time.Millisecond, admission.TurnedAway)
+		Expect(g.Decide(start, admission.Ask{Team: "surge", Left: time.Second}, load).Code).To(Equal(code.TeamLimit))
+		Expect(g.Decide(start, admission.Ask{Team: "c", Left: time.Second}, load).Code).To(Equal(code.OK))
+	})
 })
