--- a/internal/core/admission/admission.go
+++ b/internal/core/admission/admission.go
@@ -32,8 +32,8 @@
 
 // Verdict is the decision with the figure that made it.
 type Verdict struct {
-	Code       code.Code // OK if the request is sent
-	Wait       time.Duration
+	Code code.Code // OK if the request is sent
+	Wait time.Duration
 	// RetryAfter is when a caller that is refused should come back, before jitter; of a request that is sent, if its target turns
 	// it away, 0 if the code alone says it.
 	RetryAfter time.Duration
--- a/internal/core/admission/short_test.go
+++ b/internal/core/admission/short_test.go
@@ -236,7 +236,7 @@
 		l.clump = 4
 		share, got := inTime(l)
 		asked := float64(got[0].asked + got[1].asked)
-		Expect(share * 4000).To(BeNumerically(">=", least*asked), "%+v", got)
+		Expect(share*4000).To(BeNumerically(">=", least*asked), "%+v", got)
 		Expect(got[0].failureRate()).To(BeNumerically(">=", got[1].failureRate()-0.02))
 	},
 		Entry("half of its capacity", 0.5, 0.98), Entry("0.8", 0.8, 0.96), Entry("its capacity", 1.0, 0.88), Entry("1.5", 1.5, 0.6),
