--- a/internal/core/placement/choose.go
+++ b/internal/core/placement/choose.go
@@ -219,7 +219,8 @@
 	return best
 }
 
-// atRandom returns a target drawn by its places and its pace, those in this data centre more often. All routers see the same target as
+// atRandom returns a target drawn by its places, its pace and what this router has open there, which it knows at once, those in this
+// data centre more often. All routers see the same target as
 // the least loaded one: by the time that they have heard so, their requests are answered, and all that they send there next come at
 // once, while the others are idle.
 func (b *Board) atRandom(now time.Time, p *pool, a Ask, skip func(*target) bool) *target {
@@ -230,7 +231,7 @@
 			continue
 		}
 		// Of times drawn by exponential distributions one is the first as often as its rate is of all rates.
-		rate := float64(max(t.Slots, 1)) / b.pace(now, t)
+		rate := float64(max(t.Slots, 1)) / b.pace(now, t) / float64(1+t.own)
 		if t.DataCentre == b.settings.DataCentre {
 			rate *= localPreference
 		}
