Routers that start together read a long list for few of them and copy it

Change: what a router reads for itself alone is at most 250 rows; of a longer table it waits up to three seconds for copies from the relays, which read it whole, and reads it itself after that. Lists of up to 250 entries are read at once as before. The test failed first.

--- a/internal/app/gateway/bench_test.go
+++ b/internal/app/gateway/bench_test.go
@@ -37,7 +37,7 @@
 // noStore never answers.
 type noStore struct{ Store }
 
-func (noStore) Whole(ctx context.Context, _ fleet.Table) (uint64, []replica.Row, error) {
+func (noStore) Whole(ctx context.Context, _ fleet.Table, _ int) (uint64, []replica.Row, error) {
 	<-ctx.Done()
 	return 0, nil, ctx.Err()
 }
--- a/internal/app/gateway/control.go
+++ b/internal/app/gateway/control.go
@@ -211,7 +211,7 @@
 	case fleet.Follow:
 		go c.follow(ctx, c.followCtx[a.Table], a)
 	case fleet.ReadWhole:
-		go c.readWhole(ctx, c.followCtx[a.Table], a.Table)
+		go c.readWhole(ctx, c.followCtx[a.Table], a.Table, a.Most)
 	case fleet.StopFollowing:
 		c.stopFollow[a.Table]()
 		c.followCtx[a.Table], c.stopFollow[a.Table] = context.WithCancel(ctx)
--- a/internal/app/gateway/leaving_test.go
+++ b/internal/app/gateway/leaving_test.go
@@ -54,7 +54,7 @@
 	s.changed = make(chan struct{})
 }
 
-func (s *listStore) Whole(_ context.Context, t fleet.Table) (uint64, []replica.Row, error) {
+func (s *listStore) Whole(_ context.Context, t fleet.Table, _ int) (uint64, []replica.Row, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if t == fleet.Desired {
@@ -98,7 +98,7 @@
 // refusing is a store that turns a router away.
 type refusing struct{ gateway.Store }
 
-func (refusing) Whole(context.Context, fleet.Table) (uint64, []replica.Row, error) {
+func (refusing) Whole(context.Context, fleet.Table, int) (uint64, []replica.Row, error) {
 	return 0, nil, errors.New("refused")
 }
 
@@ -265,7 +265,7 @@
 // largeStore has a desired state of 100 KB.
 type largeStore struct{ frozenStore }
 
-func (largeStore) Whole(context.Context, fleet.Table) (uint64, []replica.Row, error) {
+func (largeStore) Whole(context.Context, fleet.Table, int) (uint64, []replica.Row, error) {
 	noise := make([]byte, 100_000) // does not get smaller
 	random := rand.New(rand.NewPCG(1, 2))
 	for i := range noise {
--- a/internal/app/gateway/ports.go
+++ b/internal/app/gateway/ports.go
@@ -23,10 +23,14 @@
 // ErrHistoryLost: the store no longer has the changes after a position.
 var ErrHistoryLost = errors.New("history no longer available")
 
+// ErrTooLarge: a table has more rows than were asked for.
+var ErrTooLarge = errors.New("table too large")
+
 // Store reads the platform's tables. Implementations are safe for concurrent use.
 type Store interface {
-	// Whole returns a table and the position from which to follow it.
-	Whole(ctx context.Context, t fleet.Table) (position uint64, rows []replica.Row, err error)
+	// Whole returns a table and the position from which to follow it. It fails with ErrTooLarge if the table has more rows than
+	// most, unless that is 0.
+	Whole(ctx context.Context, t fleet.Table, most int) (position uint64, rows []replica.Row, err error)
 	// Follow waits for changes after a position and returns them with the next
 	// position, without rows if there was none within wait. It fails with
 	// ErrHistoryLost if the changes are no longer to be had.
--- a/internal/app/gateway/reads.go
+++ b/internal/app/gateway/reads.go
@@ -24,11 +24,11 @@
 	c.post(ctx, fleet.FollowRead{Table: a.Table, Position: position, Rows: rows})
 }
 
-func (c *Control) readWhole(ctx, calls context.Context, t fleet.Table) {
+func (c *Control) readWhole(ctx, calls context.Context, t fleet.Table, most int) {
 	calls, cancel := context.WithTimeout(calls, callTimeout)
 	defer cancel()
 	began := c.now()
-	position, rows, err := c.store.Whole(calls, t)
+	position, rows, err := c.store.Whole(calls, t, most)
 	if err != nil {
 		c.readFailed(ctx, calls, t, began, err)
 		return
@@ -39,10 +39,11 @@
 func (c *Control) readFailed(ctx, calls context.Context, t fleet.Table, began time.Time, err error) {
 	lost := errors.Is(err, ErrHistoryLost)
 	stopped := errors.Is(calls.Err(), context.Canceled)
-	if !stopped {
+	large := errors.Is(err, ErrTooLarge)
+	if !stopped && !large {
 		c.log.Line(eventlog.StoreReadFailed).Str("table", t.String()).Dur("after", c.now().Sub(began)).Err(err).Msg("")
 	}
-	c.post(ctx, fleet.ReadFailed{Table: t, HistoryLost: lost, Stopped: stopped})
+	c.post(ctx, fleet.ReadFailed{Table: t, TooLarge: large, HistoryLost: lost, Stopped: stopped})
 }
 
 func (c *Control) copyFrom(ctx context.Context, a fleet.CopyFrom) {
--- a/internal/app/gateway/stale_test.go
+++ b/internal/app/gateway/stale_test.go
@@ -29,7 +29,7 @@
 // frozenStore has one state for ever, as a store does that is cut off after the first read.
 type frozenStore struct{ gateway.Store }
 
-func (frozenStore) Whole(context.Context, fleet.Table) (uint64, []replica.Row, error) {
+func (frozenStore) Whole(context.Context, fleet.Table, int) (uint64, []replica.Row, error) {
 	return 3, []replica.Row{{Key: "config", Version: 3}}, nil
 }
 
--- a/internal/core/fleet/events.go
+++ b/internal/core/fleet/events.go
@@ -52,11 +52,12 @@
 		Position uint64
 		Rows     []replica.Row
 	}
-	// ReadFailed: a call to the store failed. HistoryLost says that the changes
+	// ReadFailed: a call to the store failed. TooLarge says that the table has more rows than were asked for, HistoryLost says that the changes
 	// after the position are no longer to be had, Stopped that the core ended the
 	// call itself.
 	ReadFailed struct {
 		Table       Table
+		TooLarge    bool
 		HistoryLost bool
 		Stopped     bool
 	}
@@ -129,8 +130,12 @@
 		After uint64
 		Wait  time.Duration
 	}
-	// ReadWhole asks the store for a whole table; answered by WholeRead or ReadFailed.
-	ReadWhole struct{ Table Table }
+	// ReadWhole asks the store for a whole table, if it has no more rows than Most, or 0 for any number; answered by WholeRead
+	// or ReadFailed.
+	ReadWhole struct {
+		Table Table
+		Most  int
+	}
 	// StopFollowing ends the call to the store that waits for changes of a table.
 	StopFollowing struct{ Table Table }
 	// CopyFrom asks a router for what the copy lacks, for Timeout at most; answered by Copied.
--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -112,6 +112,7 @@
 	doubtedAt time.Time
 	probe     bool      // the next call does not wait
 	aloneAt   time.Time // when the table was read for this router alone
+	largeAt   time.Time // when it turned out to be large; zero if it did not
 }
 
 // Core is the state of one router. It is not safe for concurrent use.
--- a/internal/core/fleet/fleet_test.go
+++ b/internal/core/fleet/fleet_test.go
@@ -226,6 +226,29 @@
 		}
 	})
 
+	// Guards against a fleet that starts again together and reads a long list once for each of its routers.
+	It("reads a long list for few, and gives all of them copies soon", func() {
+		const routers, entries = 150, 1500
+		n := newNetOf(routers, 3, 2)
+		for i := range entries {
+			n.write(fleet.Targets, fmt.Sprint("t", i), "ready")
+		}
+		n.run(4 * time.Second)
+		for i := range routers {
+			n.kill(address(i))
+		}
+		n.run(time.Second)
+		n.store.rowsRead = 0
+		for i := range routers {
+			n.start(address(i))
+		}
+		n.run(2500 * time.Millisecond)
+		for _, x := range n.nodes {
+			Expect(x.core.Known(fleet.Targets)).To(BeTrue())
+		}
+		Expect(n.store.rowsRead).To(BeNumerically("<", 60*entries))
+	})
+
 	It("replaces readers that are killed at once", func() {
 		for _, a := range n.readers() {
 			n.kill(a)
--- a/internal/core/fleet/net_store_test.go
+++ b/internal/core/fleet/net_store_test.go
@@ -1,6 +1,7 @@
 package fleet_test
 
 import (
+	"math"
 	"time"
 
 	"github.com/hemlockdyke/hemlockdyke/internal/core/fleet"
@@ -24,6 +25,8 @@
 	log     [fleet.Tables][]replica.Row
 	waiting []*waiting
 	calls   int
+	// rowsRead are those that calls for whole tables returned.
+	rowsRead int
 
 	// silent calls hang, refused ones fail at once, for the nodes named.
 	silent, refused map[fleet.Address]bool
@@ -53,6 +56,11 @@
 	}
 	calls := x.calls[a.Table]
 	n.after(storeTime, func() {
+		n.store.rowsRead += min(len(n.store.rows[a.Table]), orAll(a.Most))
+		if a.Most > 0 && len(n.store.rows[a.Table]) > a.Most {
+			n.end(x, calls, a.Table, fleet.ReadFailed{Table: a.Table, TooLarge: true})
+			return
+		}
 		var rows []replica.Row
 		for _, r := range n.store.rows[a.Table] {
 			rows = append(rows, r)
@@ -61,6 +69,14 @@
 	})
 }
 
+// orAll returns a limit, or one that nothing reaches.
+func orAll(most int) int {
+	if most == 0 {
+		return math.MaxInt
+	}
+	return most
+}
+
 func (n *net) follow(x *node, a fleet.Follow) {
 	if n.refuses(x, a.Table, a.Wait) {
 		return
--- a/internal/core/fleet/store.go
+++ b/internal/core/fleet/store.go
@@ -104,6 +104,9 @@
 	case ev.HistoryLost:
 		r.needAll = true
 		return
+	case ev.TooLarge:
+		r.largeAt = now
+		return
 	}
 	r.ok = false
 	r.failures++
@@ -283,6 +286,14 @@
 // store itself. Copies of a large desired state reach most of a fleet in a third of two seconds.
 const behindShare = 0.4
 
+const (
+	// aloneRows is the most rows that a router reads for itself at once. All routers of a fleet that have started together would
+	// move a large list over the store's link and over their own, one each, and be slower by it than by copies.
+	aloneRows = 250
+	// largePatience is how long a router waits for copies of a larger table before it reads that for itself.
+	largePatience = 3 * time.Second
+)
+
 // readAlone reads tables that this router lacks, or has an old copy of, and that nobody gives it, whether it is
 // one of the readers or not. A router that hears others and isn't heard would wait for their copies for ever.
 func (c *Core) readAlone(now time.Time) {
@@ -292,7 +303,11 @@
 	for i := range c.readers {
 		if r := &c.readers[i]; !r.waiting && now.Sub(r.aloneAt) >= retryMax && c.lacks(now, Table(i)) {
 			r.waiting, r.aloneAt = true, now
-			c.emit(ReadWhole{Table: Table(i)})
+			most := aloneRows
+			if !r.largeAt.IsZero() {
+				most = 0
+			}
+			c.emit(ReadWhole{Table: Table(i), Most: most})
 		}
 	}
 }
@@ -301,6 +316,9 @@
 	copying := &c.copying[t]
 	if !c.tables[t].Known() {
 		waited := c.settings.StartsFirst || now.Sub(c.started) >= firstStartPatience
+		if large := c.readers[t].largeAt; !large.IsZero() {
+			waited = now.Sub(large) >= largePatience
+		}
 		return waited && !now.Before(copying.until)
 	}
 	behind := copying.behindSince
