--- a/internal/app/gateway/copies.go
+++ b/internal/app/gateway/copies.go
@@ -23,7 +23,7 @@
 )
 
 // copies answers other routers' copy requests. A large copy is packed once for all that ask for it: packed for each,
-// as a change of 1,650 routes spread, a router of 0.19 cores was busy with that alone for two seconds.
+// a change of many routes would keep a small router busy with that alone while its requests wait.
 type copies struct {
 	mu     sync.Mutex
 	budget *fleet.ServeBudget
--- a/internal/core/admission/admission.go
+++ b/internal/core/admission/admission.go
@@ -46,16 +46,11 @@
 	// still room for the urgent ones that come next.
 	waitShare = 0.6
 	// objectiveShare is the same of its objective. A pool works off as many requests
-	// behind a short queue as behind a long one, but behind a long one all are late. On a
-	// day with four times the load 15,640 were answered in time, with a half 15,530,
-	// with the whole 15,140, without any admission 14,130.
+	// behind a short queue as behind a long one, but behind a long one all are late.
 	objectiveShare = 0.25
 	// yieldShare is the part of the requests that would wait which a route gives up for each more
 	// urgent one that is asked for at its pool. It orders the routes of a pool without starving the last: a shorter wait for
 	// each rank would, as one more urgent request in the queue is enough to keep all others out.
-	// Played with three and a half times the load of one target, 0.31, 0.19 and 0.18 of three
-	// routes in the order of their ranks are served in time; if each waits by its own objective,
-	// 0.07, 0.89 and 0.35.
 	yieldShare = 0.15
 	// soonShare is the part of its objective after which a caller comes back to a pool of short work.
 	soonShare = 0.35
--- a/internal/core/admission/retryafter.go
+++ b/internal/core/admission/retryafter.go
@@ -20,9 +20,7 @@
 //
 // A pool without targets is away for seconds, and nobody knows for how many. Callers come
 // back once or twice, so one that has time is better off later; its objective has passed
-// either way. Played with outages of two, four and eight seconds for callers that have eight
-// seconds and come back once, 87%, 49% and 24% are served at retryShare of the time left,
-// at half a second 25%, 12% and 6%.
+// either way.
 func RetryAfter(c code.Code, left time.Duration) time.Duration {
 	switch c {
 	case code.ShuttingDown:
--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -50,12 +50,11 @@
 	// together the first ones spare the rest their calls.
 	startDelay = 600 * time.Millisecond
 	// restartDelay is the same while others may be running: a seed that runs has answered by then. restartDelayMost holds
-	// while some are missing that a greeting told of: many start again at once, and 340 know their relays within 0.4 s.
+	// while some are missing that a greeting told of: many start again at once.
 	restartDelay     = 130 * time.Millisecond
 	restartDelayMost = 500 * time.Millisecond
 	// firstStartPatience is how long a router waits for others' copies before it reads tables for itself, when all start for
-	// the first time, well before there are requests. One that starts again reads them at once: callers wait, and
-	// while it waited 0.09 s for copies 16 to 25 of 300 were refused in two seconds that followed the end of all routers, for 5.
+	// the first time, well before there are requests. One that starts again reads them at once: callers wait.
 	firstStartPatience = 3 * time.Second
 	// retryMin and retryMax bound the pause after a failed call to the store: calls
 	// are paid for, refused ones too, and the fleet shares a limit on them.
--- a/internal/core/fleet/store.go
+++ b/internal/core/fleet/store.go
@@ -138,7 +138,7 @@
 }
 
 // countReaders makes this router one of the readers or ends that. It looks at all routers, so not at every digest but
-// at those that change who reads, and at each tick: at each of 80 routers' digests it took 5.3 of 9.1 us.
+// at those that change who reads, and at each tick: at each digest it would take more than all else there.
 func (c *Core) countReaders(now time.Time) {
 	before, missing, ahead := c.otherReaders(now)
 	should := !c.leaving && before < readers
--- a/internal/core/fleet/topology.go
+++ b/internal/core/fleet/topology.go
@@ -11,7 +11,7 @@
 // Routers talk on two levels. The first routers in rank of each data centre are its relays: each router tells its
 // relays what it has open, relays tell those of the other data centres the sum, and each router is fed by one relay
 // with the sum over the fleet. What a router sends and takes in so follows the number of relays, and of a relay that of its
-// data centre, where all telling all grew with the fleet: 195 routers sent 378,000 digests a second for 960 requests.
+// data centre, where all telling all grew with the fleet.
 // Nobody elects relays: each router ranks those that it knows to run, and a relay that falls silent is left out.
 
 const (
--- a/internal/core/placement/choose.go
+++ b/internal/core/placement/choose.go
@@ -220,9 +220,8 @@
 }
 
 // atRandom returns a target drawn by its places, its pace and what this router has open there, which it knows at once, those in this
-// data centre more often. All routers see the same target as
-// the least loaded one: by the time that they have heard so, their requests are answered, and all that they send there next come at
-// once, while the others are idle.
+// data centre more often. All routers see the same target as the least loaded one: by the time that they have heard so, its requests
+// are answered, and all that they send there next come at once, while the others are idle.
 func (b *Board) atRandom(now time.Time, p *pool, a Ask, skip func(*target) bool) *target {
 	var best *target
 	first := 0.0
--- a/internal/core/placement/inventory.go
+++ b/internal/core/placement/inventory.go
@@ -31,11 +31,9 @@
 	// and for a beginning that many chats share, some in each data centre.
 	maxHolders = 8
 	// heldFor is how long a target is taken to keep what nobody asked it for. Targets cache until their memory is
-	// full: by arithmetic 90 s, where 2,600 new tokens a second fill 232,000. Asking one that has dropped
-	// a part costs its request a round trip.
+	// full. Asking one that has dropped a part costs its request a round trip.
 	heldFor = time.Minute
-	// tellTokens is the shortest beginning that others are told of: reading it takes about a step of a batch
-	// (7 ms at 38.7 tokens a ms, where a step takes 5.5 ms and more).
+	// tellTokens is the shortest beginning that others are told of: reading it takes about a step of a batch.
 	tellTokens = 256
 	// maxUntold bounds what waits to be told; the oldest is left out.
 	maxUntold = 512
--- a/internal/core/placement/model.go
+++ b/internal/core/placement/model.go
@@ -162,8 +162,7 @@
 	return float64(max(a.Tokens-held.Tokens-fetched, 0)) + fetchShare*float64(fetched)
 }
 
-// fetchShare is the part of the time of reading tokens that fetching them takes: 8,000 within 25 ms,
-// where reading them takes from 60 to 210 ms by the figures of today's engines.
+// fetchShare is the part of the time of reading tokens that fetching them takes.
 const fetchShare = 0.2
 
 // expected returns the time to the first event of a request at a target.
--- a/internal/core/placement/source.go
+++ b/internal/core/placement/source.go
@@ -11,9 +11,8 @@
 const youngFor = 20 * time.Second
 
 // source returns the address of a target from which t should fetch cached parts of the prompt, empty
-// if it probably has them or nobody has. Fetching a part takes about a quarter of the time of
-// reading it again and a tenth of its price (19 ms against 71 ms for 10,000 tokens, by the
-// figures of today's engines).
+// if it probably has them or nobody has. Fetching a part takes less time than reading it again,
+// and costs less.
 //
 // A target that is known to have read all of the prompt comes first. If there is none, rendezvous order
 // tells who had the chat, if anybody; a chat that is new fetches what others share with it.
