A target that was taken for ended and accepts connections is not asked again

Cause, found by reading: what was told of an end stayed after the port had accepted a connection, so each router would have opened one more every five seconds for as long as the entry lasted. Change: an accepted connection ends the question; the rest ends as before.

--- a/internal/app/gateway/poison.go
+++ b/internal/app/gateway/poison.go
@@ -212,9 +212,8 @@
 func (c *Control) askEnded(ctx context.Context, now time.Time) {
 	for _, t := range c.view.endedToAsk(now) {
 		go func() {
-			if knock(ctx, t.Address) != nil {
-				c.view.endedStill(c.now(), t.UID)
-			}
+			err := knock(ctx, t.Address)
+			c.view.endedAnswer(c.now(), t.UID, err == nil)
 		}()
 	}
 }
--- a/internal/app/gateway/view.go
+++ b/internal/app/gateway/view.go
@@ -129,11 +129,11 @@
 	return v.board.EndedToAsk(now)
 }
 
-// endedStill takes in that a target accepts no connection.
-func (v *view) endedStill(now time.Time, target uint64) {
+// endedAnswer takes in whether a target that has ended, as far as was known, accepts connections.
+func (v *view) endedAnswer(now time.Time, target uint64, accepts bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.board.EndedStill(now, target)
+	v.board.EndedAnswer(now, target, accepts)
 }
 
 // saysPause takes in for how long a target wants nothing from this router.
--- a/internal/core/placement/ended.go
+++ b/internal/core/placement/ended.go
@@ -47,9 +47,15 @@
 	return out
 }
 
-// EndedStill takes in that a target's port accepts no connection: its rest begins again.
-func (b *Board) EndedStill(now time.Time, uid uint64) {
-	if t, ok := b.byUID[uid]; ok && !t.ended.IsZero() {
+// EndedAnswer takes in whether the port of a target that has ended, as far as was known, accepts connections. If it does not the rest
+// begins again; if it does nothing more is asked, and the rest ends as it would have.
+func (b *Board) EndedAnswer(now time.Time, uid uint64, accepts bool) {
+	t, ok := b.byUID[uid]
+	switch {
+	case !ok || t.ended.IsZero():
+	case accepts:
+		t.ended = time.Time{}
+	default:
 		t.ended = now
 		t.health.ended(now)
 	}
