A denied repeat tells what the budget of this router holds

Now it has the repeats made, those allowed, the requests that count and this router's part of the slack; hemlockctl explain prints them. No decision changed.

--- a/internal/app/gateway/relay.go
+++ b/internal/app/gateway/relay.go
@@ -261,9 +261,10 @@
 // again sends the request to another target if the budget has room.
 func (x *run) again() attempt.Action {
 	r := x.relay
-	if !r.view.allowRepeat(r.now(), x.match.pool) {
+	if full, ok := r.view.allowRepeat(r.now(), x.match.pool); !ok {
 		x.denied = true
-		x.note(eventlog.RepeatDenied).Msg("")
+		x.note(eventlog.RepeatDenied).Str("pool", x.match.pool).Int("repeats", full.Repeats).Float64("allowed", full.Allowed).
+			Float64("requests", full.Requests).Float64("slack", full.Slack).Msg("")
 		return x.machine.Step(attempt.Refused{Code: code.TargetRefused})
 	}
 	x.repeats++
--- a/internal/app/gateway/view.go
+++ b/internal/app/gateway/view.go
@@ -224,11 +224,15 @@
 	v.budget(now, pool).Request(now)
 }
 
-// allowRepeat takes one repeat out of the budget if there is room.
-func (v *view) allowRepeat(now time.Time, pool string) bool {
+// allowRepeat takes one repeat out of the budget if there is room; if not, it returns what the budget holds.
+func (v *view) allowRepeat(now time.Time, pool string) (full retry.Room, ok bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return v.budget(now, pool).Repeat(now, v.limits)
+	w := v.budget(now, pool)
+	if w.Repeat(now, v.limits) {
+		return retry.Room{}, true
+	}
+	return w.Room(now, v.limits), false
 }
 
 // forget drops what some sources told of their loads, or all of them if none is named.
--- a/internal/core/retry/window.go
+++ b/internal/core/retry/window.go
@@ -56,18 +56,38 @@
 // Request counts the first send of a request.
 func (w *Window) Request(now time.Time) { w.at(now).requests++ }
 
+// Room is what is left of this router's part of the budget.
+type Room struct {
+	Repeats  int     // that lie in the span with the least room
+	Requests float64 // that count for it
+	Slack    float64 // this router's part
+	Allowed  float64
+}
+
+// ok reports whether one more repeat has room.
+func (r Room) ok() bool { return float64(r.Repeats+1) <= r.Allowed }
+
 // Repeat counts a further send if the budget has room for it in every span that it will
 // lie in, whatever comes.
 func (w *Window) Repeat(now time.Time, l Limits) bool {
-	slack := slackHeadroom * l.Slack / float64(max(l.Routers, leastRouters))
+	if !w.Room(now, l).ok() {
+		return false
+	}
+	w.at(now).repeats++
+	return true
+}
+
+// Room returns what is left in the span with the least room of those that a repeat would lie in.
+func (w *Window) Room(now time.Time, l Limits) Room {
+	least := Room{Slack: slackHeadroom * l.Slack / float64(max(l.Routers, leastRouters))}
 	for ends := range int64(spanBuckets + 1) {
 		requests, repeats := w.spanEnding(now, ends)
-		if float64(repeats+1) > l.Ratio*requests+slack {
-			return false
+		r := Room{Repeats: repeats, Requests: requests, Slack: least.Slack, Allowed: l.Ratio*requests + least.Slack}
+		if ends == 0 || r.Allowed-float64(r.Repeats) < least.Allowed-float64(least.Repeats) {
+			least = r
 		}
 	}
-	w.at(now).repeats++
-	return true
+	return least
 }
 
 // spanEnding returns what is known of the span that ends a number of slots from now: the
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -49,6 +49,10 @@
 	First       float64 `json:"first"`
 	Total       float64 `json:"total"`
 	Budget      float64 `json:"budget"`
+	Repeats     int     `json:"repeats"`
+	Allowed     float64 `json:"allowed"`
+	Requests    float64 `json:"requests"`
+	Slack       float64 `json:"slack"`
 
 	order int
 }
@@ -109,7 +113,7 @@
 	case eventlog.AttemptFailed.Name:
 		return fmt.Sprintf("attempt %d failed after %.0f ms: %s", e.Attempt, e.After, e.why())
 	case eventlog.RepeatDenied.Name:
-		return "no repeat: the shared budget has no room"
+		return fmt.Sprintf("no repeat: %d made lately, %.1f allowed for %.0f requests and a slack of %.1f", e.Repeats, e.Allowed, e.Requests, e.Slack)
 	case eventlog.PoisonRefused.Name:
 		return fmt.Sprintf("not sent: targets have ended under requests with the fingerprint %s; come back after %.0f ms", e.Fingerprint, e.Wait)
 	case eventlog.NotAdmitted.Name:
