--- /dev/null
+++ b/internal/app/gateway/budget_test.go
@@ -0,0 +1,47 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/hemlockdyke/hemlockdyke/internal/core/fleet"
+	"github.com/hemlockdyke/hemlockdyke/internal/eventlog"
+)
+
+var _ = Describe("the budget of repeats of a fleet whose routers start again", func() {
+	const (
+		span    = 10 * time.Second
+		slack   = 56.0
+		routers = 8
+	)
+
+	// Guards against more repeats than the budget allows: each start brought the router's part of the slack anew.
+	It("has the slack once in a span, however often all routers start", func() {
+		now := time.Now()
+		repeats := 0
+		for start := range 4 {
+			for range routers {
+				clock := now.Add(time.Duration(start) * 1500 * time.Millisecond)
+				c := NewControl(Settings{Name: "r", Address: "10.0.0.1:1", FirstStart: start == 0, InForceWithin: 2 * time.Second,
+					LeftWithin: 2 * time.Second, LoadMultiple: 2, RetryRatio: 0.2, RetrySlack: slack, RetryWindow: span},
+					noStore{}, entries{}, noPeers{}, noTargets{}, eventlog.Nop(), func() time.Time { return clock })
+				for t := range c.followCtx {
+					c.followCtx[t], c.stopFollow[t] = context.WithCancel(context.Background())
+				}
+				for range 10 {
+					clock = clock.Add(fleet.TickInterval)
+					c.tick(context.Background(), clock)
+				}
+				for ok := true; ok; {
+					if _, ok = c.view.allowRepeat(clock, "p"); ok {
+						repeats++
+					}
+				}
+			}
+		}
+		Expect(repeats).To(BeNumerically("<=", slack))
+	})
+})
