A router that has started uses none of the slack of repeats for a span

Cause: a router's part of the slack counts from an empty window at each start. Nobody knows what the process before it has spent, so k starts within a span bring k parts. The parts by requests add up over processes, as each counts its own requests. Class: a limit over time that a start forgets. Change: none of the slack for one span and 2 s, in which routers learn of each other; after the first start of the whole system at once, as nobody has used any. Shared among all routers that are listed or were ever heard, not only those alive now: many that start at once no longer take an eighth each.

--- a/internal/app/gateway/control.go
+++ b/internal/app/gateway/control.go
@@ -81,7 +81,7 @@
 			board:   placement.New(board, rand.New(rand.NewPCG(incarnation, 1))),
 			gates:   make(map[string]*admission.Gate),
 			budgets: make(map[string]*retry.Window), span: s.RetryWindow,
-			limits:   retry.Limits{Ratio: s.RetryRatio, Slack: s.RetrySlack, Routers: 1},
+			limits:   retry.Limits{Ratio: s.RetryRatio, Slack: s.RetrySlack, Routers: sharing(s.FirstStart)},
 			attempts: newUnderWay(), guard: newGuard(s.Address, s.FirstStart),
 		},
 		keepWake: make(chan struct{}, 1),
@@ -146,12 +146,28 @@
 	c.askEnded(ctx, now)
 	c.updateFleet(now)
 	c.upstream.Prune(c.roster.Has)
-	if n := c.core.Alive(now) + 1; n > c.routers {
-		c.routers = n
-		c.view.mu.Lock()
-		c.view.limits.Routers = n
-		c.view.mu.Unlock()
+	c.shareSlack(now)
+}
+
+// sharing returns how many routers share the slack of repeats when this one starts: none of it is used before it is known that nobody has.
+func sharing(firstStart bool) int {
+	if firstStart {
+		return 1
+	}
+	return 0
+}
+
+// shareSlack tells traffic among how many routers the slack of repeats is shared. Those that are listed but not heard may run all the
+// same; those that were heard once may be cut off.
+func (c *Control) shareSlack(now time.Time) {
+	c.routers = max(c.routers, c.core.Alive(now)+1)
+	if !c.settings.FirstStart && (c.fleet == nil || now.Sub(c.startedAt) < retry.SlackAfter(c.settings.RetryWindow)) {
+		return
 	}
+	n := max(c.routers, len(c.fleet)+1)
+	c.view.mu.Lock()
+	defer c.view.mu.Unlock()
+	c.view.limits.Routers = n
 }
 
 // updateFleet tells placement which routers there are, once this one has had the time to learn it. One that hears nobody goes by the
--- a/internal/core/retry/window.go
+++ b/internal/core/retry/window.go
@@ -13,6 +13,9 @@
 // move from routers that stop to others. So each router goes by the mean of the span
 // and the one before it, which adds up to no more than the larger of the two sums. A load
 // that stays the same has the whole ratio, a router that has just started half of it.
+//
+// The parts by requests add up over the processes that run on a VM one after the other, as each counts its own.
+// Parts of the slack don't: see SlackAfter.
 type Window struct {
 	start   time.Time // slots count from here: the time of day may jump
 	slot    time.Duration
@@ -36,7 +39,7 @@
 type Limits struct {
 	Ratio   float64
 	Slack   float64
-	Routers int // that share the slack, as far as this one knows
+	Routers int // that share the slack, as far as this one knows; 0 while none of it may be used
 }
 
 // leastRouters is how many routers share the slack at least. One that has just started
@@ -44,10 +47,26 @@
 // budget many times over.
 const leastRouters = 8
 
+// settle is how long routers take to learn of one that has started, and it of them.
+const settle = 2 * time.Second
+
+// SlackAfter returns for how long a process that has started uses none of the slack. The one before it on its VM, or the VM in whose place it
+// came, may have used its part a moment ago, and no memory of that is left: with a part for each start, targets would get many times
+// the budget while routers start again and again.
+func SlackAfter(span time.Duration) time.Duration { return span + settle }
+
 // slackHeadroom is the part of the slack that is used: a repeat may reach its target a
 // moment after it was counted, in a span that the router has no longer in view.
 const slackHeadroom = 0.95
 
+// slackPart returns this router's part of the slack.
+func (l Limits) slackPart() float64 {
+	if l.Routers == 0 {
+		return 0
+	}
+	return slackHeadroom * l.Slack / float64(max(l.Routers, leastRouters))
+}
+
 // NewWindow returns an empty Window of a span.
 func NewWindow(now time.Time, span time.Duration) *Window {
 	return &Window{start: now, slot: span / spanBuckets}
@@ -79,7 +98,7 @@
 
 // Room returns what is left in the span with the least room of those that a repeat would lie in.
 func (w *Window) Room(now time.Time, l Limits) Room {
-	least := Room{Slack: slackHeadroom * l.Slack / float64(max(l.Routers, leastRouters))}
+	least := Room{Slack: l.slackPart()}
 	for ends := range int64(spanBuckets + 1) {
 		requests, repeats := w.spanEnding(now, ends)
 		r := Room{Repeats: repeats, Requests: requests, Slack: least.Slack, Allowed: l.Ratio*requests + least.Slack}
--- a/internal/core/retry/window_test.go
+++ b/internal/core/retry/window_test.go
@@ -11,6 +11,28 @@
 	"github.com/hemlockdyke/hemlockdyke/internal/testkit"
 )
 
+// count is what came and was repeated in a step.
+type count struct{ requests, repeats int }
+
+// expectKept checks each span of some steps against a ratio of 0.2 and a slack of 58.
+func expectKept(t *rapid.T, steps []count, perSpan int) {
+	sum := func(from, to int) (c count) {
+		for _, one := range steps[max(from, 0):max(min(to, len(steps)), 0)] {
+			c.requests += one.requests
+			c.repeats += one.repeats
+		}
+		return c
+	}
+	for from := -perSpan; from < len(steps); from++ {
+		in := sum(from, from+perSpan)
+		half, before := sum(from-perSpan/2, from+perSpan/2), sum(from-perSpan, from)
+		most := max(in.requests, half.requests, before.requests)
+		if allowed := 0.2*float64(most) + 58; float64(in.repeats) > allowed {
+			t.Fatalf("%d repeats in the span from step %d, allowed %.1f", in.repeats, from, allowed)
+		}
+	}
+}
+
 var _ = Describe("the fleet's budget of repeats", func() {
 	// Symptom: an outage of targets multiplies the load on those that are left.
 	// Sequence: many routers repeat at once, each within what it takes for its share.
@@ -25,7 +47,6 @@
 			for i := range windows {
 				windows[i] = retry.NewWindow(start, span)
 			}
-			type count struct{ requests, repeats int }
 			var steps []count
 			load := 0
 			for i := range rapid.IntRange(20, 160).Draw(t, "steps") {
@@ -47,22 +68,55 @@
 				}
 				steps = append(steps, c)
 			}
-			sum := func(from, to int) (c count) {
-				for _, one := range steps[max(from, 0):max(min(to, len(steps)), 0)] {
-					c.requests += one.requests
-					c.repeats += one.repeats
-				}
-				return c
+			expectKept(t, steps, int(span/step))
+		})
+	})
+
+	// Guards against more repeats than the budget allows while routers start again and again, or come in the place of others.
+	It("is kept by the sum of all processes, one after the other", func() {
+		testkit.Check("200", func(t *rapid.T) {
+			const span, step = 10 * time.Second, 250 * time.Millisecond
+			start := time.Unix(1000, 0)
+			routers := rapid.SampledFrom([]int{1, 8, 62}).Draw(t, "routers")
+			type process struct {
+				window *retry.Window
+				began  time.Time
+				first  bool
+			}
+			processes := make([]process, routers)
+			for i := range processes {
+				processes[i] = process{window: retry.NewWindow(start, span), began: start, first: true}
 			}
-			perSpan := int(span / step)
-			for from := -perSpan; from < len(steps); from++ {
-				in := sum(from, from+perSpan)
-				half, before := sum(from-perSpan/2, from+perSpan/2), sum(from-perSpan, from)
-				most := max(in.requests, half.requests, before.requests)
-				if allowed := 0.2*float64(most) + 58; float64(in.repeats) > allowed {
-					t.Fatalf("%d repeats in the span from step %d, allowed %.1f", in.repeats, from, allowed)
+			var steps []count
+			load := 0
+			for i := range rapid.IntRange(20, 200).Draw(t, "steps") {
+				now := start.Add(time.Duration(i) * step)
+				if i%4 == 0 {
+					for range rapid.SampledFrom([]int{0, 0, 0, 1, routers / 2, routers}).Draw(t, "ended") {
+						processes[rapid.IntRange(0, routers-1).Draw(t, "which")] = process{window: retry.NewWindow(now, span), began: now}
+					}
 				}
+				if i%20 == 0 {
+					load = rapid.SampledFrom([]int{0, 10, 100, 100}).Draw(t, "load")
+				}
+				var c count
+				for j := range load {
+					processes[j%routers].window.Request(now)
+					c.requests++
+				}
+				for j := range rapid.SampledFrom([]int{0, 0, 20, 200}).Draw(t, "wanted") {
+					p := processes[j%routers]
+					limits := retry.Limits{Ratio: 0.2, Slack: 58}
+					if p.first || now.Sub(p.began) >= retry.SlackAfter(span) {
+						limits.Routers = routers
+					}
+					if p.window.Repeat(now, limits) {
+						c.repeats++
+					}
+				}
+				steps = append(steps, c)
 			}
+			expectKept(t, steps, int(span/step))
 		})
 	})
 
