--- a/internal/app/gateway/control.go
+++ b/internal/app/gateway/control.go
@@ -134,12 +134,15 @@
 	c.view.board.Expire(now)
 	c.view.mu.Unlock()
 	grace := time.Duration(goneShare * float64(c.settings.LeftWithin))
-	if c.core.StoreAway(now) {
+	away := c.core.StoreAway(now)
+	if away {
 		grace = goneGraceStoreAway
 	}
 	if ablate.Off(ablate.GoneGrace) {
 		grace = 0
 	}
+	c.view.goneGrace.Store(int64(grace))
+	c.view.storeAway.Store(away)
 	if c.roster.Expire(now, grace) {
 		c.publishTargets(now)
 	}
--- a/internal/app/gateway/relay.go
+++ b/internal/app/gateway/relay.go
@@ -385,7 +385,11 @@
 // notePlaced logs where an attempt goes and what decided.
 func (x *run) notePlaced(a *try, loadsAge time.Duration) {
 	c := a.choice
-	x.note(eventlog.Placed).Int("attempt", a.number).Str("pool", x.match.pool).Str("team", x.match.teamName()).
+	line := x.note(eventlog.Placed)
+	if gone := c.Target.Gone; !gone.IsZero() {
+		line.Dur("gone", a.began.Sub(gone)).Dur("grace", time.Duration(x.relay.view.goneGrace.Load())).Bool("store_away", x.relay.view.storeAway.Load())
+	}
+	line.Int("attempt", a.number).Str("pool", x.match.pool).Str("team", x.match.teamName()).
 		Stringer("fingerprint", x.fingerprint).Str("target", c.Target.ID).Str("rule", string(c.Rule)).Int("open", c.Open).Float64("bound", c.Bound).
 		Str("source", c.Source).Dur("loads_age", loadsAge).Uint64("version", x.match.version).
 		Uint64("targets_row", x.relay.view.targetsRow.Load()).
--- a/internal/app/gateway/view.go
+++ b/internal/app/gateway/view.go
@@ -30,6 +30,9 @@
 	// behind: another router has a newer desired state. stale: it has had it for too long.
 	behind, stale atomic.Bool
 
+	// goneGrace is for how many nanoseconds targets are used that left the list, storeAway why it is longer than usual.
+	goneGrace atomic.Int64
+	storeAway atomic.Bool
 	// targetsRow is the row version of the list of targets in force.
 	targetsRow atomic.Uint64
 
--- a/internal/core/placement/roster.go
+++ b/internal/core/placement/roster.go
@@ -22,7 +22,6 @@
 type entry struct {
 	pool   string
 	target Target
-	gone   time.Time // when it left the list; zero while listed
 }
 
 // NewRoster returns an empty Roster.
@@ -53,8 +52,8 @@
 		case listed[id]:
 		case slices.Contains(rejected, id):
 			delete(r.entries, id)
-		case e.gone.IsZero():
-			e.gone = now
+		case e.target.Gone.IsZero():
+			e.target.Gone = now
 		}
 	}
 	r.departAgain()
@@ -84,7 +83,7 @@
 func (r *Roster) Staying() map[string]Target {
 	out := make(map[string]Target, len(r.entries))
 	for id, e := range r.entries {
-		if e.gone.IsZero() && !e.target.Leaving {
+		if e.target.Gone.IsZero() && !e.target.Leaving {
 			out[id] = e.target
 		}
 	}
@@ -134,7 +133,7 @@
 func (r *Roster) count() {
 	r.gone, r.lifetimes = 0, nil
 	for _, e := range r.entries {
-		if !e.gone.IsZero() {
+		if !e.target.Gone.IsZero() {
 			r.gone++
 		}
 	}
@@ -142,11 +141,11 @@
 
 // depart applies a departure and reports whether the target was staying.
 func (e *entry) depart(d departed) bool {
-	if e.target.Leaving || !e.gone.IsZero() {
+	if e.target.Leaving || !e.target.Gone.IsZero() {
 		return false
 	}
 	if d.Gone {
-		e.gone = d.since
+		e.target.Gone = d.since
 	} else {
 		e.target.Leaving = true
 	}
@@ -174,7 +173,7 @@
 	}
 	dropped := false
 	for id, e := range r.entries {
-		if !e.gone.IsZero() && now.Sub(e.gone) >= grace {
+		if !e.target.Gone.IsZero() && now.Sub(e.target.Gone) >= grace {
 			delete(r.entries, id)
 			dropped = true
 		}
--- a/internal/core/placement/target.go
+++ b/internal/core/placement/target.go
@@ -15,8 +15,10 @@
 	Address    string
 	DataCentre string
 	Leaving    bool
-	Row        uint64 // version of its entry
-	Slots      int    // 0 if unknown
+	// Gone is when the target left the list; zero while it is listed. It may be used for a while after.
+	Gone  time.Time
+	Row   uint64 // version of its entry
+	Slots int    // 0 if unknown
 	// Cold is how long the target stays cold, as its entry says.
 	Cold time.Duration
 	// Started is the Unix millisecond at which the lifetime began, 0 if it is not known. A target that
