The store is away if calls to it fail and nobody was read to; silence alone is no sign

Cause: a router that has heard of no reader for 0.6 s took the store for away; after a pause or a cut of its own the silence is its own. Class: one's own silence taken for another's. Change: an outage needs a failed call since the last sign of a reader; a pause, seen by a late tick on either clock, starts the count anew; routers tell for how long they have known readers without a gap, which takes a wrong conclusion back; what lapsed is used until 2.5 s after the store's return, not 2.5 s from whenever it left within three. The test of Roster.Expire passes its grace in a struct now, with the same times.

--- a/internal/app/gateway/control.go
+++ b/internal/app/gateway/control.go
@@ -21,9 +21,9 @@
 	// goneShare is the part of LeftWithin for which a target is used after it left the
 	// list. The rest is for the spread of the news.
 	goneShare = 0.35
-	// goneGraceStoreAway is the same while the store is or was away: entries that
-	// expired are back about two seconds after its return.
-	goneGraceStoreAway = 2500 * time.Millisecond
+	// lapsedBackWithin is how long after the store's return entries that lapsed while it was away are back, and for how
+	// long such targets are used at the most.
+	lapsedBackWithin = 2500 * time.Millisecond
 	// callTimeout bounds the calls that do not wait for changes.
 	callTimeout = 2 * time.Second
 )
@@ -133,17 +133,7 @@
 	c.view.mu.Lock()
 	c.view.board.Expire(now)
 	c.view.mu.Unlock()
-	grace := time.Duration(goneShare * float64(c.settings.LeftWithin))
-	away := c.core.StoreAway(now)
-	if away {
-		grace = goneGraceStoreAway
-	}
-	if ablate.Off(ablate.GoneGrace) {
-		grace = 0
-	}
-	c.view.goneGrace.Store(int64(grace))
-	c.view.storeAway.Store(away)
-	if c.roster.Expire(now, grace) {
+	if c.roster.Expire(now, c.keep(now)) {
 		c.publishTargets(now)
 	}
 	c.askEnded(ctx, now)
@@ -152,6 +142,22 @@
 	c.shareSlack(now)
 }
 
+// keep returns for how long targets are used that left the list.
+func (c *Control) keep(now time.Time) placement.Keep {
+	k := placement.Keep{Gone: time.Duration(goneShare * float64(c.settings.LeftWithin))}
+	away := c.core.StoreAway(now)
+	if away {
+		since, until := c.core.Outage()
+		k.Lapsed, k.Since, k.Until = lapsedBackWithin, since, until.Add(lapsedBackWithin)
+	}
+	if ablate.Off(ablate.GoneGrace) {
+		k = placement.Keep{}
+	}
+	c.view.goneGrace.Store(int64(max(k.Gone, k.Lapsed)))
+	c.view.storeAway.Store(away)
+	return k
+}
+
 // sharing returns how many routers share the slack of repeats when this one starts: none of it is used before it is known that nobody has.
 func sharing(firstStart bool) int {
 	if firstStart {
--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -64,12 +64,6 @@
 	// first calls means that the store is away for all: the relays find it back.
 	retryMinFed = time.Second
 	retryMaxFed = 6 * time.Second
-	// noReaderFor is how long nobody has to read the store before it counts as away:
-	// others take over from readers that are refused within a few digests.
-	noReaderFor = 600 * time.Millisecond
-	// outageLasts is how long the store counts as away after a router reads it
-	// again. The readers see within 1.5 s what expired meanwhile.
-	outageLasts = 3 * time.Second
 	// copyTimeout is when an unanswered copy request is given up and followed by another. It doubles with
 	// each one that follows, up to copyTimeoutMost: on a link that is full a copy takes longer than
 	// the first, and what is left of copies that were given up fills it further, so that
@@ -131,8 +125,7 @@
 	reading      bool
 	first        bool // of the readers, as far as this router knows
 	reachable    bool
-	lastRead     time.Time // when some router read the store; zero if never
-	outageAt     time.Time // when no router read it last; zero if never
+	watch        storeWatch
 	leaving      bool
 
 	sequence   uint64
@@ -206,28 +199,6 @@
 // First reports whether this router is the first of those that read the store, as far as it knows.
 func (c *Core) First() bool { return c.reading && c.first }
 
-// StoreAway reports whether no router reads the store, or none did a moment ago.
-// Entries of targets expire while the store is away, so a removal says less then.
-// A store that refuses some routers and serves others is not away.
-func (c *Core) StoreAway(now time.Time) bool {
-	return !c.outageAt.IsZero() && now.Sub(c.outageAt) < outageLasts
-}
-
-// watchStore notes the moments in which no router reads the store. Before the
-// first read there is nothing that could have expired.
-func (c *Core) watchStore(now time.Time) {
-	read := c.reading && c.healthy()
-	for _, p := range c.all() {
-		read = read || (p.direct(now) && (p.reading || (p.address == c.feeder && p.readers > 0)))
-	}
-	switch {
-	case read:
-		c.lastRead = now
-	case !c.lastRead.IsZero() && now.Sub(c.lastRead) >= noReaderFor:
-		c.outageAt = now
-	}
-}
-
 // Step takes one event and returns the actions that follow. The slice is valid
 // until the next call.
 func (c *Core) Step(now time.Time, ev Event) []Action {
@@ -266,7 +237,7 @@
 		c.digest(now, c.lastLoads)
 	}
 	c.tellRelays(now)
-	c.tellSuspects()
+	c.tellSuspects(now)
 	return c.actions
 }
 
@@ -321,7 +292,7 @@
 	c.expirePeers(now)
 	c.arrange(now)
 	c.endDoubted(now)
-	c.watchStore(now)
+	c.watch.tick(now, c.readsKnown(now))
 	c.watchVersions(now)
 	c.outcomes, c.prompts = ev.Outcomes, append(c.prompts, ev.Prompts...)
 	c.learned(ev.News)
--- a/internal/core/fleet/meet.go
+++ b/internal/core/fleet/meet.go
@@ -18,7 +18,7 @@
 	}
 	to := c.greet
 	c.greet = nil
-	d := c.compose()
+	d := c.compose(now)
 	told := 0
 	c.list(now, d, func(p *peer) bool {
 		if !p.alive(now) {
@@ -91,7 +91,7 @@
 		to = c.with(to, lost[c.rand.IntN(len(lost))])
 	}
 	slices.Sort(to)
-	c.emit(SendDigest{To: to, Digest: c.compose()})
+	c.emit(SendDigest{To: to, Digest: c.compose(now)})
 }
 
 // announceTo adds all routers of the own data centre, and the next in rank of the others.
--- a/internal/core/fleet/peers.go
+++ b/internal/core/fleet/peers.go
@@ -98,6 +98,7 @@
 	}
 	p.take(now, ev.From, d)
 	c.heardAt = now
+	c.watch.hear(now, d)
 	if !p.up || restarted {
 		p.up = true
 		c.emit(PeerUp{Peer: ev.From, Restarted: restarted})
--- a/internal/core/fleet/store.go
+++ b/internal/core/fleet/store.go
@@ -110,6 +110,7 @@
 	}
 	r.ok = false
 	r.failures++
+	c.watch.failedAt = now
 	least, most := retryMin, retryMax
 	if !c.relay {
 		least, most = retryMinFed, retryMaxFed
--- a/internal/core/fleet/suspects.go
+++ b/internal/core/fleet/suspects.go
@@ -47,7 +47,7 @@
 }
 
 // tellSuspects tells those that hold other suspects of all that this router holds.
-func (c *Core) tellSuspects() {
+func (c *Core) tellSuspects(now time.Time) {
 	to := c.differ
 	if len(to) == 0 {
 		return
@@ -56,7 +56,7 @@
 	held := c.suspects.held
 	for len(held) > 0 {
 		n := min(len(held), suspectsPerDigest)
-		d := c.compose()
+		d := c.compose(now)
 		d.Suspects = encodeSuspects(held[:n])
 		held = held[n:]
 		c.emit(SendDigest{To: to, Digest: d})
--- a/internal/core/fleet/tell.go
+++ b/internal/core/fleet/tell.go
@@ -94,7 +94,7 @@
 	if len(to) == 0 {
 		return
 	}
-	d := c.compose()
+	d := c.compose(now)
 	d.Seeks = c.seeks(now)
 	d.Report = encode(c.lastLoads, c.outcomes, due(now, &c.toldOutcomes, outcomesEvery))
 	setPrompts(d, c.prompts)
@@ -120,7 +120,7 @@
 	if !sums && len(c.toCentres.prompts) == 0 && !c.hasNews() && !c.urgent {
 		return
 	}
-	d := c.compose()
+	d := c.compose(now)
 	d.Scope = peerv1.Scope_SCOPE_DATA_CENTRE
 	if sums {
 		sum := newTally()
@@ -157,7 +157,7 @@
 		if len(part.to) == 0 {
 			continue
 		}
-		d := c.compose()
+		d := c.compose(now)
 		d.Scope, d.Report = peerv1.Scope_SCOPE_FLEET, report
 		setPrompts(d, prompts)
 		c.setNews(d)
@@ -246,7 +246,7 @@
 }
 
 // compose returns the next digest, with what every digest tells.
-func (c *Core) compose() *peerv1.Digest {
+func (c *Core) compose(now time.Time) *peerv1.Digest {
 	c.sequence++
 	d := &peerv1.Digest{
 		Protocol: Protocol, Incarnation: c.settings.Incarnation, Sequence: c.sequence,
@@ -254,6 +254,7 @@
 		DataCentre: c.settings.DataCentre, Strength: c.settings.Strength, Relay: c.relay,
 		SuspectsSum: c.suspects.sum, SuspectsUnknown: !c.suspects.known,
 	}
+	c.watch.tell(now, d)
 	if p, ok := c.peers[c.feeder]; ok {
 		d.Feeder = p.rank.hash
 	}
--- a/internal/core/placement/roster.go
+++ b/internal/core/placement/roster.go
@@ -166,14 +166,32 @@
 	}
 }
 
-// Expire drops targets that have been gone for grace and reports whether any was.
-func (r *Roster) Expire(now time.Time, grace time.Duration) bool {
+// Keep says for how long targets are used after they left the list.
+type Keep struct {
+	Gone time.Duration
+	// Lapsed is the same, if it is longer, for those that left it from Since on, and none is used until after Until for that: their entries
+	// may have lapsed while the platform's store was away. Those that work are back in the list by Until.
+	Lapsed       time.Duration
+	Since, Until time.Time
+}
+
+// drops reports whether a target that left the list at a time is used no longer.
+func (k Keep) drops(now, gone time.Time) bool {
+	if now.Sub(gone) < k.Gone {
+		return false
+	}
+	lapsed := k.Lapsed > 0 && !gone.Before(k.Since) && now.Before(k.Until)
+	return !lapsed || now.Sub(gone) >= k.Lapsed
+}
+
+// Expire drops targets that have been gone for long enough and reports whether any was.
+func (r *Roster) Expire(now time.Time, keep Keep) bool {
 	if r.gone == 0 {
 		return false
 	}
 	dropped := false
 	for id, e := range r.entries {
-		if !e.target.Gone.IsZero() && now.Sub(e.target.Gone) >= grace {
+		if !e.target.Gone.IsZero() && keep.drops(now, e.target.Gone) {
 			delete(r.entries, id)
 			dropped = true
 		}
--- a/internal/core/placement/roster_test.go
+++ b/internal/core/placement/roster_test.go
@@ -22,12 +22,12 @@
 		r := placement.NewRoster()
 		r.Update(start, 0, list, nil)
 		r.Update(start, 0, nil, nil)
-		Expect(r.Expire(start.Add(time.Second), 2*time.Second)).To(BeFalse())
+		Expect(r.Expire(start.Add(time.Second), placement.Keep{Gone: 2 * time.Second})).To(BeFalse())
 		Expect(r.Pools()[pool]).To(HaveLen(2))
 		r.Update(start.Add(time.Second), 0, list, nil)
-		Expect(r.Expire(start.Add(time.Minute), 2*time.Second)).To(BeFalse())
+		Expect(r.Expire(start.Add(time.Minute), placement.Keep{Gone: 2 * time.Second})).To(BeFalse())
 		r.Update(start.Add(time.Minute), 0, nil, nil)
-		Expect(r.Expire(start.Add(time.Minute+2*time.Second), 2*time.Second)).To(BeTrue())
+		Expect(r.Expire(start.Add(time.Minute+2*time.Second), placement.Keep{Gone: 2 * time.Second})).To(BeTrue())
 		Expect(r.Pools()).To(BeEmpty())
 		Expect(r.Has(targets(1)[0].UID)).To(BeFalse())
 	})
@@ -198,8 +198,26 @@
 		Expect(ids).To(Equal([]string{"a"}), "the other one is not listed yet")
 		Expect(r.Depart(at, news)).To(BeEmpty(), "told again")
 		r.Update(at.Add(time.Second), 8, map[string][]placement.Target{"p": {{UID: 1, ID: "a"}}}, nil)
-		Expect(r.Expire(at.Add(1900*time.Millisecond), 2*time.Second)).To(BeFalse())
-		Expect(r.Expire(at.Add(2*time.Second), 2*time.Second)).To(BeTrue(), "from when it was told")
+		Expect(r.Expire(at.Add(1900*time.Millisecond), placement.Keep{Gone: 2 * time.Second})).To(BeFalse())
+		Expect(r.Expire(at.Add(2*time.Second), placement.Keep{Gone: 2 * time.Second})).To(BeTrue(), "from when it was told")
 		Expect(r.Pools()).To(BeEmpty())
 	})
+
+	// Guards against targets that are used for longer than allowed after a store's return, and against pools that lose all targets in an outage.
+	DescribeTable("are used for as long as their entries may only have lapsed", func(gone, until time.Duration) {
+		out := start.Add(time.Minute) // the store is away from then on
+		back := out.Add(10 * time.Second)
+		keep := placement.Keep{Gone: 700 * time.Millisecond, Lapsed: 2500 * time.Millisecond, Since: out, Until: back.Add(2500 * time.Millisecond)}
+		r := placement.NewRoster()
+		r.Update(start, 1, map[string][]placement.Target{"p": {{UID: 7, ID: "a"}}}, nil)
+		r.Update(out.Add(gone), 2, nil, nil)
+		Expect(r.Expire(out.Add(until-time.Millisecond), keep)).To(BeFalse())
+		Expect(r.Expire(out.Add(until), keep)).To(BeTrue())
+	},
+		Entry("gone before the outage", -time.Second, -300*time.Millisecond),
+		Entry("gone in the outage", 5*time.Second, 7500*time.Millisecond),
+		Entry("gone at the return", 10*time.Second, 12500*time.Millisecond),
+		Entry("gone a second later", 11*time.Second, 12500*time.Millisecond),
+		Entry("gone when all that lapsed are back", 12500*time.Millisecond, 13200*time.Millisecond),
+	)
 })
