A refused connection tells all routers that its target has ended

Callers waited for a second target a few times more than needed: each router met the closed port of an ended target for itself, again after each short suspension. Cause: that a port refuses counted as one failed attempt; the end of a target was concluded only from requests that broke, by asking the port once. If the connections break before the port closes it accepts, and nobody knows. Class: what a refusal tells a router it keeps to itself. Change: a refused connection is news as an asked port's answer is.

--- a/internal/app/gateway/poison.go
+++ b/internal/app/gateway/poison.go
@@ -185,6 +185,14 @@
 	}
 }
 
+// refused takes in that a target's port has refused a connection. No process listens there any more: all routers are told, or each
+// would meet it for itself.
+func (t *try) refused(err error) {
+	if r := t.run.relay; errors.Is(err, syscall.ECONNREFUSED) && !r.view.targetLeaves(t.choice.Target.UID) {
+		r.ended(t.choice.Target, nil)
+	}
+}
+
 func resetByPeer(err error) bool {
 	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
 }
--- a/internal/app/gateway/try.go
+++ b/internal/app/gateway/try.go
@@ -133,6 +133,7 @@
 	if errors.Is(err, upstream.ErrNotSent) {
 		t.fail("not_sent", err)
 		t.outcome = placement.Unreachable
+		t.refused(err)
 		return x.machine.Step(attempt.NotSent{Attempt: t.number})
 	}
 	t.broken("broken", err)
