--- a/internal/core/fleet/away_test.go
+++ b/internal/core/fleet/away_test.go
@@ -106,3 +106,36 @@
 		})
 	}
 })
+
+var _ = Describe("a store that serves some routers, or none", func() {
+	var n *net
+
+	BeforeEach(func() {
+		n = newNet(9)
+		n.run(5 * time.Second)
+	})
+
+	// Symptom: a removed target gets requests for 2.5 s more. Sequence: the store refuses
+	// a third of the routers, which tell the others of their trouble. Cause: that was
+	// taken for an outage, in which entries expire although their targets work.
+	It("does not take a store for away that refuses some routers only", func() {
+		for i := range 3 {
+			n.store.refused[address(i)] = true
+		}
+		n.run(3 * time.Second)
+		for _, x := range n.nodes {
+			Expect(x.core.StoreAway(n.now)).To(BeFalse())
+		}
+	})
+
+	It("takes the store for away while nobody reads it, and for a while after", func() {
+		n.store.down = true
+		n.run(20 * time.Second)
+		Expect(n.nodes[address(4)].core.StoreAway(n.now)).To(BeTrue())
+		n.store.down = false
+		n.run(1500 * time.Millisecond)
+		Expect(n.nodes[address(4)].core.StoreAway(n.now)).To(BeTrue())
+		n.run(5 * time.Second)
+		Expect(n.nodes[address(4)].core.StoreAway(n.now)).To(BeFalse())
+	})
+})
