--- a/internal/core/fleet/away.go
+++ b/internal/core/fleet/away.go
@@ -15,8 +15,8 @@
 	outageLasts = 3 * time.Second
 	// stoodStillFor is by how much a tick is late if this router stood still. Ticks of a busy process are late by less.
 	stoodStillFor = 3 * TickInterval
-	// heedless is for how long after that others' digests may be those that waited meanwhile.
-	heedless = 2 * TickInterval
+	// backlogFor is for how long after that others' digests may be those that waited meanwhile.
+	backlogFor = 2 * TickInterval
 )
 
 // storeWatch is what a router concludes of whether the store is away for all. That it hears of no reader says little: it may have stood
@@ -71,7 +71,7 @@
 
 // hear takes in what another router knows. If readers were known to it all the while, the store was not away for all.
 func (w *storeWatch) hear(now time.Time, d *peerv1.Digest) {
-	if !w.wokeAt.IsZero() && now.Sub(w.wokeAt) < heedless {
+	if !w.wokeAt.IsZero() && now.Sub(w.wokeAt) < backlogFor {
 		return
 	}
 	if age := d.GetStoreFailedMillis(); age > 0 {
