A changed list of targets copies what its other rows say no more

Cause: a row of the decoded list grew beyond 128 bytes with the time at which a target left the list; a map allocates each larger value by itself, and all were copied into a new map at each change.

--- a/internal/app/gateway/decoded.go
+++ b/internal/app/gateway/decoded.go
@@ -1,15 +1,18 @@
 package gateway
 
 import (
+	"maps"
+
 	"github.com/hemlockdyke/hemlockdyke/internal/core/placement"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/replica"
 )
 
-// decodedList keeps what the rows of the list of targets say. A change is of one row mostly; to decode all of them for it
-// takes a router milliseconds for each thousand targets. It is not safe for concurrent use.
+// decodedList keeps what the rows of the list of targets say. A change is of one row mostly; to decode all of them for it, or to
+// copy what they say, takes a router milliseconds for each thousand targets. It is not safe for concurrent use.
 type decodedList struct {
 	decoder Decoder
-	rows    map[string]decodedRow // by key
+	rows    map[string]*decodedRow // by key
+	updates uint64
 }
 
 type decodedRow struct {
@@ -17,10 +20,11 @@
 	pool     string
 	target   placement.Target
 	rejected *RejectedEntry // instead of a target
+	listed   uint64         // the update that had the row last
 }
 
 func newDecodedList(d Decoder) *decodedList {
-	return &decodedList{decoder: d, rows: make(map[string]decodedRow)}
+	return &decodedList{decoder: d, rows: make(map[string]*decodedRow)}
 }
 
 // update decodes the rows that have changed, and returns what all of them say.
@@ -32,21 +36,21 @@
 		}
 	}
 	l.decode(changed)
-	now := make(map[string]decodedRow, len(rows))
+	l.updates++
 	pools = make(map[string][]placement.Target)
 	for _, r := range rows {
 		d, ok := l.rows[r.Key]
 		if !ok {
 			continue
 		}
-		now[r.Key] = d
+		d.listed = l.updates
 		if d.rejected != nil {
 			rejected = append(rejected, *d.rejected)
 		} else {
 			pools[d.pool] = append(pools[d.pool], d.target)
 		}
 	}
-	l.rows = now
+	maps.DeleteFunc(l.rows, func(_ string, d *decodedRow) bool { return d.listed != l.updates })
 	return pools, rejected
 }
 
@@ -65,10 +69,10 @@
 	}
 	for pool, targets := range pools {
 		for _, t := range targets {
-			l.rows[t.ID] = decodedRow{version: versions[t.ID], pool: pool, target: t}
+			l.rows[t.ID] = &decodedRow{version: versions[t.ID], pool: pool, target: t}
 		}
 	}
 	for _, e := range rejected {
-		l.rows[e.Key] = decodedRow{version: e.Version, rejected: &e}
+		l.rows[e.Key] = &decodedRow{version: e.Version, rejected: &e}
 	}
 }
--- a/internal/core/placement/roster.go
+++ b/internal/core/placement/roster.go
@@ -41,10 +41,15 @@
 	for pool, targets := range pools {
 		for _, t := range targets {
 			listed[t.ID] = true
-			if known, ok := r.entries[t.ID]; ok && known.target.UID != t.UID && known.target.Started < t.Started {
+			known, ok := r.entries[t.ID]
+			if !ok {
+				known = &entry{target: t}
+				r.entries[t.ID] = known
+			}
+			if known.target.UID != t.UID && known.target.Started < t.Started {
 				ended = append(ended, known.target)
 			}
-			r.entries[t.ID] = &entry{pool: pool, target: t}
+			known.pool, known.target = pool, t
 		}
 	}
 	for id, e := range r.entries {
