--- a/internal/core/fleet/away_test.go
+++ b/internal/core/fleet/away_test.go
@@ -1,7 +1,6 @@
 package fleet_test
 
 import (
-	"fmt"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -35,76 +34,74 @@
 	}
 }
 
-// Guards against targets that are gone and get requests for longer than allowed: a router's own silence was taken for the store's.
-var _ = Describe("a store that is there all the while", func() {
-	for _, routers := range []int{9, 62} {
-		Context(fmt.Sprint("of ", routers, " routers"), func() {
-			var n *net
-
-			BeforeEach(func() {
-				n = newNetOf(routers, 3, 3)
-				n.run(20 * time.Second)
-			})
-
-			It("is not taken for away by routers that stood still", func() {
-				frozen := append(n.readers()[:2:2], address(routers-1), address(routers-2))
-				for _, a := range frozen {
-					n.nodes[a].frozen = true
-				}
-				n.run(4 * time.Second)
-				for _, a := range frozen {
-					n.nodes[a].frozen = false
-				}
-				Expect(n.taking(4 * time.Second)).To(BeEmpty())
-			})
-
-			It("is not taken for away by any router when all stood still", func() {
-				for _, x := range n.nodes {
-					x.frozen = true
-				}
-				n.run(4 * time.Second)
-				for _, x := range n.nodes {
-					x.frozen = false
-				}
-				Expect(n.taking(4 * time.Second)).To(BeEmpty())
-			})
-
-			It("is not taken for away when all that read it end at once", func() {
-				for _, a := range n.readers() {
-					n.kill(a)
-				}
-				Expect(n.taking(6 * time.Second)).To(BeEmpty())
-			})
-
-			It("is not taken for away any more by a router that was cut off, once it hears of others", func() {
-				reader, other := n.readers()[0], address(routers-1)
-				n.apart(reader, true)
-				n.apart(other, true)
-				n.run(5 * time.Second)
-				n.apart(reader, false)
-				n.apart(other, false)
-				n.run(time.Second)
-				Expect(n.taking(4 * time.Second)).To(BeEmpty())
-			})
-		})
+// storeIsThere guards against targets that are gone and get requests for longer than allowed: a router's own silence was taken for the store's.
+func storeIsThere(routers int) {
+	var n *net
+
+	BeforeEach(func() {
+		n = newNetOf(routers, 3, 3)
+		n.run(20 * time.Second)
+	})
+
+	It("is not taken for away by routers that stood still", func() {
+		frozen := append(n.readers()[:2:2], address(routers-1), address(routers-2))
+		for _, a := range frozen {
+			n.nodes[a].frozen = true
+		}
+		n.run(4 * time.Second)
+		for _, a := range frozen {
+			n.nodes[a].frozen = false
+		}
+		Expect(n.taking(4 * time.Second)).To(BeEmpty())
+	})
+
+	It("is not taken for away by any router when all stood still", func() {
+		for _, x := range n.nodes {
+			x.frozen = true
+		}
+		n.run(4 * time.Second)
+		for _, x := range n.nodes {
+			x.frozen = false
+		}
+		Expect(n.taking(4 * time.Second)).To(BeEmpty())
+	})
+
+	It("is not taken for away when all that read it end at once", func() {
+		for _, a := range n.readers() {
+			n.kill(a)
+		}
+		Expect(n.taking(6 * time.Second)).To(BeEmpty())
+	})
+
+	It("is not taken for away any more by a router that was cut off, once it hears of others", func() {
+		reader, other := n.readers()[0], address(routers-1)
+		n.apart(reader, true)
+		n.apart(other, true)
+		n.run(5 * time.Second)
+		n.apart(reader, false)
+		n.apart(other, false)
+		n.run(time.Second)
+		Expect(n.taking(4 * time.Second)).To(BeEmpty())
+	})
+}
+
+// storeIsAway guards against pools that lose all targets when entries have lapsed while the store was away.
+func storeIsAway(routers int) {
+	n := newNetOf(routers, 3, 3)
+	n.run(20 * time.Second)
+	n.store.down = true
+	n.run(6 * time.Second)
+	n.store.down = false
+	n.run(time.Second)
+	for a, x := range n.nodes {
+		Expect(x.core.StoreAway(n.now)).To(BeTrue(), string(a))
 	}
-})
+}
+
+var _ = Describe("a store that is there all the while", func() { storeIsThere(9) })
 
 var _ = Describe("a store that is away", func() {
-	for _, routers := range []int{9, 62, 195} {
-		// Guards against pools that lose all targets when entries have lapsed while the store was away.
-		It(fmt.Sprint("is taken for away by each of ", routers, " routers until after its return"), func() {
-			n := newNetOf(routers, 3, 3)
-			n.run(20 * time.Second)
-			n.store.down = true
-			n.run(6 * time.Second)
-			n.store.down = false
-			n.run(time.Second)
-			for a, x := range n.nodes {
-				Expect(x.core.StoreAway(n.now)).To(BeTrue(), string(a))
-			}
-		})
-	}
+	It("is taken for away by each router until after its return", func() { storeIsAway(9) })
 })
 
 var _ = Describe("a store that serves some routers, or none", func() {
