--- a/internal/app/gateway/answer.go
+++ b/internal/app/gateway/answer.go
@@ -103,7 +103,7 @@
 	for {
 		n, err := answer.Read(chunk)
 		if n > 0 {
-			t.timer.Stop()
+			t.silence.stop()
 			pending = append(pending, chunk[:n]...)
 			rest, action := t.forwardEvents(answer, pending)
 			if action.Kind == attempt.Finish {
@@ -211,37 +211,18 @@
 
 // startSilenceTimer starts the timer for the whole answer, or for the first part of a stream.
 func (t *targetAttempt) startSilenceTimer() {
-	wait := silenceTimeout(t.request.match.route.Objective, answerTimeoutFactor)
-	t.silence.SetDeadline(t.startedAt.Add(wait))
-	t.timer = time.AfterFunc(wait, t.onSilenceTimer)
+	t.silence.start(t.startedAt, silenceTimeout(t.request.match.route.Objective, answerTimeoutFactor))
 }
 
 // resetSilenceTimer restarts the timer for the next part of a stream. The timer is stopped while a
 // part is written to the caller, so that a slow caller is not taken for a silent target.
 func (t *targetAttempt) resetSilenceTimer() {
-	wait := silenceTimeout(t.request.match.route.GapObjective, eventGapTimeoutFactor)
-	t.mu.Lock()
-	t.silence.SetDeadline(t.request.proxy.now().Add(wait))
-	t.mu.Unlock()
-	t.timer.Reset(wait)
+	t.silence.start(t.request.proxy.now(), silenceTimeout(t.request.match.route.GapObjective, eventGapTimeoutFactor))
 }
 
-// onSilenceTimer runs when the silence timer expires.
-func (t *targetAttempt) onSilenceTimer() {
+// onSilent records that the target was silent for too long. It runs before the attempt ends.
+func (t *targetAttempt) onSilent() {
 	r := t.request
-	t.mu.Lock()
-	silent := t.silence.IsSilent(r.proxy.now())
-	if !silent {
-		t.silence.SetDeadline(r.proxy.now().Add(minSilenceTimeout))
-	}
-	t.mu.Unlock()
-	if !silent {
-		t.timer.Reset(minSilenceTimeout) // this process stalled: check again later
-		return
-	}
-	t.mu.Lock()
-	t.silenceCounted = true
-	t.mu.Unlock()
 	if r.proxy.traffic.recordSilence(r.proxy.now(), t.choice.Target.UID) {
 		r.logLine(eventlog.TargetSuspended).Str("target", t.choice.Target.ID).Str("why", "silent").Msg("")
 	}
--- a/internal/app/gateway/try.go
+++ b/internal/app/gateway/try.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -31,13 +30,9 @@
 	// answering is true once the first complete event of a stream has arrived.
 	answering atomic.Bool
 
-	ctx    context.Context
-	cancel context.CancelCauseFunc
-	// timer expires when the target may have been silent for too long.
-	timer          *time.Timer
-	mu             sync.Mutex // guards silence and silenceCounted
-	silence        attempt.SilenceWatch
-	silenceCounted bool // the target's silence was recorded for placement
+	ctx     context.Context
+	cancel  context.CancelCauseFunc
+	silence *silenceTimer
 }
 
 // errSilent cancels an attempt whose target was silent for too long.
@@ -48,9 +43,7 @@
 // could suspend a target that has recovered. It is also Neutral if the lifetime has ended, or if
 // this router cancelled the attempt because the request became suspected.
 func (t *targetAttempt) placementOutcome() placement.Outcome {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if (t.silenceCounted && t.outcome == placement.Failed) || t.failure == failureRestarted || t.failure == failureSuspected {
+	if (t.silence.hasExpired() && t.outcome == placement.Failed) || t.failure == failureRestarted || t.failure == failureSuspected {
 		return placement.Neutral
 	}
 	return t.outcome
@@ -85,8 +78,9 @@
 	defer t.cancel(nil)
 	r.proxy.traffic.openAttempts.add(t)
 	defer r.proxy.traffic.openAttempts.remove(t)
+	t.silence = newSilenceTimer(r.proxy.now, t.onSilent)
 	t.startSilenceTimer()
-	defer func() { t.timer.Stop() }()
+	defer t.silence.stop()
 	answer, err := r.proxy.upstream.Do(t.ctx, t.upstreamRequest())
 	if err != nil {
 		return t.handleSendError(err)
--- a/internal/core/attempt/silence.go
+++ b/internal/core/attempt/silence.go
@@ -12,6 +12,9 @@
 // SetDeadline sets the time from which the target counts as silent.
 func (w *SilenceWatch) SetDeadline(deadline time.Time) { w.deadline = deadline }
 
+// Remaining returns the time until the deadline. It is not positive once the deadline has passed.
+func (w *SilenceWatch) Remaining(now time.Time) time.Duration { return w.deadline.Sub(now) }
+
 // IsSilent reports, when the timer fires, whether the target is silent. A timer that fires late
 // shows that this process was stalled: answers have arrived meanwhile and are not read yet. If the
 // timer counted, every open attempt would fail and all targets would be suspended.
