--- a/internal/app/gateway/view.go
+++ b/internal/app/gateway/view.go
@@ -281,5 +281,5 @@
 func (t *trafficState) digestContent(now time.Time) fleet.Tick {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return fleet.Tick{Loads: t.balancer.OwnLoads(), Outcomes: t.balancer.OutcomesToReport(now), PrefixReads: t.balancer.TakePrefixReads(maxOwnPrefixReadsPerDigest)}
+	return fleet.Tick{Loads: t.balancer.OwnLoads(now), Outcomes: t.balancer.OutcomesToReport(now), PrefixReads: t.balancer.TakePrefixReads(maxOwnPrefixReadsPerDigest)}
 }
--- a/internal/core/admission/short_test.go
+++ b/internal/core/admission/short_test.go
@@ -117,7 +117,7 @@
 		if now%(100*time.Millisecond) == 0 {
 			ownLoads := make([][]placement.Load, l.routers)
 			for i, b := range balancers {
-				ownLoads[i] = b.OwnLoads()
+				ownLoads[i] = b.OwnLoads(at)
 			}
 			reports = append(reports, ownLoads)
 		}
--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -338,12 +338,12 @@
 	if len(a) != len(b) {
 		return false
 	}
-	open := make(map[uint64]int, len(a))
+	byTarget := make(map[uint64]placement.Load, len(a))
 	for _, l := range a {
-		open[l.Target] = l.Open
+		byTarget[l.Target] = l
 	}
 	for _, l := range b {
-		if open[l.Target] != l.Open {
+		if other := byTarget[l.Target]; other.Open != l.Open || other.Silent != l.Silent {
 			return false
 		}
 	}
--- a/internal/core/fleet/levels_test.go
+++ b/internal/core/fleet/levels_test.go
@@ -300,3 +300,31 @@
 	// knew each other.
 	DescribeTable("all discover each other", allDiscoverEachOther, Entry("8 in four data centres", 8, 4), Entry("9 in three data centres", 9, 3))
 })
+
+var _ = Describe("reports of silent requests", func() {
+	// Guards against a load bound that is too high because requests whose answers are lost count as
+	// held by their targets at the routers that did not place them.
+	DescribeTable("reach every router", func(routers, centres int) {
+		n := newFleetIn(centres, routers, targetCount)
+		silent := make([]int, targetCount+1) // by target
+		for i := range routers {
+			x := n.nodes[address(i)]
+			x.loads[0].Open, x.loads[0].Silent = 3, i%3
+			silent[x.loads[0].Target] += i % 3
+		}
+		n.run(3 * time.Second)
+		for i := range routers {
+			x := n.nodes[address(i)]
+			for target := uint64(1); target <= targetCount; target++ {
+				want := silent[target]
+				if x.loads[0].Target == target {
+					want -= x.loads[0].Silent
+				}
+				Expect(x.reportedLoad(n.now, target).Silent).To(Equal(want), "%s, target %d", x.address, target)
+			}
+		}
+	},
+		Entry("of 9 in three data centres", 9, 3),
+		Entry("of 62 in five data centres", 62, 5),
+	)
+})
--- a/internal/core/fleet/net_test.go
+++ b/internal/core/fleet/net_test.go
@@ -310,14 +310,19 @@
 // openRequests returns the number of other routers' open requests at a target, as placement counts
 // them.
 func (x *node) openRequests(now time.Time, target uint64) int {
-	sum := 0
+	return x.reportedLoad(now, target).Open
+}
+
+// reportedLoad returns the sum of the load reports on a target that count.
+func (x *node) reportedLoad(now time.Time, target uint64) (sum placement.Load) {
 	for _, h := range x.reports {
 		if now.Sub(h.at) > placement.DefaultSettings("").LoadReportTTL {
 			continue
 		}
 		for _, l := range h.loads {
 			if l.Target == target {
-				sum += l.Open
+				sum.Open += l.Open
+				sum.Silent += l.Silent
 			}
 		}
 	}
--- a/internal/core/fleet/report.go
+++ b/internal/core/fleet/report.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	peerv1 "github.com/hemlockdyke/hemlockdyke/gen/hemlockdyke/peer/v1"
@@ -54,6 +55,7 @@
 			s.loads = append(s.loads, placement.Load{Target: l.Target})
 		}
 		s.loads[i].Open = max(s.loads[i].Open+sign*l.Open, 0)
+		s.loads[i].Silent = max(s.loads[i].Silent+sign*l.Silent, 0)
 	}
 }
 
@@ -97,10 +99,14 @@
 // encodeReport encodes loads and, if includeOutcomes is set, outcomes.
 func encodeReport(loads []placement.Load, outcomes []placement.TargetOutcomes, includeOutcomes bool) *peerv1.Report {
 	r := &peerv1.Report{TellsOutcomes: includeOutcomes}
+	includeSilent := slices.ContainsFunc(loads, func(l placement.Load) bool { return l.Silent > 0 })
 	for _, l := range loads {
 		if l.Open > 0 {
 			r.LoadTarget = append(r.LoadTarget, l.Target)
 			r.LoadOpen = append(r.LoadOpen, uint32(l.Open))
+			if includeSilent {
+				r.LoadSilent = append(r.LoadSilent, uint32(l.Silent))
+			}
 		}
 	}
 	if !includeOutcomes {
@@ -126,6 +132,9 @@
 	out := make([]placement.Load, n)
 	for i := range n {
 		out[i] = placement.Load{Target: r.GetLoadTarget()[i], Open: int(r.GetLoadOpen()[i])}
+		if i < len(r.GetLoadSilent()) { // absent if none is silent, and in digests of earlier releases
+			out[i].Silent = min(int(r.GetLoadSilent()[i]), out[i].Open)
+		}
 	}
 	return out
 }
--- a/internal/core/placement/choose.go
+++ b/internal/core/placement/choose.go
@@ -9,12 +9,13 @@
 
 // loadBound returns the highest number of open requests that a placement may bring a target of the
 // pool to, see Settings. The mean covers all targets, also leaving ones: those still hold requests
-// although they get no new ones.
+// although they get no new ones. It leaves out silent requests, which count only as load of their
+// own target: whether targets still hold them or not, the bound is not too high.
 func (b *Balancer) loadBound(p *pool) float64 {
 	if len(p.targets) == 0 {
 		return 0
 	}
-	return max(b.settings.LoadMultiple*p.meanOpen()+b.settings.LoadSlack-b.settings.LoadMargin, 1)
+	return max(b.settings.LoadMultiple*p.meanHeld()+b.settings.LoadSlack-b.settings.LoadMargin, 1)
 }
 
 // suspensionPanicThreshold is the share of suspended ones among the eligible targets, see
@@ -153,6 +154,16 @@
 // most of its targets would get all of its chats, up to the load bound.
 const spillLoadFactor = 1.25
 
+// meanHeld returns the mean number of requests that the pool's targets hold for certain, leaving
+// ones included.
+func (p *pool) meanHeld() float64 {
+	held := 0
+	for _, t := range p.targets {
+		held += t.heldOpen()
+	}
+	return float64(held) / float64(max(len(p.targets), 1))
+}
+
 // meanOpen returns the mean number of open requests of the pool's targets, leaving ones included.
 func (p *pool) meanOpen() float64 {
 	open := 0
--- a/internal/core/placement/loads.go
+++ b/internal/core/placement/loads.go
@@ -38,13 +38,14 @@
 func (b *Balancer) addPeerLoad(l Load, sign int) {
 	if t, ok := b.byUID[l.Target]; ok {
 		t.peerOpen += sign * l.Open
+		t.peerSilent += sign * l.Silent
 	}
 }
 
 // recomputePeerLoads sums the reported loads anew, since the targets may have changed.
 func (b *Balancer) recomputePeerLoads() {
 	for _, t := range b.byUID {
-		t.peerOpen = 0
+		t.peerOpen, t.peerSilent = 0, 0
 	}
 	for _, p := range b.reports {
 		for _, l := range p.loads {
@@ -82,17 +83,46 @@
 	}
 }
 
-// OwnLoads returns this router's open requests by target, for its digest.
-func (b *Balancer) OwnLoads() []Load {
+// OwnLoads returns this router's open requests by target, for its digest. It counts the silent ones
+// anew.
+func (b *Balancer) OwnLoads(now time.Time) []Load {
 	var out []Load
 	for uid, t := range b.byUID {
 		if t.ownOpen > 0 {
-			out = append(out, Load{Target: uid, Open: t.ownOpen})
+			b.countSilent(now, t)
+			out = append(out, Load{Target: uid, Open: t.ownOpen, Silent: t.ownSilent})
 		}
 	}
 	return out
 }
 
+const (
+	// silentFactor is how many times the expected time to its first event a request waits before it
+	// counts as silent. One healthy request in 200 takes as long.
+	silentFactor = 3
+	// minSilentWait is the least such wait: other routers learn of a silent request only with the
+	// next digest anyway.
+	minSilentWait = 100 * time.Millisecond
+)
+
+// countSilent marks and counts this router's silent requests at a target. A target that answers
+// slowly is expected to do so.
+func (b *Balancer) countSilent(now time.Time, t *target) {
+	t.ownSilent = 0
+	slowdown := 1.0
+	if t.pool.model.isFitted() {
+		slowdown = b.answeredSlowdown(now, t)
+	}
+	for i := range t.pending {
+		r := &t.pending[i]
+		expected := t.pool.model.roughFirstEventSeconds(r.unreadTokens) * slowdown
+		wait := max(time.Duration(silentFactor*expected*float64(time.Second)), minSilentWait)
+		if r.silent = now.Sub(r.placedAt) > wait; r.silent {
+			t.ownSilent++
+		}
+	}
+}
+
 // OpenByTarget returns the open requests of the whole fleet at each listed target, by target ID.
 func (b *Balancer) OpenByTarget() map[string]int {
 	out := make(map[string]int)
--- a/internal/core/placement/model.go
+++ b/internal/core/placement/model.go
@@ -80,6 +80,21 @@
 // firstEventSeconds returns the expected time to the first event at an average target, in seconds.
 func (m *latencyModel) firstEventSeconds(tokens float64) float64 { return m.base + m.perToken*tokens }
 
+// unknownFirstEventSeconds is the time to the first event that is expected before any answer.
+const unknownFirstEventSeconds = 0.08
+
+// roughFirstEventSeconds returns the expected time to the first event also while the model is not
+// fitted, as at a router of a large fleet that gets few answers: their mean, or a usual value.
+func (m *latencyModel) roughFirstEventSeconds(tokens float64) float64 {
+	switch {
+	case m.isFitted():
+		return m.firstEventSeconds(tokens)
+	case m.n > 0:
+		return m.y / m.n
+	}
+	return unknownFirstEventSeconds
+}
+
 // halfLifeDecay returns the factor by which a decaying sum shrinks in the elapsed time.
 func halfLifeDecay(elapsed, halfLife time.Duration) float64 {
 	return math.Exp2(-elapsed.Seconds() / halfLife.Seconds())
@@ -93,6 +108,16 @@
 	placedAt     time.Time
 	prefixes     []Prefix
 	unreadTokens float64
+	silent       bool // counted in ownSilent of its target
+}
+
+// answeredSlowdown returns the ratio of the times to the first event that a target's answers took
+// to those that the model predicts, by the answers that the whole fleet saw; 1 is average. The
+// model must be fitted.
+func (b *Balancer) answeredSlowdown(now time.Time, t *target) float64 {
+	seen := b.fleetCounts(now, t)
+	prior := priorAnswers * t.pool.model.base
+	return (seen.took + prior) / (seen.expected + prior)
 }
 
 // slowdown returns the ratio of a target's actual times to the first event to those that the model
@@ -143,6 +168,9 @@
 	}
 	t.pause.recordFirstEvent(now, answered)
 	r, ok := t.pending.remove(c.sequence)
+	if r.silent {
+		t.ownSilent--
+	}
 	if !ok || !answered {
 		return
 	}
--- a/internal/core/placement/model_test.go
+++ b/internal/core/placement/model_test.go
@@ -20,11 +20,14 @@
 	routers []*placement.Balancer
 	targets []placement.Target
 	slow    map[uint64]float64 // factor by which a target is slower now
+	losing  map[uint64]float64 // share of its answers that a target loses now
 	cached  map[uint64]map[uint64]bool
 	due     []event
 	// placements are counted by target. lateCount counts the first events after the objective.
 	placements           map[uint64]int
 	lateCount, sentCount int
+	held                 map[uint64]int // requests that each target holds
+	overBoundCount       int            // requests to targets that held more than the load bound
 }
 
 type event struct {
@@ -40,14 +43,19 @@
 	simBase      = 10 * time.Millisecond
 	simTokenTime = 26 * time.Microsecond
 	simStream    = time.Second
+	// A caller whose answer is lost gives up after this time.
+	simPatience = 2400 * time.Millisecond
 )
 
-func newSim(targets []placement.Target) *sim {
+func newSim(targets []placement.Target) *sim { return newSimOf(simRouters, targets) }
+
+func newSimOf(routers int, targets []placement.Target) *sim {
 	s := &sim{
 		now: start, rnd: rand.New(rand.NewPCG(3, 4)), targets: targets, slow: map[uint64]float64{},
+		losing: map[uint64]float64{}, held: map[uint64]int{},
 		cached: map[uint64]map[uint64]bool{}, placements: map[uint64]int{},
 	}
-	for range simRouters {
+	for range routers {
 		s.routers = append(s.routers, newBalancer(targets...))
 	}
 	for _, t := range targets {
@@ -80,7 +88,7 @@
 
 func (s *sim) exchangeReports(outcomes bool) {
 	for i, from := range s.routers {
-		loads, read := from.OwnLoads(), from.TakePrefixReads(32)
+		loads, read := from.OwnLoads(s.now), from.TakePrefixReads(32)
 		var reported []placement.TargetOutcomes
 		if outcomes {
 			reported = append([]placement.TargetOutcomes{}, from.OutcomesToReport(s.now)...)
@@ -95,7 +103,7 @@
 }
 
 func (s *sim) request() {
-	b := s.routers[s.rnd.IntN(simRouters)]
+	b := s.routers[s.rnd.IntN(len(s.routers))]
 	chat := s.rnd.Uint64N(70) + 1
 	r := newRequest(root+chat%4, chat)
 	r.PromptTokens, r.Objective = 8500, simObjective
@@ -104,6 +112,7 @@
 	s.sentCount++
 	s.placements[c.Target.UID]++
 	uid, began := c.Target.UID, s.now
+	s.countHeld(uid)
 	unread := 500.0
 	for i, part := range r.PromptPrefixes {
 		if !s.cached[uid][part.Hash] {
@@ -119,6 +128,14 @@
 	}
 	factor := max(s.slow[uid], 1)
 	first := time.Duration(factor * (float64(simBase) + unread*float64(simTokenTime)))
+	if share := s.losing[uid]; share > 0 && s.rnd.Float64() < share {
+		s.after(first, func() { s.held[uid]-- })
+		s.after(simPatience, func() {
+			b.RecordFirstEvent(s.now, c, false)
+			b.FinishRequest(s.now, uid, placement.Neutral)
+		})
+		return
+	}
 	s.after(first, func() {
 		if s.now.Sub(began) > simObjective {
 			s.lateCount++
@@ -128,7 +145,24 @@
 		}
 		b.RecordFirstEvent(s.now, c, true)
 	})
-	s.after(first+time.Duration(factor*float64(simStream)), func() { b.FinishRequest(s.now, uid, placement.Answered) })
+	s.after(first+time.Duration(factor*float64(simStream)), func() {
+		s.held[uid]--
+		b.FinishRequest(s.now, uid, placement.Answered)
+	})
+}
+
+// countHeld counts a request that arrives at a target, and whether that holds more than the load
+// bound, which operators guarantee, by then.
+func (s *sim) countHeld(uid uint64) {
+	held := 0
+	for _, n := range s.held {
+		held += n
+	}
+	settings := placement.DefaultSettings("a")
+	if float64(s.held[uid]) > settings.LoadMultiple*float64(held)/float64(len(s.targets))+settings.LoadSlack {
+		s.overBoundCount++
+	}
+	s.held[uid]++
 }
 
 // share returns the share of the placements since the last call that went to some targets.
@@ -250,3 +284,24 @@
 		Expect(quick).To(BeNumerically(">=", 18))
 	})
 })
+
+var _ = Describe("the load bound while answers are lost", func() {
+	// Guards against a healthy target that holds more than the load bound: requests whose answers
+	// were lost at the other targets counted in the pool's mean until their callers gave up.
+	DescribeTable("holds by what the targets hold", func(routers int) {
+		s := newSimOf(routers, spread(3, 3, 3))
+		s.run(3*time.Second, 90)
+		for _, t := range s.targets[1:] {
+			s.losing[t.UID] = 0.4
+		}
+		s.run(time.Second, 90)
+		s.sentCount, s.overBoundCount = 0, 0
+		s.run(5*time.Second, 90)
+		Expect(s.sentCount).To(BeNumerically(">", 300))
+		Expect(float64(s.overBoundCount)).To(BeNumerically("<=", 0.03*float64(s.sentCount)))
+	},
+		Entry("of 9 routers", 9),
+		Entry("of 70 routers", 70),
+		Entry("of 195 routers", 195),
+	)
+})
--- a/internal/core/placement/outlier_test.go
+++ b/internal/core/placement/outlier_test.go
@@ -39,7 +39,7 @@
 			for from := range balancers {
 				for to := range balancers {
 					if from != to {
-						balancers[to].ReceiveReport(now, uint32(from), balancers[from].OwnLoads(), balancers[from].OutcomesToReport(now))
+						balancers[to].ReceiveReport(now, uint32(from), balancers[from].OwnLoads(now), balancers[from].OutcomesToReport(now))
 					}
 				}
 			}
--- a/internal/core/placement/placement_test.go
+++ b/internal/core/placement/placement_test.go
@@ -80,7 +80,7 @@
 				for i, b := range balancers {
 					for j := range balancers {
 						if i != j {
-							balancers[j].ReceiveReport(now, uint32(i+1), b.OwnLoads(), nil)
+							balancers[j].ReceiveReport(now, uint32(i+1), b.OwnLoads(now), nil)
 						}
 					}
 				}
--- a/internal/core/placement/target.go
+++ b/internal/core/placement/target.go
@@ -58,6 +58,9 @@
 type Load struct {
 	Target uint64
 	Open   int
+	// Silent is how many of them have waited so long for their first event that the target may no
+	// longer hold them: their answers may be lost.
+	Silent int
 }
 
 // Rule names why a target was chosen, for the log.
@@ -96,9 +99,12 @@
 	seed     uint64    // hash of its ID, for the chats' orders
 	ownOpen  int
 	peerOpen int // reported by all other routers
-	health   health
-	pause    pause
-	exitedAt time.Time // when its process was last reported to have exited; zero if it was not
+	// ownSilent and peerSilent are how many of these are silent, see Load.
+	ownSilent  int
+	peerSilent int
+	health     health
+	pause      pause
+	exitedAt   time.Time // when its process was last reported to have exited; zero if it was not
 	// probedAt is when its port was last probed, see TakeExitedTargetsToProbe.
 	probedAt time.Time
 
@@ -120,6 +126,10 @@
 
 func (t *target) totalOpen() int { return t.ownOpen + t.peerOpen }
 
+// heldOpen returns how many requests the target holds for certain: the open ones that are not
+// silent.
+func (t *target) heldOpen() int { return max(t.totalOpen()-t.ownSilent-t.peerSilent, 0) }
+
 // recordServing records that the target has requests.
 func (t *target) recordServing(now time.Time) {
 	if t.usedAt.IsZero() {
