--- a/internal/app/gateway/bench_test.go
+++ b/internal/app/gateway/bench_test.go
@@ -115,3 +115,24 @@
 		})
 	}
 }
+
+// BenchmarkReportReceived measures the processing of a report without departures, and the check of a
+// connection's lifetime that follows it, by the number of targets.
+func BenchmarkReportReceived(b *testing.B) {
+	for _, n := range []int{300, 3000} {
+		b.Run(fmt.Sprint(n, " targets"), func(b *testing.B) {
+			c, now := newControlWithTargets(n)
+			var loads []placement.Load
+			for i := range n / 10 {
+				loads = append(loads, placement.Load{Target: placement.UID(fmt.Sprintf("i-%07d", i), 0), Open: 1})
+			}
+			b.ReportAllocs()
+			b.ResetTimer()
+			for range b.N {
+				now = now.Add(fleet.TickInterval)
+				c.applyReport(now, fleet.ReportReceived{Source: 7, Loads: loads})
+				c.targetSet.HasLifetime(loads[0].Target)
+			}
+		})
+	}
+}
--- a/internal/core/placement/roster.go
+++ b/internal/core/placement/roster.go
@@ -136,7 +136,9 @@
 			}
 		}
 	}
-	s.refreshCaches()
+	if len(ids) > 0 {
+		s.refreshCaches()
+	}
 	return newDepartures, ids
 }
 
