--- a/internal/app/gateway/targetcache.go
+++ b/internal/app/gateway/targetcache.go
@@ -14,6 +14,7 @@
 	decoder     Decoder
 	rows        map[string]*cachedRow // by row key
 	updateCount uint64
+	pools       placement.PoolLists // returned by update
 }
 
 type cachedRow struct {
@@ -25,10 +26,11 @@
 }
 
 func newTargetCache(d Decoder) *targetCache {
-	return &targetCache{decoder: d, rows: make(map[string]*cachedRow)}
+	return &targetCache{decoder: d, rows: make(map[string]*cachedRow), pools: make(placement.PoolLists)}
 }
 
-// update decodes the changed rows and returns the content of all rows.
+// update decodes the changed rows and returns the content of all rows. pools is valid until the
+// next update.
 func (l *targetCache) update(rows []replica.Row) (pools map[string][]placement.Target, rejected []RejectedEntry) {
 	var changed []replica.Row
 	for _, r := range rows {
@@ -38,21 +40,22 @@
 	}
 	l.decode(changed)
 	l.updateCount++
-	pools = make(map[string][]placement.Target)
-	for _, r := range rows {
-		d, ok := l.rows[r.Key]
-		if !ok {
-			continue
-		}
-		d.lastUpdate = l.updateCount
-		if d.rejected != nil {
-			rejected = append(rejected, *d.rejected)
-		} else {
-			pools[d.pool] = append(pools[d.pool], d.target)
+	l.pools.Refill(func(add func(string, placement.Target)) {
+		for _, r := range rows {
+			d, ok := l.rows[r.Key]
+			if !ok {
+				continue
+			}
+			d.lastUpdate = l.updateCount
+			if d.rejected != nil {
+				rejected = append(rejected, *d.rejected)
+			} else {
+				add(d.pool, d.target)
+			}
 		}
-	}
+	})
 	maps.DeleteFunc(l.rows, func(_ string, d *cachedRow) bool { return d.lastUpdate != l.updateCount })
-	return pools, rejected
+	return l.pools, rejected
 }
 
 // has reports whether the target list contains a row with a key, even if the row is invalid.
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -88,6 +88,7 @@
 	models           map[string]*latencyModel // by pool
 	leavingNotices   map[uint64]*leavingNotice
 	sequence         uint64 // of the latest placement
+	listCount        uint64 // number of target lists
 	evacuationOrders evacuation.Orders
 	fleet            *warmup.Fleet // nil until the fleet is known
 }
@@ -130,7 +131,7 @@
 		joinedAt = time.Time{} // the targets of the first list were there before this router
 	}
 	b.pools = make(map[string]*pool, len(pools))
-	listed := make(map[uint64]bool)
+	b.listCount++
 	for name, targets := range pools {
 		p := &pool{model: b.modelOf(name)}
 		b.applyLimits(name, p)
@@ -150,14 +151,14 @@
 			known.Target, known.pool = t, p
 			known.evacuated = b.evacuationOrders.IsEvacuated(t.DataCentre)
 			b.applyLeavingNotice(now, known)
-			listed[t.UID] = true
+			known.lastList = b.listCount
 			p.targets = append(p.targets, known)
 		}
 		p.dataCentres = groupByDataCentre(p.targets)
 		b.pools[name] = p
 	}
 	for uid, t := range b.byUID {
-		if !listed[uid] && t.ownOpen == 0 {
+		if t.lastList != b.listCount && t.ownOpen == 0 {
 			delete(b.byUID, uid)
 		}
 	}
--- a/internal/core/placement/roster.go
+++ b/internal/core/placement/roster.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"maps"
 	"slices"
 	"time"
 )
@@ -14,20 +15,36 @@
 	version      uint64                      // of the latest list
 	entries      map[string]*entry           // by target ID
 	departures   map[uint64]pendingDeparture // by lifetime
-	removedCount int                         // number of entries that were removed from the list
+	updateCount  uint64
+	byPool       PoolLists // returned by ByPool
+	removedCount int       // number of entries that were removed from the list
 	// lifetimes are the UIDs of all entries; nil if the entries have changed since they were
 	// collected.
 	lifetimes map[uint64]bool
 }
 
 type entry struct {
-	pool   string
-	target Target
+	pool       string
+	target     Target
+	lastUpdate uint64 // last update that listed the target
+}
+
+// PoolLists are targets by pool. Refilling them reuses their memory: a new list of thousands of
+// targets for each change of one would keep the garbage collector busy.
+type PoolLists map[string][]Target
+
+// Refill empties the lists, calls fill to add targets, and deletes the pools that remain empty.
+func (p PoolLists) Refill(fill func(add func(pool string, t Target))) {
+	for pool := range p {
+		p[pool] = p[pool][:0]
+	}
+	fill(func(pool string, t Target) { p[pool] = append(p[pool], t) })
+	maps.DeleteFunc(p, func(_ string, targets []Target) bool { return len(targets) == 0 })
 }
 
 // NewTargetSet returns an empty TargetSet.
 func NewTargetSet() *TargetSet {
-	return &TargetSet{entries: make(map[string]*entry), departures: make(map[uint64]pendingDeparture)}
+	return &TargetSet{entries: make(map[string]*entry), departures: make(map[uint64]pendingDeparture), byPool: make(PoolLists)}
 }
 
 // Update replaces the target list by the one of a version. rejected are the IDs of its invalid
@@ -38,10 +55,9 @@
 // clock of a VM may have been set back between two starts.
 func (s *TargetSet) Update(now time.Time, version uint64, pools map[string][]Target, rejected []string) (ended []Target) {
 	s.version = max(s.version, version)
-	listed := make(map[string]bool)
+	s.updateCount++
 	for pool, targets := range pools {
 		for _, t := range targets {
-			listed[t.ID] = true
 			known, ok := s.entries[t.ID]
 			if !ok {
 				known = &entry{target: t}
@@ -50,12 +66,12 @@
 			if known.target.UID != t.UID && known.target.StartedAtMs < t.StartedAtMs {
 				ended = append(ended, known.target)
 			}
-			known.pool, known.target = pool, t
+			known.pool, known.target, known.lastUpdate = pool, t, s.updateCount
 		}
 	}
 	for id, e := range s.entries {
 		switch {
-		case listed[id]:
+		case e.lastUpdate == s.updateCount:
 		case slices.Contains(rejected, id):
 			delete(s.entries, id)
 		case e.target.RemovedAt.IsZero():
@@ -216,13 +232,15 @@
 	return dropped
 }
 
-// ByPool returns the targets by pool, including removed ones that are still retained.
+// ByPool returns the targets by pool, including removed ones that are still retained. The result is
+// valid until the next call.
 func (s *TargetSet) ByPool() map[string][]Target {
-	out := make(map[string][]Target)
-	for _, e := range s.entries {
-		out[e.pool] = append(out[e.pool], e.target)
-	}
-	return out
+	s.byPool.Refill(func(add func(string, Target)) {
+		for _, e := range s.entries {
+			add(e.pool, e.target)
+		}
+	})
+	return s.byPool
 }
 
 // HasLifetime reports whether a lifetime is current or still retained.
--- a/internal/core/placement/target.go
+++ b/internal/core/placement/target.go
@@ -97,6 +97,7 @@
 	joinedAt time.Time
 	usedAt   time.Time // when a request was first seen at it; zero if never
 	seed     uint64    // hash of its ID, for the chats' orders
+	lastList uint64    // number of the last target list that contained it
 	ownOpen  int
 	peerOpen int // reported by all other routers
 	// ownSilent and peerSilent are how many of these are silent, see Load.
--- a/internal/core/replica/replica.go
+++ b/internal/core/replica/replica.go
@@ -6,6 +6,7 @@
 import (
 	"bytes"
 	"cmp"
+	"maps"
 	"slices"
 )
 
@@ -24,6 +25,7 @@
 // Table is a router's copy of one table. It is not safe for concurrent use.
 type Table struct {
 	rows         map[string]Row
+	sorted       []Row  // rows sorted by key
 	removed      []Row  // in order of version
 	version      uint64 // the copy is the table as of this version
 	removedSince uint64 // removed holds all removals after this version
@@ -43,12 +45,11 @@
 
 // Rows returns the rows sorted by key.
 func (t *Table) Rows() []Row {
-	out := make([]Row, 0, len(t.rows))
-	for _, r := range t.rows {
-		out = append(out, r)
-	}
-	slices.SortFunc(out, func(a, b Row) int { return cmp.Compare(a.Key, b.Key) })
-	return out
+	return slices.Clone(t.sorted)
+}
+
+func sortedByKey(rows map[string]Row) []Row {
+	return slices.SortedFunc(maps.Values(rows), func(a, b Row) int { return cmp.Compare(a.Key, b.Key) })
 }
 
 // Load replaces the copy with the whole table as of version. It reports whether the content
@@ -65,7 +66,7 @@
 		t.version = version
 		return false
 	}
-	t.rows, t.removed = next, nil
+	t.rows, t.sorted, t.removed = next, sortedByKey(next), nil
 	t.version, t.removedSince, t.loaded = version, version, true
 	return true
 }
@@ -102,11 +103,20 @@
 
 func (t *Table) applyRow(r Row) {
 	t.version = r.Version
+	at, found := slices.BinarySearchFunc(t.sorted, r.Key, func(row Row, key string) int { return cmp.Compare(row.Key, key) })
 	if !r.Removed {
 		t.rows[r.Key] = r
+		if found {
+			t.sorted[at] = r
+		} else {
+			t.sorted = slices.Insert(t.sorted, at, r)
+		}
 		return
 	}
 	delete(t.rows, r.Key)
+	if found {
+		t.sorted = slices.Delete(t.sorted, at, at+1)
+	}
 	t.removed = append(t.removed, r)
 	if len(t.removed) > maxRemoved {
 		cut := len(t.removed) - maxRemoved/2
