--- a/internal/core/placement/choose.go
+++ b/internal/core/placement/choose.go
@@ -31,8 +31,14 @@
 // more often than the others, so more of them may go without work.
 const ejectionPanicThreshold = 0.75
 
-// skipFilter returns a function that reports whether a target must get no new requests now.
-func skipFilter(now time.Time, p *pool) func(*target) bool {
+// skipFilter decides which targets get no new requests now.
+type skipFilter struct {
+	now              time.Time
+	applySuspensions bool
+	applyEjections   bool
+}
+
+func newSkipFilter(now time.Time, p *pool) skipFilter {
 	// The eligible targets are not closed and accept connections, as far as this router knows.
 	eligible, suspended, ejected := 0, 0, 0
 	for _, t := range p.targets {
@@ -50,15 +56,18 @@
 	ignoreThresholds := ablate.IsOff(ablate.PanicThreshold)
 	applySuspensions := ignoreThresholds || float64(suspended) <= suspensionPanicThreshold*float64(eligible)
 	applyEjections := ignoreThresholds || float64(suspended+ejected) <= ejectionPanicThreshold*float64(eligible)
-	return func(t *target) bool {
-		if t.pause.isOn(now) || t.isCold(now) {
-			return true
-		}
-		if t.health.isSuspended(now) {
-			return t.health.unreachable || applySuspensions
-		}
-		return applyEjections && t.isEjected(now)
+	return skipFilter{now: now, applySuspensions: applySuspensions, applyEjections: applyEjections}
+}
+
+// skips reports whether a target must get no new requests.
+func (f skipFilter) skips(t *target) bool {
+	if t.pause.isOn(f.now) || t.isCold(f.now) {
+		return true
 	}
+	if t.health.isSuspended(f.now) {
+		return t.health.unreachable || f.applySuspensions
+	}
+	return f.applyEjections && t.isEjected(f.now)
 }
 
 // choose returns the target for a request and the rule that chose it; nil if there is none. It
@@ -77,9 +86,27 @@
 	return b.chooseLeastLoaded(now, p, r, func(*target) bool { return false }), RuleSuspendedOrEjected
 }
 
-// chooseWarm chooses among the targets that are not closed and that skipFilter does not skip.
+// chooseWarm chooses among the targets that are not closed and that skipFilter does not skip. An
+// ejected one is chosen before another would exceed the load bound: it fails a part of its
+// requests, whereas operators guarantee the bound to the others.
 func (b *Balancer) chooseWarm(now time.Time, p *pool, r Request, bound float64) (*target, Rule) {
-	skip := skipFilter(now, p)
+	filter := newSkipFilter(now, p)
+	t, rule := b.chooseUnskipped(now, p, r, bound, filter.skips)
+	if t == nil || rule == RuleRandom || !filter.applyEjections || t.hasRoom(bound) {
+		return t, rule
+	}
+	if other := b.chooseLeastLoaded(now, p, r, func(t *target) bool { return !t.hasRoom(bound) || filter.skips(t) }); other != nil {
+		return other, rule
+	}
+	filter.applyEjections = false
+	if ejected, _ := b.chooseUnskipped(now, p, r, bound, func(t *target) bool { return !t.hasRoom(bound) || filter.skips(t) }); ejected != nil {
+		return ejected, RuleSuspendedOrEjected
+	}
+	return t, rule
+}
+
+// chooseUnskipped chooses among the targets that are not closed and not skipped.
+func (b *Balancer) chooseUnskipped(now time.Time, p *pool, r Request, bound float64, skip func(*target) bool) (*target, Rule) {
 	if r.ChatHash != 0 {
 		if t, rule := b.chooseByChat(now, p, r, bound, skip); t != nil {
 			return t, rule
--- a/internal/core/placement/outlier_test.go
+++ b/internal/core/placement/outlier_test.go
@@ -163,4 +163,40 @@
 		other.ReceiveReport(start, 1, nil, one.OutcomesToReport(start))
 		Expect(other.OutcomesToReport(start)).To(Equal([]placement.TargetOutcomes{{Target: uid, Ended: 30}}))
 	})
+
+	// Guards against overloading the few targets that do not fail: the ejected ones got no requests
+	// although the others were at the load bound.
+	DescribeTable("uses ejected targets before the others exceed the load bound", func(chat uint64) {
+		list := targets(9)
+		ejected, open := map[uint64]bool{}, map[uint64]int{}
+		loads := make([]placement.Load, 0, len(list))
+		var outcomes []placement.TargetOutcomes
+		for i, t := range list {
+			if ejected[t.UID] = i < 5; ejected[t.UID] {
+				outcomes = append(outcomes, placement.TargetOutcomes{Target: t.UID, Ended: 40, Failed: 24})
+				open[t.UID] = 2
+			} else {
+				open[t.UID] = 20
+			}
+			loads = append(loads, placement.Load{Target: t.UID, Open: open[t.UID]})
+		}
+		b := newBalancer(list...)
+		Expect(b.ReceiveReport(start, 1, loads, outcomes)).To(HaveLen(5), "ejected")
+		usedEjected := 0
+		for i := range 100 { // the others are below the bound at first
+			c := place(b, start, chat*uint64(i+1))
+			Expect(float64(c.Open + 1)).To(BeNumerically("<=", c.Bound))
+			if ejected[c.Target.UID] {
+				usedEjected++
+				for uid, n := range open {
+					Expect(ejected[uid] || float64(n+1) > c.Bound).To(BeTrue(), "one that is not ejected has room")
+				}
+			}
+			open[c.Target.UID]++
+		}
+		Expect(usedEjected).To(BeNumerically(">", 5))
+	},
+		Entry("for requests of chats", uint64(7919)),
+		Entry("for requests without a chat", uint64(0)),
+	)
 })
--- a/internal/core/placement/target.go
+++ b/internal/core/placement/target.go
@@ -73,7 +73,7 @@
 	RuleLeastLoaded        Rule = "least_loaded" // no chat, or no target below the load bound
 	RuleRandom             Rule = "random"       // like least_loaded, but the reported loads are outdated
 	RuleCold               Rule = "cold"         // a cold one: the others have no free slot
-	RuleSuspendedOrEjected Rule = "suspect"      // a suspended or ejected one: only these are left
+	RuleSuspendedOrEjected Rule = "suspect"      // a suspended or ejected one: the others are gone or, for ejected ones, at the load bound
 	// RuleTicket marks requests placed by a ticket from the pool's owner, not by a Balancer.
 	RuleTicket Rule = "ticket"
 )
@@ -141,5 +141,8 @@
 // servedBefore reports whether the target was seen with requests before a time.
 func (t *target) servedBefore(at time.Time) bool { return !t.usedAt.IsZero() && t.usedAt.Before(at) }
 
+// hasRoom reports whether the target stays within the load bound with one more request.
+func (t *target) hasRoom(bound float64) bool { return float64(t.totalOpen()+1) <= bound }
+
 // hasFreeSlot reports whether the target has free slots, as far as the fleet knows.
 func (t *target) hasFreeSlot() bool { return t.Slots > 0 && t.totalOpen() < t.Slots }
