--- a/internal/app/gateway/answer.go
+++ b/internal/app/gateway/answer.go
@@ -22,6 +22,7 @@
 func (t *targetAttempt) forwardBuffered(answer *upstream.Answer, info AnswerInfo) attempt.Action {
 	r := t.request
 	body, err := io.ReadAll(io.LimitReader(answer, maxBufferedBody+1))
+	t.silence.stop() // a caller that reads slowly does not make the target silent
 	switch {
 	case r.ctx.Err() != nil && err != nil:
 		return t.endByContext()
@@ -172,6 +173,7 @@
 // endStream ends the attempt after a read error, which is io.EOF at the end of the body. pending is
 // the incomplete event that was read last.
 func (t *targetAttempt) endStream(answer *upstream.Answer, pending []byte, err error) attempt.Action {
+	t.silence.stop()
 	r := t.request
 	switch {
 	case errors.Is(err, io.EOF) && (answer.Framed || len(pending) == 0):
