--- a/internal/app/gateway/signals_test.go
+++ b/internal/app/gateway/signals_test.go
@@ -43,6 +43,19 @@
 
 func (*slowDialUpstream) Prune(func(uint64) bool) {}
 
+// startOnlyRouter starts a fleet of one router and waits until it is ready and knows all targets.
+func startOnlyRouter(ctx context.Context, store gateway.Store, up gateway.Upstream, targets int) *gateway.Control {
+	GinkgoHelper()
+	c := gateway.NewControl(gateway.Settings{
+		Name: "r", Address: "10.0.0.1:1", ReadStoreAtStart: true, FirstStart: true, MaxApplyDelay: time.Second, MaxDepartureDelay: time.Second,
+		LoadMultiple: 2, LoadSlack: 3, RetryRatio: 0.2, RetrySlack: 58, RetrySpan: 10 * time.Second,
+	}, store, stateDecoder{}, &meshPeers{from: "10.0.0.1:1", mesh: &mesh{routers: make(map[string]*gateway.Control)}}, up, eventlog.Nop(), time.Now)
+	go c.Run(ctx)
+	Eventually(c.Ready, 3*time.Second).Should(BeTrue())
+	Eventually(func() int { return len(c.Status().OpenRequests) }).Should(Equal(targets))
+	return c
+}
+
 var _ = Describe("a request whose connection opens slowly", func() {
 	// Guards against sending a request to a target that announced its shutdown in another answer
 	// while the request's connection was being opened. The target's state was checked only when the
@@ -55,13 +68,7 @@
 			store.put(fmt.Sprint("t", i), "ready")
 		}
 		up := &slowDialUpstream{sent: make(map[uint64]int)}
-		c := gateway.NewControl(gateway.Settings{
-			Name: "r", Address: "10.0.0.1:1", ReadStoreAtStart: true, FirstStart: true, MaxApplyDelay: time.Second, MaxDepartureDelay: time.Second,
-			LoadMultiple: 2, LoadSlack: 3, RetryRatio: 0.2, RetrySlack: 58, RetrySpan: 10 * time.Second,
-		}, store, stateDecoder{}, &meshPeers{from: "10.0.0.1:1", mesh: &mesh{routers: make(map[string]*gateway.Control)}}, up, eventlog.Nop(), time.Now)
-		go c.Run(ctx)
-		Eventually(c.Ready, 3*time.Second).Should(BeTrue())
-		Eventually(func() int { return len(c.Status().OpenRequests) }).Should(Equal(3))
+		c := startOnlyRouter(ctx, store, up, 3)
 		proxy := gateway.NewProxy(c, leavingCodec{}, up, discardResponder{}, eventlog.Nop(), time.Now)
 		var leavingUID uint64
 		up.duringDial = func(q upstream.Request) {
--- a/internal/app/gateway/slow_caller_test.go
+++ b/internal/app/gateway/slow_caller_test.go
@@ -50,13 +50,7 @@
 		store := newTargetListStore()
 		store.put(strings.TrimPrefix(target.URL, "http://"), "ready")
 		up := upstream.New(upstream.DefaultSettings(), time.Now, nil)
-		c := gateway.NewControl(gateway.Settings{
-			Name: "r", Address: "10.0.0.1:1", ReadStoreAtStart: true, FirstStart: true, MaxApplyDelay: time.Second, MaxDepartureDelay: time.Second,
-			LoadMultiple: 2, LoadSlack: 3, RetryRatio: 0.2, RetrySlack: 58, RetrySpan: 10 * time.Second,
-		}, store, stateDecoder{}, &meshPeers{from: "10.0.0.1:1", mesh: &mesh{routers: make(map[string]*gateway.Control)}}, up, eventlog.Nop(), time.Now)
-		go c.Run(ctx)
-		Eventually(c.Ready, 3*time.Second).Should(BeTrue())
-		Eventually(func() int { return len(c.Status().OpenRequests) }).Should(Equal(1))
+		c := startOnlyRouter(ctx, store, up, 1)
 		var lines bytes.Buffer
 		log := eventlog.New(zerolog.New(zerolog.SyncWriter(&lines)), time.Now)
 		proxy := gateway.NewProxy(c, sealedCodec{}, up, discardResponder{}, log, time.Now)
--- a/internal/core/placement/choose.go
+++ b/internal/core/placement/choose.go
@@ -95,11 +95,12 @@
 	if t == nil || rule == RuleRandom || !filter.applyEjections || t.hasRoom(bound) {
 		return t, rule
 	}
-	if other := b.chooseLeastLoaded(now, p, r, func(t *target) bool { return !t.hasRoom(bound) || filter.skips(t) }); other != nil {
+	skipWithoutRoom := func(t *target) bool { return !t.hasRoom(bound) || filter.skips(t) }
+	if other := b.chooseLeastLoaded(now, p, r, skipWithoutRoom); other != nil {
 		return other, rule
 	}
 	filter.applyEjections = false
-	if ejected, _ := b.chooseUnskipped(now, p, r, bound, func(t *target) bool { return !t.hasRoom(bound) || filter.skips(t) }); ejected != nil {
+	if ejected, _ := b.chooseUnskipped(now, p, r, bound, skipWithoutRoom); ejected != nil {
 		return ejected, RuleSuspendedOrEjected
 	}
 	return t, rule
--- a/internal/core/placement/loads.go
+++ b/internal/core/placement/loads.go
@@ -105,8 +105,8 @@
 	minSilentWait = 100 * time.Millisecond
 )
 
-// countSilent marks and counts this router's silent requests at a target. A target that answers
-// slowly is expected to do so.
+// countSilent marks and counts this router's silent requests at a target. The expected time follows
+// the target's slowdown, so that slow answers are not taken for lost ones.
 func (b *Balancer) countSilent(now time.Time, t *target) {
 	t.ownSilent = 0
 	slowdown := 1.0
--- a/internal/core/placement/target.go
+++ b/internal/core/placement/target.go
@@ -73,7 +73,7 @@
 	RuleLeastLoaded        Rule = "least_loaded" // no chat, or no target below the load bound
 	RuleRandom             Rule = "random"       // like least_loaded, but the reported loads are outdated
 	RuleCold               Rule = "cold"         // a cold one: the others have no free slot
-	RuleSuspendedOrEjected Rule = "suspect"      // a suspended or ejected one: the others are gone or, for ejected ones, at the load bound
+	RuleSuspendedOrEjected Rule = "suspect"      // only suspended or ejected ones are left; or an ejected one, as the others are at the load bound
 	// RuleTicket marks requests placed by a ticket from the pool's owner, not by a Balancer.
 	RuleTicket Rule = "ticket"
 )
