--- a/internal/core/placement/model_test.go
+++ b/internal/core/placement/model_test.go
@@ -21,8 +21,10 @@
 	targets []placement.Target
 	slow    map[uint64]float64 // factor by which a target is slower now
 	losing  map[uint64]float64 // share of its answers that a target loses now
-	cached  map[uint64]map[uint64]bool
-	due     []event
+	// hotShare is the share of the requests that belong to one chat.
+	hotShare float64
+	cached   map[uint64]map[uint64]bool
+	due      []event
 	// placements are counted by target. lateCount counts the first events after the objective.
 	placements           map[uint64]int
 	lateCount, sentCount int
@@ -105,6 +107,9 @@
 func (s *sim) request() {
 	b := s.routers[s.rnd.IntN(len(s.routers))]
 	chat := s.rnd.Uint64N(70) + 1
+	if s.hotShare > 0 && s.rnd.Float64() < s.hotShare {
+		chat = 1
+	}
 	r := newRequest(root+chat%4, chat)
 	r.PromptTokens, r.Objective = 8500, simObjective
 	c, ok := b.Place(s.now, r)
@@ -305,3 +310,22 @@
 		Entry("of 195 routers", 195),
 	)
 })
+
+var _ = Describe("the load bound of a hot chat's targets", func() {
+	// Guards against targets that stay at the load bound and exceed it by what the routers place
+	// there without knowing of each other.
+	DescribeTable("holds by what the targets hold", func(routers, rate int) {
+		s := newSimOf(routers, spread(3, 3, 3))
+		s.hotShare = 0.5
+		s.run(4*time.Second, rate)
+		s.sentCount, s.overBoundCount = 0, 0
+		s.run(5*time.Second, rate)
+		Expect(float64(s.overBoundCount)).To(BeNumerically("<=", 0.03*float64(s.sentCount)))
+	},
+		Entry("9 routers, 90 requests a second", 9, 90),
+		Entry("9 routers, 200 requests a second", 9, 200),
+		Entry("9 routers, 400 requests a second", 9, 400),
+		Entry("70 routers, 400 requests a second", 70, 400),
+		Entry("195 routers, 800 requests a second", 195, 800),
+	)
+})
