--- a/internal/core/placement/choose.go
+++ b/internal/core/placement/choose.go
@@ -1,7 +1,6 @@
 package placement
 
 import (
-	"math"
 	"time"
 
 	"github.com/hemlockdyke/hemlockdyke/internal/core/ablate"
@@ -16,16 +15,9 @@
 	if len(p.targets) == 0 {
 		return 0
 	}
-	held := p.meanHeld()
-	margin := max(b.settings.LoadMargin, unseenDeviations*math.Sqrt(held))
-	return max(b.settings.LoadMultiple*held+b.settings.LoadSlack-margin, 1)
+	return max(b.settings.LoadMultiple*p.meanHeld()+b.settings.LoadSlack-b.settings.LoadMargin, 1)
 }
 
-// unseenDeviations is how many standard deviations of the requests that routers place without
-// knowing of each other a placement stays below the load bound. Their number follows the load, so
-// its deviation grows with the root of the mean.
-const unseenDeviations = 1.5
-
 // suspensionPanicThreshold is the share of suspended ones among the eligible targets, see
 // skipFilter, above which suspensions are ignored, except for targets that accept no connections.
 // If most of a pool fails, the targets themselves are often not the cause, and avoiding them would
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -22,9 +22,8 @@
 	// mean + LoadSlack. Operators guarantee this bound to the targets.
 	LoadMultiple float64
 	LoadSlack    float64
-	// LoadMargin is the least number of requests that a placement stays below the bound: for up to
-	// one digest interval, routers place requests without knowing of each other's latest ones. See
-	// also unseenDeviations.
+	// LoadMargin is how many requests a placement stays below the bound: for up to one digest
+	// interval, routers place requests without knowing of each other's latest ones.
 	LoadMargin float64
 	// ColdMultiple and ColdSlack bound how many requests a second a cold target gets from all
 	// routers: ColdMultiple * the rate that its pool declares + ColdSlack.
