--- a/internal/app/gateway/apply.go
+++ b/internal/app/gateway/apply.go
@@ -17,8 +17,8 @@
 // applyTable applies new content of a table. If the content can't be decoded, the last valid
 // content remains applied.
 func (c *Control) applyTable(now time.Time, a fleet.TableChanged) {
-	rows, _ := c.core.Rows(a.Table)
 	if a.Table == fleet.DesiredTable {
+		rows, _ := c.core.Rows(a.Table)
 		c.applyEvacuations(now, rows, a)
 		state, err := c.decoder.DesiredState(rows)
 		switch {
@@ -30,9 +30,9 @@
 		return
 	}
 	c.targetsChangedAt = now
-	departed := c.applyTargets(now, rows, a.Version, a.Source)
+	departed := c.applyTargets(now, a)
 	c.traffic.targetsRowVersion.Store(a.Version)
-	c.log.Line(eventlog.TargetsChanged).Uint64("row", a.Version).Str("source", a.Source).Int("rows", len(rows)).
+	c.log.Line(eventlog.TargetsChanged).Uint64("row", a.Version).Str("source", a.Source).Int("rows", c.core.RowCount(a.Table)).
 		Strs("left", departed[:min(len(departed), maxLoggedDepartures)]).Msg("")
 }
 
@@ -54,14 +54,14 @@
 		return
 	}
 	c.desiredVersion = state.Version
-	table := route.Build(state)
+	before, table := c.traffic.table.Load(), route.Build(state)
 	c.traffic.table.Store(table)
 	c.traffic.mu.Lock()
 	c.traffic.balancer.SetLimits(poolLimits(table))
 	c.traffic.mu.Unlock()
 	c.desiredAppliedAt = now
-	if rows, version := c.core.Rows(fleet.TargetsTable); len(rows) > 0 {
-		c.applyTargets(now, rows, version, a.Source)
+	if c.changesKnownPools(before, table) {
+		c.replaceTargets(now, c.core.TableVersion(fleet.TargetsTable), a.Source)
 	}
 	c.updateReady()
 	c.log.Line(eventlog.DesiredState).Uint64("version", state.Version).Uint64("row", a.Version).
--- a/internal/app/gateway/bench_test.go
+++ b/internal/app/gateway/bench_test.go
@@ -79,14 +79,14 @@
 		rows[i] = targetRow(i, uint64(i+1))
 	}
 	c.core.Step(now, fleet.TableRead{Table: fleet.TargetsTable, Position: uint64(n), Rows: rows})
-	c.applyTable(now, fleet.TableChanged{Table: fleet.TargetsTable, Version: uint64(n), Source: "store"})
+	c.applyTable(now, fleet.TableChanged{Table: fleet.TargetsTable, Version: uint64(n), Source: "store", Whole: true})
 	return c, now
 }
 
 // BenchmarkIdleTick measures a tick without requests by the number of targets. There are ten ticks
 // a second.
 func BenchmarkIdleTick(b *testing.B) {
-	for _, n := range []int{300, 3000} {
+	for _, n := range []int{300, 3000, 10000, 20000} {
 		b.Run(fmt.Sprint(n, " targets"), func(b *testing.B) {
 			c, now := newControlWithTargets(n)
 			b.ReportAllocs()
@@ -101,7 +101,7 @@
 
 // BenchmarkTargetChanged measures the update of one target entry by the number of targets.
 func BenchmarkTargetChanged(b *testing.B) {
-	for _, n := range []int{300, 3000} {
+	for _, n := range []int{300, 3000, 10000, 20000} {
 		b.Run(fmt.Sprint(n, " targets"), func(b *testing.B) {
 			c, now := newControlWithTargets(n)
 			version := uint64(n)
@@ -109,8 +109,7 @@
 			b.ResetTimer()
 			for i := range b.N {
 				version++
-				c.core.Step(now, fleet.ChangesRead{Table: fleet.TargetsTable, Position: version, Rows: []replica.Row{targetRow(i%n, version)}})
-				c.applyTable(now, fleet.TableChanged{Table: fleet.TargetsTable, Version: version, Source: "store"})
+				c.changeEntry(now, i%n, version)
 			}
 		})
 	}
@@ -119,7 +118,7 @@
 // BenchmarkReportReceived measures the processing of a report without departures, and the check of a
 // connection's lifetime that follows it, by the number of targets.
 func BenchmarkReportReceived(b *testing.B) {
-	for _, n := range []int{300, 3000} {
+	for _, n := range []int{300, 3000, 10000, 20000} {
 		b.Run(fmt.Sprint(n, " targets"), func(b *testing.B) {
 			c, now := newControlWithTargets(n)
 			var loads []placement.Load
--- a/internal/app/gateway/targetcache.go
+++ b/internal/app/gateway/targetcache.go
@@ -2,81 +2,112 @@
 
 import (
 	"maps"
+	"slices"
 
 	"github.com/hemlockdyke/hemlockdyke/internal/core/placement"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/replica"
 )
 
-// targetCache holds the decoded rows of the target list. Usually one row changes at a time;
+// targetCache holds the decoded rows of the target list. Usually few rows change at a time;
 // decoding or copying the whole list for each change takes milliseconds per thousand targets. It is
 // not safe for concurrent use.
 type targetCache struct {
-	decoder     Decoder
-	rows        map[string]*cachedRow // by row key
-	updateCount uint64
-	pools       placement.PoolLists // returned by update
+	decoder Decoder
+	rows    map[string]*cachedRow // by row key
+	sizes   map[string]int        // number of valid rows by pool
 }
 
 type cachedRow struct {
-	version    uint64
-	pool       string
-	target     placement.Target
-	rejected   *RejectedEntry // set if the row has no valid target
-	lastUpdate uint64         // last update that contained the row
+	version  uint64
+	pool     string
+	target   placement.Target
+	rejected *RejectedEntry // set if the row has no valid target
 }
 
 func newTargetCache(d Decoder) *targetCache {
-	return &targetCache{decoder: d, rows: make(map[string]*cachedRow), pools: make(placement.PoolLists)}
+	return &targetCache{decoder: d, rows: make(map[string]*cachedRow), sizes: make(map[string]int)}
 }
 
-// update decodes the changed rows and returns the content of all rows. pools is valid until the
-// next update.
+// update replaces the rows, of which it decodes the changed ones, and returns their content.
 func (l *targetCache) update(rows []replica.Row) (pools map[string][]placement.Target, rejected []RejectedEntry) {
 	var changed []replica.Row
+	listed := make(map[string]bool, len(rows))
 	for _, r := range rows {
+		listed[r.Key] = true
 		if known, ok := l.rows[r.Key]; !ok || known.version != r.Version {
 			changed = append(changed, r)
 		}
 	}
+	for key := range l.rows {
+		if !listed[key] {
+			l.drop(key)
+		}
+	}
 	l.decode(changed)
-	l.updateCount++
-	l.pools.Refill(func(add func(string, placement.Target)) {
-		for _, r := range rows {
-			d, ok := l.rows[r.Key]
-			if !ok {
-				continue
-			}
-			d.lastUpdate = l.updateCount
-			if d.rejected != nil {
-				rejected = append(rejected, *d.rejected)
-			} else {
-				add(d.pool, d.target)
-			}
+	pools = make(map[string][]placement.Target, len(l.sizes))
+	for _, r := range l.rows {
+		if r.rejected != nil {
+			rejected = append(rejected, *r.rejected)
+		} else {
+			pools[r.pool] = append(pools[r.pool], r.target)
 		}
-	})
-	maps.DeleteFunc(l.rows, func(_ string, d *cachedRow) bool { return d.lastUpdate != l.updateCount })
-	return l.pools, rejected
+	}
+	return pools, rejected
 }
 
-// has reports whether the target list contains a row with a key, even if the row is invalid.
-func (l *targetCache) has(key string) bool {
-	_, ok := l.rows[key]
-	return ok
+// apply applies changed rows in order. It returns the content of those that remain, and the keys of
+// those that were removed.
+func (l *targetCache) apply(changes []replica.Row) (pools map[string][]placement.Target, removed []string, rejected []RejectedEntry) {
+	latest := make(map[string]replica.Row, len(changes))
+	for _, r := range changes {
+		latest[r.Key] = r
+	}
+	var changed []replica.Row
+	for key, r := range latest {
+		if !r.Removed {
+			changed = append(changed, r)
+			continue
+		}
+		l.drop(key)
+		removed = append(removed, key)
+	}
+	pools, rejected = l.decode(changed)
+	return pools, removed, rejected
 }
 
-func (l *targetCache) decode(changed []replica.Row) {
-	pools, rejected := l.decoder.Targets(changed)
+// pools returns the names of the pools that have targets.
+func (l *targetCache) pools() []string { return slices.Collect(maps.Keys(l.sizes)) }
+
+// decode decodes rows and replaces their earlier content.
+func (l *targetCache) decode(changed []replica.Row) (pools map[string][]placement.Target, rejected []RejectedEntry) {
+	pools, rejected = l.decoder.Targets(changed)
 	versions := make(map[string]uint64, len(changed))
 	for _, r := range changed {
 		versions[r.Key] = r.Version
-		delete(l.rows, r.Key)
+		l.drop(r.Key)
 	}
 	for pool, targets := range pools {
 		for _, t := range targets {
 			l.rows[t.ID] = &cachedRow{version: versions[t.ID], pool: pool, target: t}
+			l.sizes[pool]++
 		}
 	}
 	for _, e := range rejected {
 		l.rows[e.Key] = &cachedRow{version: e.RowVersion, rejected: &e}
 	}
+	return pools, rejected
+}
+
+func (l *targetCache) drop(key string) {
+	r, ok := l.rows[key]
+	if !ok {
+		return
+	}
+	delete(l.rows, key)
+	if r.rejected != nil {
+		return
+	}
+	if l.sizes[r.pool]--; l.sizes[r.pool] == 0 {
+		delete(l.sizes, r.pool)
+	}
 }
--- a/internal/app/gateway/targetcache_test.go
+++ b/internal/app/gateway/targetcache_test.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
+	"slices"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -37,11 +39,12 @@
 	// kept.
 	It("has the same content as a complete decode after any changes", func() {
 		testkit.Check("200", func(t *rapid.T) {
-			cachedDecodes, fullDecodes := 0, 0
-			l := newTargetCache(strictDecoder{decoded: &cachedDecodes})
+			cachedDecodes, changeDecodes, fullDecodes := 0, 0, 0
+			l, byChange := newTargetCache(strictDecoder{decoded: &cachedDecodes}), newTargetCache(strictDecoder{decoded: &changeDecodes})
 			list := make(map[string]replica.Row)
 			changes := 0
 			for version := uint64(1); version <= uint64(rapid.IntRange(1, 40).Draw(t, "steps")); version++ {
+				var changed []replica.Row
 				for range rapid.IntRange(1, 3).Draw(t, "changes") {
 					key := fmt.Sprint("i-", rapid.IntRange(0, 5).Draw(t, "key"))
 					switch rapid.IntRange(0, 3).Draw(t, "what") {
@@ -52,25 +55,34 @@
 					default:
 						list[key] = replica.Row{Key: key, Value: []byte("{}"), Version: version}
 					}
+					row, ok := list[key]
+					if !ok {
+						row = replica.Row{Key: key, Version: version, Removed: true}
+					}
+					changed = append(changed, row)
 					changes++
 				}
+				byChange.apply(changed)
+				if !maps.EqualFunc(byChange.rows, list, func(got *cachedRow, want replica.Row) bool {
+					return got.version == want.Version && (got.rejected != nil) == !json.Valid(want.Value)
+				}) {
+					t.Fatalf("after changes: %v, want %v", byChange.rows, list)
+				}
 				var rows []replica.Row
 				for _, r := range list {
 					rows = append(rows, r)
 				}
 				pools, rejected := l.update(rows)
+				if pools := byChange.pools(); (len(pools) > 0) != slices.ContainsFunc(rows, func(r replica.Row) bool { return json.Valid(r.Value) }) {
+					t.Fatalf("pools with targets: %v", pools)
+				}
 				want, wantRejected := strictDecoder{decoded: &fullDecodes}.Targets(rows)
 				if diff := mismatch(pools["p"], want["p"], rejected, wantRejected); diff != "" {
 					t.Fatalf("%s", diff)
 				}
-				for _, r := range rows {
-					if !l.has(r.Key) {
-						t.Fatalf("%s is missing", r.Key)
-					}
-				}
 			}
-			if cachedDecodes > changes {
-				t.Fatalf("decoded %d rows for %d changes", cachedDecodes, changes)
+			if cachedDecodes > changes || changeDecodes > changes {
+				t.Fatalf("decoded %d and %d rows for %d changes", cachedDecodes, changeDecodes, changes)
 			}
 		})
 	})
--- a/internal/core/admission/short_test.go
+++ b/internal/core/admission/short_test.go
@@ -97,16 +97,17 @@
 func simulateShort(l shortLoad, seed uint64) (got []outcome, refusedByTargets int) {
 	const slots, queue, hop, step, span = 6, 24, 3 * time.Millisecond, time.Millisecond, 12 * time.Second
 	rnd := rand.New(rand.NewPCG(seed, 9))
-	list := make([]placement.Target, l.targets)
+	list := make([]placement.PoolTarget, l.targets)
 	plainTargets := make(map[uint64]*plainTarget)
 	for i := range list {
-		list[i] = placement.Target{UID: uint64(i + 1), ID: fmt.Sprint("i-", i), Slots: slots, DataCentre: "a"}
-		plainTargets[list[i].UID] = &plainTarget{slots: slots, queue: queue, free: make([]time.Duration, slots)}
+		t := placement.Target{UID: uint64(i + 1), ID: fmt.Sprint("i-", i), Slots: slots, DataCentre: "a"}
+		list[i] = placement.PoolTarget{Pool: "p", Target: t}
+		plainTargets[t.UID] = &plainTarget{slots: slots, queue: queue, free: make([]time.Duration, slots)}
 	}
 	balancers, gates := make([]*placement.Balancer, l.routers), make([]*admission.Gate, l.routers)
 	for i := range balancers {
 		balancers[i] = placement.New(placement.DefaultSettings("a"), rand.New(rand.NewPCG(seed, uint64(i))))
-		balancers[i].SetTargets(start, map[string][]placement.Target{"p": list})
+		balancers[i].UpdateTargets(start, placement.TargetChanges{Updated: list})
 		gates[i] = admission.NewGate()
 	}
 	got = make([]outcome, len(l.perSec))
--- a/internal/core/fleet/bench_test.go
+++ b/internal/core/fleet/bench_test.go
@@ -1,6 +1,8 @@
 package fleet_test
 
 import (
+	"fmt"
+	"net/netip"
 	"testing"
 	"time"
 
@@ -8,6 +10,7 @@
 
 	peerv1 "github.com/hemlockdyke/hemlockdyke/gen/hemlockdyke/peer/v1"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/fleet"
+	"github.com/hemlockdyke/hemlockdyke/internal/core/placement"
 )
 
 // BenchmarkDigestReceived measures the processing of a digest. The digests come in turn from 80
@@ -39,3 +42,45 @@
 		}
 	}
 }
+
+// BenchmarkFollowerSecond measures a second of a router that is no relay, by the number of routers
+// in five data centres and of targets with open requests: ten ticks, and ten digests of its feeder,
+// of which five list all routers. Its own requests change at each tick.
+func BenchmarkFollowerSecond(b *testing.B) {
+	for _, n := range []int{195, 985, 1970} {
+		b.Run(fmt.Sprint(n, " routers"), func(b *testing.B) {
+			c := fleet.New(start, fleet.Settings{Self: address(n), Incarnation: 1, Seed: 1, DataCentre: "dc-0", MaxApplyDelay: time.Second, MaxDepartureDelay: time.Second})
+			d := &peerv1.Digest{Protocol: fleet.Protocol, Incarnation: 7, Versions: []uint64{0, 0}, DataCentre: "dc-0", Strength: 9, Relay: true, Readers: 3, Scope: peerv1.Scope_SCOPE_FLEET, Report: &peerv1.Report{}, Yours: &peerv1.Report{}}
+			for i := range n / 2 {
+				d.Report.LoadTarget = append(d.Report.LoadTarget, uint64(i+1)*0x9E3779B97F4A7C15)
+				d.Report.LoadOpen = append(d.Report.LoadOpen, 1)
+			}
+			plain, _ := proto.Marshal(d)
+			d.Vouches = true
+			for i := range 5 {
+				d.Centres = append(d.Centres, fmt.Sprint("dc-", i))
+			}
+			for i := range n {
+				encoded, _ := netip.MustParseAddrPort(string(address(i))).MarshalBinary()
+				d.Known, d.KnownCentre, d.KnownStrength = append(d.Known, encoded), append(d.KnownCentre, uint32(i%5)), append(d.KnownStrength, uint32(1+(i/250)%2))
+			}
+			withList, _ := proto.Marshal(d)
+			now, sequence := start, uint64(0)
+			b.ReportAllocs()
+			for b.Loop() {
+				for i := range 10 {
+					now, sequence = now.Add(fleet.TickInterval), sequence+1
+					m := &peerv1.Digest{}
+					data := plain
+					if i%4 == 0 {
+						data = withList
+					}
+					_ = proto.Unmarshal(data, m)
+					m.Sequence = sequence
+					c.Step(now, fleet.DigestReceived{From: address(0), Digest: m})
+					c.Step(now, fleet.Tick{Loads: []placement.Load{{Target: 1, Open: 1 + i%2}}})
+				}
+			}
+		})
+	}
+}
--- a/internal/core/fleet/events.go
+++ b/internal/core/fleet/events.go
@@ -157,6 +157,10 @@
 		Version uint64
 		// Source is "store" or the address of the router that the change came from.
 		Source string
+		// Changes are the rows that were put or removed, in order. If Whole is set, all rows may
+		// have changed, and Changes is nil.
+		Changes []replica.Row
+		Whole   bool
 	}
 	// ReportReceived passes on what a source reported: open requests, outcomes at failing targets,
 	// which targets have read which prompt prefixes, departures and poison reports. Unless Partial
--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -201,6 +201,12 @@
 	return c.tables[t].Rows(), c.tables[t].Version()
 }
 
+// RowCount returns how many rows a table copy has.
+func (c *Core) RowCount(t Table) int { return c.tables[t].Len() }
+
+// TableVersion returns the version of a table copy.
+func (c *Core) TableVersion(t Table) uint64 { return c.tables[t].Version() }
+
 // HasTable reports whether a table has been read or copied.
 func (c *Core) HasTable(t Table) bool { return c.tables[t].Loaded() }
 
@@ -358,5 +364,6 @@
 	if t == DesiredTable {
 		c.behind = false // until the next tick compares the versions of all routers
 	}
-	c.emit(TableChanged{Table: t, Version: c.tables[t].Version(), Source: source})
+	changes, whole := c.tables[t].TakeChanges()
+	c.emit(TableChanged{Table: t, Version: c.tables[t].Version(), Source: source, Changes: changes, Whole: whole})
 }
--- a/internal/core/placement/evacuate.go
+++ b/internal/core/placement/evacuate.go
@@ -19,15 +19,13 @@
 	}
 	for _, t := range b.byUID {
 		t.evacuated = b.evacuationOrders.IsEvacuated(t.DataCentre)
+		t.pool.recount(t)
 		if returned[t.DataCentre] {
 			// The target may have been switched off during the evacuation, and may report too late
 			// that it is cold.
 			t.cold.extend(now, t.pool.limits.ColdDuration)
 		}
 	}
-	for _, p := range b.pools {
-		p.dataCentres = groupByDataCentre(p.targets)
-	}
 	return changes
 }
 
--- a/internal/core/placement/exited.go
+++ b/internal/core/placement/exited.go
@@ -34,6 +34,7 @@
 		return false
 	}
 	t.exitedAt = now
+	b.exited[uid] = t
 	t.health.markExited(now)
 	return true
 }
@@ -42,8 +43,8 @@
 // exited and whose ports are due for a probe. It counts them as probed.
 func (b *Balancer) TakeExitedTargetsToProbe(now time.Time) []Target {
 	var out []Target
-	for _, t := range b.byUID {
-		if !t.exitedAt.IsZero() && now.Sub(t.exitedAt) >= probeExitedAfter && now.Sub(t.probedAt) >= probeExitedAfter && !b.IsLeavingOrRemoved(t.UID) {
+	for _, t := range b.exited {
+		if now.Sub(t.exitedAt) >= probeExitedAfter && now.Sub(t.probedAt) >= probeExitedAfter && !b.IsLeavingOrRemoved(t.UID) {
 			t.probedAt = now
 			out = append(out, t.Target)
 		}
@@ -60,6 +61,7 @@
 	case !ok || t.exitedAt.IsZero():
 	case accepts:
 		t.exitedAt = time.Time{}
+		delete(b.exited, uid)
 	default:
 		t.exitedAt = now
 		t.health.markExited(now)
--- a/internal/core/placement/leaving.go
+++ b/internal/core/placement/leaving.go
@@ -41,7 +41,7 @@
 			return false
 		}
 		t.Leaving = true
-		t.pool.dataCentres = groupByDataCentre(t.pool.targets)
+		t.pool.recount(t)
 	}
 	return true
 }
@@ -73,7 +73,7 @@
 		case listed && !notice.contradictedSince.IsZero() && now.Sub(notice.contradictedSince) >= contradictionPeriod:
 			delete(b.leavingNotices, uid)
 			t.Leaving = false
-			t.pool.dataCentres = groupByDataCentre(t.pool.targets)
+			t.pool.recount(t)
 		}
 	}
 }
--- a/internal/core/placement/loads.go
+++ b/internal/core/placement/loads.go
@@ -37,20 +37,7 @@
 
 func (b *Balancer) addPeerLoad(l Load, sign int) {
 	if t, ok := b.byUID[l.Target]; ok {
-		t.peerOpen += sign * l.Open
-		t.peerSilent += sign * l.Silent
-	}
-}
-
-// recomputePeerLoads sums the reported loads anew, since the targets may have changed.
-func (b *Balancer) recomputePeerLoads() {
-	for _, t := range b.byUID {
-		t.peerOpen, t.peerSilent = 0, 0
-	}
-	for _, p := range b.reports {
-		for _, l := range p.loads {
-			b.addPeerLoad(l, 1)
-		}
+		t.addPeerLoad(l, sign)
 	}
 }
 
@@ -87,11 +74,9 @@
 // anew.
 func (b *Balancer) OwnLoads(now time.Time) []Load {
 	var out []Load
-	for uid, t := range b.byUID {
-		if t.ownOpen > 0 {
-			b.countSilent(now, t)
-			out = append(out, Load{Target: uid, Open: t.ownOpen, Silent: t.ownSilent})
-		}
+	for uid, t := range b.open {
+		b.countSilent(now, t)
+		out = append(out, Load{Target: uid, Open: t.ownOpen, Silent: t.ownSilent})
 	}
 	return out
 }
--- a/internal/core/placement/model.go
+++ b/internal/core/placement/model.go
@@ -181,6 +181,7 @@
 	m.addAnswer(now, r.unreadTokens, took, 1/max(b.slowdown(now, t), 1))
 	if m.isFitted() {
 		t.counts.decay(now)
+		b.counted[t.UID] = t
 		t.counts.took += took
 		t.counts.expected += m.firstEventSeconds(r.unreadTokens)
 	}
--- a/internal/core/placement/order.go
+++ b/internal/core/placement/order.go
@@ -11,56 +11,15 @@
 type dataCentre struct {
 	name         string
 	seed         uint64
-	relativeSize float64
+	relativeSize float64 // see pool.updateSizes
 	activeCount  float64 // number of active targets
+	listedCount  int     // number of targets
 }
 
 // maxDataCentres is how many data centres of a pool are ranked; the targets in any others rank
 // last.
 const maxDataCentres = 32
 
-// groupByDataCentre returns the data centres of a pool's targets, and sets the index of each
-// target's data centre.
-//
-// The relative size of a data centre is the number of its active targets relative to the mean of
-// all data centres, rounded to a power of two. The data centre gets a share of the chats in
-// proportion to it. A size that followed every target that joins or leaves would move chats between
-// data centres, where a move takes twice as long and is paid for twice. Rounding changes a target's
-// share by at most a factor of the square root of two; spilling evens out the rest. A data centre
-// without active targets has the size zero and does not change the sizes of the others.
-func groupByDataCentre(targets []*target) []dataCentre {
-	var out []dataCentre
-	index := make(map[string]int)
-	active := 0
-	for _, t := range targets {
-		i, ok := index[t.DataCentre]
-		if !ok {
-			i = len(out)
-			index[t.DataCentre] = i
-			out = append(out, dataCentre{name: t.DataCentre, seed: rendezvous.Hash(t.DataCentre)})
-		}
-		t.dataCentreIndex = i
-		if t.isActive() {
-			out[i].relativeSize++
-			active++
-		}
-	}
-	used := 0
-	for i := range out {
-		if out[i].relativeSize > 0 {
-			used++
-		}
-	}
-	mean := float64(active) / float64(max(used, 1))
-	for i := range out {
-		out[i].activeCount = out[i].relativeSize
-		if out[i].relativeSize > 0 {
-			out[i].relativeSize = math.Exp2(math.Round(math.Log2(out[i].relativeSize / mean)))
-		}
-	}
-	return out
-}
-
 // relativeSizeWithout returns the data centre's relative size if some of its active targets are
 // skipped, also rounded to a power of two.
 func (c *dataCentre) relativeSizeWithout(skipped float64) float64 {
--- a/internal/core/placement/outlier.go
+++ b/internal/core/placement/outlier.go
@@ -73,7 +73,7 @@
 }
 
 func (c *outcomeCounts) decay(now time.Time) {
-	if c.ended < negligibleCount && c.took < negligibleCount {
+	if c.isNegligible() {
 		// A shortcut that applies to most targets of a large pool, most of the time.
 		*c = outcomeCounts{decayedAt: now}
 		return
@@ -88,6 +88,10 @@
 	}
 }
 
+func (c *outcomeCounts) isNegligible() bool {
+	return c.ended < negligibleCount && c.took < negligibleCount
+}
+
 // add counts one ended request. failed is the weight of its failure; 0 if it did not fail.
 func (c *outcomeCounts) add(now time.Time, failed float64) {
 	c.decay(now)
@@ -230,8 +234,12 @@
 // slow to some router, and if all routers had to report it, they would all report all targets.
 func (b *Balancer) OutcomesToReport(now time.Time) []TargetOutcomes {
 	var out []TargetOutcomes
-	for uid, t := range b.byUID {
+	for uid, t := range b.counted {
 		t.counts.decay(now)
+		if t.counts.isNegligible() {
+			delete(b.counted, uid)
+			continue
+		}
 		o := TargetOutcomes{Target: uid}
 		reported := !t.failuresReportedAt.IsZero() && now.Sub(t.failuresReportedAt) < b.settings.LoadReportTTL
 		if t.counts.failed >= minReportedFailures || (reported && t.counts.ended >= minReportedFailures) {
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -5,12 +5,10 @@
 package placement
 
 import (
-	"math"
 	"math/rand/v2"
 	"time"
 
 	"github.com/hemlockdyke/hemlockdyke/internal/core/evacuation"
-	"github.com/hemlockdyke/hemlockdyke/internal/core/rendezvous"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/warmup"
 )
 
@@ -42,31 +40,6 @@
 	}
 }
 
-type pool struct {
-	targets     []*target
-	dataCentres []dataCentre
-	model       *latencyModel
-	limits      PoolLimits
-	// maxOpen is the limit of open requests of each target, derived from the connections that it
-	// accepts.
-	maxOpen float64
-	// maxColdPerSecond is how many requests a second a cold target may get from all routers; 0 if
-	// there is no limit.
-	maxColdPerSecond int
-}
-
-// PoolLimits are the limits that operators configure for the targets of a pool.
-type PoolLimits struct {
-	// MaxConnections is how many connections one target accepts from all routers together; 0 if
-	// unknown.
-	MaxConnections int
-	// ColdPerSecond is how many requests a second a cold target can take; 0 if there is no limit.
-	// ColdDuration is how long a target is cold after its start, and after the evacuation of its
-	// data centre has ended.
-	ColdPerSecond float64
-	ColdDuration  time.Duration
-}
-
 // sourceReport is the latest report of a source, see Balancer.ReceiveReport.
 type sourceReport struct {
 	receivedAt         time.Time
@@ -80,15 +53,18 @@
 type Balancer struct {
 	settings         Settings
 	rand             *rand.Rand
-	pools            map[string]*pool      // by name
-	limits           map[string]PoolLimits // by pool
-	byUID            map[uint64]*target
+	pools            map[string]*pool         // by name
+	limits           map[string]PoolLimits    // by pool
+	byUID            map[uint64]*target       // the listed targets, and unlisted
+	unlisted         map[uint64]*target       // removed targets at which requests were open
+	open             map[uint64]*target       // targets at which this router has open requests
+	counted          map[uint64]*target       // targets with outcomes of this router's requests
+	exited           map[uint64]*target       // targets whose processes are believed to have exited
 	reports          map[uint32]*sourceReport // by source
 	inventory        *inventory
 	models           map[string]*latencyModel // by pool
 	leavingNotices   map[uint64]*leavingNotice
 	sequence         uint64 // of the latest placement
-	listCount        uint64 // number of target lists
 	evacuationOrders evacuation.Orders
 	fleet            *warmup.Fleet // nil until the fleet is known
 }
@@ -97,84 +73,12 @@
 func New(s Settings, rnd *rand.Rand) *Balancer {
 	return &Balancer{
 		settings: s, rand: rnd, pools: make(map[string]*pool), limits: make(map[string]PoolLimits),
-		byUID: make(map[uint64]*target), reports: make(map[uint32]*sourceReport), inventory: newInventory(),
+		byUID: make(map[uint64]*target), unlisted: make(map[uint64]*target), open: make(map[uint64]*target),
+		counted: make(map[uint64]*target), exited: make(map[uint64]*target), reports: make(map[uint32]*sourceReport), inventory: newInventory(),
 		models: make(map[string]*latencyModel), leavingNotices: make(map[uint64]*leavingNotice),
 	}
 }
 
-// connectionShare is the share of a target's connections that requests may use. A request that has
-// ended holds its connection for a moment longer, and beyond its limit a target resets connections
-// with requests on them.
-const connectionShare = 0.9
-
-// SetLimits replaces the limits of all pools.
-func (b *Balancer) SetLimits(byPool map[string]PoolLimits) {
-	b.limits = byPool
-	for name, p := range b.pools {
-		b.applyLimits(name, p)
-	}
-}
-
-func (b *Balancer) applyLimits(name string, p *pool) {
-	p.limits, p.maxOpen = b.limits[name], math.Inf(1)
-	if n := p.limits.MaxConnections; n > 0 {
-		p.maxOpen = connectionShare * float64(n)
-	}
-	p.maxColdPerSecond = warmup.MaxPerSecond(p.limits.ColdPerSecond, b.settings.ColdMultiple, b.settings.ColdSlack)
-}
-
-// SetTargets replaces the targets of all pools. A removed target keeps its count until its last
-// request ends.
-func (b *Balancer) SetTargets(now time.Time, pools map[string][]Target) {
-	joinedAt := now
-	if len(b.byUID) == 0 {
-		joinedAt = time.Time{} // the targets of the first list were there before this router
-	}
-	b.pools = make(map[string]*pool, len(pools))
-	b.listCount++
-	for name, targets := range pools {
-		p := &pool{model: b.modelOf(name)}
-		b.applyLimits(name, p)
-		for _, t := range targets {
-			known, ok := b.byUID[t.UID]
-			if !ok {
-				known = &target{joinedAt: joinedAt, seed: rendezvous.Hash(t.ID)}
-				b.byUID[t.UID] = known
-			}
-			if !known.exitedAt.IsZero() && t.RowVersion > known.RowVersion {
-				// The target is running, since it has written its entry again.
-				known.exitedAt, known.probedAt, known.health = time.Time{}, time.Time{}, health{}
-			}
-			if t.RowVersion > known.RowVersion {
-				known.cold.extend(now, t.ColdRemaining)
-			}
-			known.Target, known.pool = t, p
-			known.evacuated = b.evacuationOrders.IsEvacuated(t.DataCentre)
-			b.applyLeavingNotice(now, known)
-			known.lastList = b.listCount
-			p.targets = append(p.targets, known)
-		}
-		p.dataCentres = groupByDataCentre(p.targets)
-		b.pools[name] = p
-	}
-	for uid, t := range b.byUID {
-		if t.lastList != b.listCount && t.ownOpen == 0 {
-			delete(b.byUID, uid)
-		}
-	}
-	b.recomputePeerLoads()
-}
-
-// modelOf returns the latency model of a pool, which is kept across target lists.
-func (b *Balancer) modelOf(pool string) *latencyModel {
-	m, ok := b.models[pool]
-	if !ok {
-		m = &latencyModel{}
-		b.models[pool] = m
-	}
-	return m
-}
-
 // SetLoadBounds replaces the load bounds of targets and the rate limits of cold ones.
 func (b *Balancer) SetLoadBounds(multiple, slack, coldMultiple, coldSlack float64) {
 	b.settings.LoadMultiple, b.settings.LoadSlack = multiple, slack
@@ -198,6 +102,7 @@
 	c := Choice{Target: t.Target, Rule: rule, Open: t.totalOpen(), Bound: bound, CacheSource: b.cacheSource(now, p, r, t), sequence: b.sequence}
 	t.pending = append(t.pending, pendingRequest{sequence: c.sequence, placedAt: now, prefixes: r.PromptPrefixes, unreadTokens: b.unreadTokens(now, r, t)})
 	t.ownOpen++
+	b.open[t.UID] = t
 	t.recordServing(now)
 	t.health.recordPlacement()
 	t.pause.recordPlacement()
@@ -212,7 +117,9 @@
 	if !ok {
 		return false
 	}
-	t.ownOpen--
+	if t.ownOpen--; t.ownOpen <= 0 {
+		delete(b.open, uid)
+	}
 	if o == Refused && t.hasFreeSlot() {
 		o = Errored // it has a free slot, so the refusal does not mean that it is full
 	}
@@ -228,6 +135,7 @@
 		return suspended
 	}
 	t.counts.add(now, weight)
+	b.counted[t.UID] = t
 	return suspended || (weight > 0 && b.ejectIfOutlier(now, t))
 }
 
@@ -242,15 +150,7 @@
 // IsLeavingOrRemoved reports whether a target is leaving or has been removed from the target list.
 func (b *Balancer) IsLeavingOrRemoved(uid uint64) bool {
 	t, ok := b.byUID[uid]
-	if !ok || t.Leaving {
-		return true
-	}
-	for _, p := range b.pools {
-		if p == t.pool { // each list creates new pools
-			return false
-		}
-	}
-	return true
+	return !ok || t.Leaving || !t.isListed()
 }
 
 // RecordSilence counts a failure of a target that has left a request unanswered for longer than its
--- a/internal/core/placement/target.go
+++ b/internal/core/placement/target.go
@@ -97,7 +97,6 @@
 	joinedAt time.Time
 	usedAt   time.Time // when a request was first seen at it; zero if never
 	seed     uint64    // hash of its ID, for the chats' orders
-	lastList uint64    // number of the last target list that contained it
 	ownOpen  int
 	peerOpen int // reported by all other routers
 	// ownSilent and peerSilent are how many of these are silent, see Load.
@@ -114,7 +113,9 @@
 	evacuated bool
 
 	pool            *pool
-	dataCentreIndex int // index into pool.dataCentres
+	poolIndex       int  // index into pool.targets; notListed if it is not among them
+	dataCentreIndex int  // index into pool.dataCentres
+	countedActive   bool // it counts as active there
 	pending         pendingRequests
 	counts          outcomeCounts // by this router's requests
 	// peerCounts are the sums reported by all other routers.
@@ -125,6 +126,16 @@
 	outlierCheckedAt   time.Time // when a report last caused an outlier check
 }
 
+// notListed is the poolIndex of a target that was removed from its pool.
+const notListed = -1
+
+func (t *target) isListed() bool { return t.poolIndex != notListed }
+
+func (t *target) addPeerLoad(l Load, sign int) {
+	t.peerOpen += sign * l.Open
+	t.peerSilent += sign * l.Silent
+}
+
 func (t *target) totalOpen() int { return t.ownOpen + t.peerOpen }
 
 // heldOpen returns how many requests the target holds for certain: the open ones that are not
--- a/internal/core/placement/targetset.go
+++ b/internal/core/placement/targetset.go
@@ -1,7 +1,6 @@
 package placement
 
 import (
-	"maps"
 	"slices"
 	"time"
 )
@@ -12,75 +11,195 @@
 // target that has exited refuses connections, or another lifetime answers in its place, so a
 // request that is sent there is not executed.
 type TargetSet struct {
-	version      uint64                      // of the latest list
-	entries      map[string]*entry           // by target ID
-	departures   map[uint64]pendingDeparture // by lifetime
-	updateCount  uint64
-	byPool       PoolLists // returned by ByPool
-	removedCount int       // number of entries that were removed from the list
-	// lifetimes are the UIDs of all entries; nil if the entries have changed since they were
-	// collected.
-	lifetimes map[uint64]bool
+	version    uint64                      // of the latest list
+	entries    map[string]*entry           // by target ID
+	byUID      map[uint64]*entry           // by the UID of the entry's lifetime
+	removed    map[string]*entry           // entries that were removed from the list
+	departures map[uint64]pendingDeparture // by lifetime
+	// changed are the IDs of the entries that changed since TakeChanges, with the UID of the
+	// lifetime at that time; 0 if there was none.
+	changed map[string]uint64
 }
 
 type entry struct {
-	pool       string
-	target     Target
-	lastUpdate uint64 // last update that listed the target
+	pool   string
+	row    Target // as in the list
+	listed bool   // the list contains it
+	// target is row with the departures that other routers reported, and RemovedAt.
+	target Target
 }
 
-// PoolLists are targets by pool. Refilling them reuses their memory: a new list of thousands of
-// targets for each change of one would keep the garbage collector busy.
-type PoolLists map[string][]Target
+// isUsable reports whether a target may get new requests as far as the list and departures say.
+func (e *entry) isUsable() bool { return e.target.RemovedAt.IsZero() && !e.target.Leaving }
 
-// Refill empties the lists, calls fill to add targets, and deletes the pools that remain empty.
-func (p PoolLists) Refill(fill func(add func(pool string, t Target))) {
-	for pool := range p {
-		p[pool] = p[pool][:0]
+// NewTargetSet returns an empty TargetSet.
+func NewTargetSet() *TargetSet {
+	return &TargetSet{
+		entries: make(map[string]*entry), byUID: make(map[uint64]*entry), removed: make(map[string]*entry),
+		departures: make(map[uint64]pendingDeparture), changed: make(map[string]uint64),
 	}
-	fill(func(pool string, t Target) { p[pool] = append(p[pool], t) })
-	maps.DeleteFunc(p, func(_ string, targets []Target) bool { return len(targets) == 0 })
 }
 
-// NewTargetSet returns an empty TargetSet.
-func NewTargetSet() *TargetSet {
-	return &TargetSet{entries: make(map[string]*entry), departures: make(map[uint64]pendingDeparture), byPool: make(PoolLists)}
+// ListChanges are the entries of the target list that a version changes.
+type ListChanges struct {
+	Listed   map[string][]Target // valid entries that are new or changed, by pool
+	Unlisted []string            // IDs of the entries that were removed
+	// Rejected are the IDs of the entries that are invalid now: their targets are dropped, whatever
+	// was listed before.
+	Rejected []string
+}
+
+// ListUpdate is what a version of the target list has changed.
+type ListUpdate struct {
+	// Ended are the lifetimes that have ended because their targets started again, according to the
+	// targets' own clocks.
+	Ended []Target
+	// Departures are the targets that were not leaving before and are now leaving or removed, and
+	// DepartedIDs their IDs, sorted. Targets with an invalid entry are left out: they may be
+	// running.
+	Departures  []Departure
+	DepartedIDs []string
 }
 
 // Update replaces the target list by the one of a version. rejected are the IDs of its invalid
-// entries: their targets are dropped, whatever was listed before. It returns the lifetimes that
-// have ended because their targets started again, according to the targets' own clocks.
+// entries.
+func (s *TargetSet) Update(now time.Time, version uint64, pools map[string][]Target, rejected []string) ListUpdate {
+	ch := ListChanges{Listed: pools, Rejected: rejected}
+	missing := make(map[string]bool, len(s.entries))
+	for id, e := range s.entries {
+		missing[id] = e.listed
+	}
+	for _, targets := range pools {
+		for _, t := range targets {
+			missing[t.ID] = false
+		}
+	}
+	for _, id := range rejected {
+		missing[id] = false
+	}
+	for id, isMissing := range missing {
+		if isMissing {
+			ch.Unlisted = append(ch.Unlisted, id)
+		}
+	}
+	return s.Apply(now, version, ch)
+}
+
+// Apply applies the changes that lead to a version of the target list. Its cost depends on the
+// number of changes, not on that of the targets.
 //
 // The latest list decides which lifetime of a target is current, not the later start: the wall
 // clock of a VM may have been set back between two starts.
-func (s *TargetSet) Update(now time.Time, version uint64, pools map[string][]Target, rejected []string) (ended []Target) {
+func (s *TargetSet) Apply(now time.Time, version uint64, ch ListChanges) ListUpdate {
 	s.version = max(s.version, version)
-	s.updateCount++
-	for pool, targets := range pools {
+	var u ListUpdate
+	for pool, targets := range ch.Listed {
 		for _, t := range targets {
-			known, ok := s.entries[t.ID]
-			if !ok {
-				known = &entry{target: t}
-				s.entries[t.ID] = known
-			}
-			if known.target.UID != t.UID && known.target.StartedAtMs < t.StartedAtMs {
-				ended = append(ended, known.target)
-			}
-			known.pool, known.target, known.lastUpdate = pool, t, s.updateCount
+			s.list(pool, t, &u)
 		}
 	}
-	for id, e := range s.entries {
-		switch {
-		case e.lastUpdate == s.updateCount:
-		case slices.Contains(rejected, id):
-			delete(s.entries, id)
-		case e.target.RemovedAt.IsZero():
-			e.target.RemovedAt = now
+	for _, id := range ch.Unlisted {
+		s.unlist(now, id, &u)
+	}
+	for _, id := range ch.Rejected {
+		s.drop(id)
+	}
+	s.dropCoveredDepartures()
+	slices.Sort(u.DepartedIDs)
+	return u
+}
+
+// list applies a new or changed entry.
+func (s *TargetSet) list(pool string, t Target, u *ListUpdate) {
+	id := t.ID
+	e, ok := s.entries[id]
+	if !ok {
+		e = &entry{}
+		s.entries[id] = e
+	}
+	before, wasUsable := e.target, ok && e.isUsable()
+	s.markChanged(id)
+	if ok && before.UID != t.UID {
+		delete(s.byUID, before.UID)
+		if before.StartedAtMs < t.StartedAtMs {
+			u.Ended = append(u.Ended, before)
+		}
+	}
+	e.pool, e.row, e.target, e.listed = pool, t, t, true
+	s.byUID[e.target.UID] = e
+	delete(s.removed, id)
+	if d, ok := s.departures[e.target.UID]; ok && d.ListVersion > s.version {
+		s.applyDeparture(e, d)
+	}
+	if wasUsable && e.row.Leaving && e.row.UID == before.UID {
+		u.add(Departure{Target: e.row.UID, ListVersion: s.version}, id)
+	}
+}
+
+// unlist applies the removal of an entry.
+func (s *TargetSet) unlist(now time.Time, id string, u *ListUpdate) {
+	e, ok := s.entries[id]
+	if !ok {
+		return
+	}
+	s.markChanged(id)
+	if e.isUsable() {
+		u.add(Departure{Target: e.target.UID, ListVersion: s.version, Removed: true}, id)
+	}
+	e.listed = false
+	s.remove(e, now)
+}
+
+// remove marks an entry as removed at a time, unless it is removed already.
+func (s *TargetSet) remove(e *entry, at time.Time) {
+	if e.target.RemovedAt.IsZero() {
+		e.target.RemovedAt = at
+	}
+	s.removed[e.target.ID] = e
+}
+
+// drop deletes an entry.
+func (s *TargetSet) drop(id string) {
+	e, ok := s.entries[id]
+	if !ok {
+		return
+	}
+	s.markChanged(id)
+	delete(s.entries, id)
+	delete(s.removed, id)
+	delete(s.byUID, e.target.UID)
+}
+
+// markChanged must be called before an entry changes.
+func (s *TargetSet) markChanged(id string) {
+	if _, ok := s.changed[id]; ok {
+		return
+	}
+	s.changed[id] = 0
+	if e, ok := s.entries[id]; ok {
+		s.changed[id] = e.target.UID
+	}
+}
+
+func (u *ListUpdate) add(d Departure, id string) {
+	u.Departures, u.DepartedIDs = append(u.Departures, d), append(u.DepartedIDs, id)
+}
+
+// TakeChanges returns the changes of the targets that may be used since the last call.
+func (s *TargetSet) TakeChanges() TargetChanges {
+	var out TargetChanges
+	changed := s.changed
+	s.changed = make(map[string]uint64) // a map that was large once takes long to visit and to clear
+	for id, uid := range changed {
+		e, ok := s.entries[id]
+		if uid != 0 && (!ok || e.target.UID != uid) {
+			out.Dropped = append(out.Dropped, uid)
+		}
+		if ok {
+			out.Updated = append(out.Updated, PoolTarget{e.pool, e.target})
 		}
 	}
-	s.reapplyDepartures()
-	s.refreshCaches()
-	return ended
+	return out
 }
 
 // Departure reports that a target is leaving, was removed from the target list, or has exited.
@@ -103,38 +222,6 @@
 	receivedAt time.Time
 }
 
-// NonLeavingTargets returns the listed targets that are not leaving, by ID. Unlike the active
-// targets of a Balancer, they include those in evacuated data centres.
-func (s *TargetSet) NonLeavingTargets() map[string]Target {
-	out := make(map[string]Target, len(s.entries))
-	for id, e := range s.entries {
-		if e.target.RemovedAt.IsZero() && !e.target.Leaving {
-			out[id] = e.target
-		}
-	}
-	return out
-}
-
-// DeparturesSince compares the current list with the NonLeavingTargets before it. It returns those
-// that are now leaving or removed, and their IDs, sorted. Targets with an invalid entry, for which
-// isListed still returns true, are left out: they may be running.
-func (s *TargetSet) DeparturesSince(before map[string]Target, isListed func(id string) bool) (out []Departure, ids []string) {
-	for id, t := range before {
-		e, ok := s.entries[id]
-		switch {
-		case ok && e.target.Leaving && e.target.UID == t.UID:
-			out = append(out, Departure{Target: t.UID, ListVersion: s.version})
-		case !isListed(id):
-			out = append(out, Departure{Target: t.UID, ListVersion: s.version, Removed: true})
-		default:
-			continue
-		}
-		ids = append(ids, id)
-	}
-	slices.Sort(ids)
-	return out, ids
-}
-
 // ApplyDepartures applies departures that another router reported. It returns those that were
 // unknown before, and the IDs of the targets that get no new requests as a result. A departure
 // counts until a list of its version or a later one arrives, which may take long.
@@ -146,53 +233,38 @@
 		pending := pendingDeparture{Departure: d, receivedAt: now}
 		s.departures[d.Target] = pending
 		newDepartures = append(newDepartures, d)
-		for id, e := range s.entries {
-			if e.target.UID == d.Target && e.applyDeparture(pending) {
-				ids = append(ids, id)
-			}
+		if e, ok := s.byUID[d.Target]; ok && e.isUsable() {
+			s.markChanged(e.target.ID)
+			s.applyDeparture(e, pending)
+			ids = append(ids, e.target.ID)
 		}
 	}
-	if len(ids) > 0 {
-		s.refreshCaches()
-	}
 	return newDepartures, ids
 }
 
-// refreshCaches must be called when entries have changed. It updates removedCount, which saves
-// RemoveExpired from iterating over all entries ten times a second, and clears lifetimes.
-func (s *TargetSet) refreshCaches() {
-	s.removedCount, s.lifetimes = 0, nil
-	for _, e := range s.entries {
-		if !e.target.RemovedAt.IsZero() {
-			s.removedCount++
-		}
-	}
-}
-
-// applyDeparture applies a departure and reports whether the target was listed and not leaving
-// before.
-func (e *entry) applyDeparture(d pendingDeparture) bool {
-	if e.target.Leaving || !e.target.RemovedAt.IsZero() {
-		return false
-	}
-	if d.Removed {
-		e.target.RemovedAt = d.receivedAt
-	} else {
+// applyDeparture applies a departure to an entry, unless it is leaving or removed already.
+func (s *TargetSet) applyDeparture(e *entry, d pendingDeparture) {
+	switch {
+	case !e.isUsable():
+	case d.Removed:
+		s.remove(e, d.receivedAt)
+	default:
 		e.target.Leaving = true
 	}
-	return true
 }
 
-// reapplyDepartures drops the departures that the new list covers, and applies the others to it.
-func (s *TargetSet) reapplyDepartures() {
+// dropCoveredDepartures drops the departures that the latest list covers. Their targets are as that
+// list says.
+func (s *TargetSet) dropCoveredDepartures() {
 	for uid, d := range s.departures {
-		if d.ListVersion <= s.version {
-			delete(s.departures, uid)
+		if d.ListVersion > s.version {
+			continue
 		}
-	}
-	for _, e := range s.entries {
-		if d, ok := s.departures[e.target.UID]; ok {
-			e.applyDeparture(d)
+		delete(s.departures, uid)
+		if e, ok := s.byUID[uid]; ok && e.listed {
+			s.markChanged(e.target.ID)
+			e.target = e.row
+			delete(s.removed, e.target.ID)
 		}
 	}
 }
@@ -218,38 +290,18 @@
 
 // RemoveExpired drops the targets whose retention has passed and reports whether there were any.
 func (s *TargetSet) RemoveExpired(now time.Time, retention Retention) bool {
-	if s.removedCount == 0 {
-		return false
-	}
 	dropped := false
-	for id, e := range s.entries {
-		if !e.target.RemovedAt.IsZero() && retention.isExpired(now, e.target.RemovedAt) {
-			delete(s.entries, id)
+	for id, e := range s.removed {
+		if retention.isExpired(now, e.target.RemovedAt) {
+			s.drop(id)
 			dropped = true
 		}
 	}
-	s.refreshCaches()
 	return dropped
 }
 
-// ByPool returns the targets by pool, including removed ones that are still retained. The result is
-// valid until the next call.
-func (s *TargetSet) ByPool() map[string][]Target {
-	s.byPool.Refill(func(add func(string, Target)) {
-		for _, e := range s.entries {
-			add(e.pool, e.target)
-		}
-	})
-	return s.byPool
-}
-
 // HasLifetime reports whether a lifetime is current or still retained.
 func (s *TargetSet) HasLifetime(uid uint64) bool {
-	if s.lifetimes == nil {
-		s.lifetimes = make(map[uint64]bool, len(s.entries))
-		for _, e := range s.entries {
-			s.lifetimes[e.target.UID] = true
-		}
-	}
-	return s.lifetimes[uid]
+	_, ok := s.byUID[uid]
+	return ok
 }
--- a/internal/core/placement/targetset_test.go
+++ b/internal/core/placement/targetset_test.go
@@ -39,9 +39,9 @@
 
 	It("keeps one lifetime of a target, and returns the one that has ended", func() {
 		s := placement.NewTargetSet()
-		Expect(s.Update(start, 0, lifetime(1), nil)).To(BeEmpty())
-		Expect(s.Update(start, 0, lifetime(1), nil)).To(BeEmpty())
-		ended := s.Update(start, 0, lifetime(2), nil)
+		Expect(s.Update(start, 0, lifetime(1), nil).Ended).To(BeEmpty())
+		Expect(s.Update(start, 0, lifetime(1), nil).Ended).To(BeEmpty())
+		ended := s.Update(start, 0, lifetime(2), nil).Ended
 		Expect(ended).To(HaveLen(1))
 		Expect(ended[0].StartedAtMs).To(BeEquivalentTo(1))
 		Expect(s.ByPool()[pool]).To(Equal(lifetime(2)[pool]))
@@ -54,9 +54,9 @@
 	It("uses the lifetime in the latest list, and does not report one as ended that began later", func() {
 		s := placement.NewTargetSet()
 		s.Update(start, 0, lifetime(2), nil)
-		Expect(s.Update(start, 0, lifetime(1), nil)).To(BeEmpty())
+		Expect(s.Update(start, 0, lifetime(1), nil).Ended).To(BeEmpty())
 		Expect(s.ByPool()[pool]).To(Equal(lifetime(1)[pool]))
-		Expect(s.Update(start, 0, lifetime(2), nil)).To(HaveLen(1))
+		Expect(s.Update(start, 0, lifetime(2), nil).Ended).To(HaveLen(1))
 	})
 
 	It("drops a target with an invalid entry at once", func() {
@@ -145,14 +145,12 @@
 				return out
 			}
 			update := func(s *placement.TargetSet, version int) []placement.Departure {
-				nonLeaving, list := s.NonLeavingTargets(), targetsAt(version)
+				list := targetsAt(version)
 				pools := map[string][]placement.Target{}
 				for _, target := range list {
 					pools["p"] = append(pools["p"], target)
 				}
-				s.Update(at, uint64(version), pools, nil)
-				departures, _ := s.DeparturesSince(nonLeaving, func(id string) bool { _, ok := list[id]; return ok })
-				return departures
+				return s.Update(at, uint64(version), pools, nil).Departures
 			}
 			current, delayed := placement.NewTargetSet(), placement.NewTargetSet()
 			update(delayed, 0)
--- a/internal/core/replica/replica.go
+++ b/internal/core/replica/replica.go
@@ -18,18 +18,25 @@
 	Removed bool
 }
 
-// maxRemoved is how many removed rows are kept for routers with older copies. A router whose copy
-// is older than these receives the whole table.
-const maxRemoved = 512
+// minLogged is how many changes are kept at least for routers with older copies, and
+// loggedShare of the number of rows if that is more: a longer list of changes costs as much as the
+// whole table. A router whose copy is older than the kept changes receives the whole table.
+const (
+	minLogged   = 512
+	loggedShare = 0.5
+)
 
 // Table is a router's copy of one table. It is not safe for concurrent use.
 type Table struct {
-	rows         map[string]Row
-	sorted       []Row  // rows sorted by key
-	removed      []Row  // in order of version
-	version      uint64 // the copy is the table as of this version
-	removedSince uint64 // removed holds all removals after this version
-	loaded       bool
+	rows     map[string]Row
+	sorted   []Row  // rows sorted by key
+	log      []Row  // the changes after logSince, in order of version
+	logSince uint64 // log is complete after this version
+	version  uint64 // the copy is the table as of this version
+	loaded   bool
+
+	untaken      []Row // changes that TakeChanges has not returned yet, in order
+	wholeUntaken bool  // all rows have changed since the last TakeChanges
 }
 
 // New returns an empty copy that has not been loaded.
@@ -48,6 +55,9 @@
 	return slices.Clone(t.sorted)
 }
 
+// Len returns how many rows there are.
+func (t *Table) Len() int { return len(t.sorted) }
+
 func sortedByKey(rows map[string]Row) []Row {
 	return slices.SortedFunc(maps.Values(rows), func(a, b Row) int { return cmp.Compare(a.Key, b.Key) })
 }
@@ -62,25 +72,36 @@
 	for _, r := range rows {
 		next[r.Key] = r
 	}
-	if t.loaded && t.hasSameRows(next) {
-		t.version = version
-		return false
+	if t.loaded {
+		return t.loadDifference(version, next)
 	}
-	t.rows, t.sorted, t.removed = next, sortedByKey(next), nil
-	t.version, t.removedSince, t.loaded = version, version, true
+	t.rows, t.sorted = next, sortedByKey(next)
+	t.version, t.logSince, t.loaded, t.wholeUntaken = version, version, true, true
 	return true
 }
 
-func (t *Table) hasSameRows(rows map[string]Row) bool {
-	if len(rows) != len(t.rows) {
-		return false
-	}
-	for key, r := range rows {
+// loadDifference replaces the rows of a loaded copy. The difference is no log for other routers: it
+// lacks the removals of rows that were put and removed between the two versions, which some of them
+// may hold.
+func (t *Table) loadDifference(version uint64, next map[string]Row) bool {
+	var changes []Row
+	for key, r := range next {
 		old, ok := t.rows[key]
 		if !ok || old.Version != r.Version || !bytes.Equal(old.Value, r.Value) {
-			return false
+			changes = append(changes, r)
+		}
+	}
+	for key := range t.rows {
+		if _, ok := next[key]; !ok {
+			changes = append(changes, Row{Key: key, Version: version, Removed: true})
 		}
 	}
+	t.version = version
+	if len(changes) == 0 {
+		return false
+	}
+	t.rows, t.sorted, t.log, t.logSince = next, sortedByKey(next), nil, version
+	t.untaken = append(t.untaken, changes...)
 	return true
 }
 
@@ -98,51 +119,67 @@
 		changed = true
 	}
 	t.version = max(t.version, version)
+	t.trimLog()
 	return changed
 }
 
 func (t *Table) applyRow(r Row) {
 	t.version = r.Version
+	t.log = append(t.log, r)
+	t.untaken = append(t.untaken, r)
 	at, found := slices.BinarySearchFunc(t.sorted, r.Key, func(row Row, key string) int { return cmp.Compare(row.Key, key) })
-	if !r.Removed {
-		t.rows[r.Key] = r
+	switch {
+	case r.Removed:
+		delete(t.rows, r.Key)
 		if found {
-			t.sorted[at] = r
-		} else {
-			t.sorted = slices.Insert(t.sorted, at, r)
+			t.sorted = slices.Delete(t.sorted, at, at+1)
 		}
 		return
+	case found:
+		t.sorted[at] = r
+	default:
+		t.sorted = slices.Insert(t.sorted, at, r)
 	}
-	delete(t.rows, r.Key)
-	if found {
-		t.sorted = slices.Delete(t.sorted, at, at+1)
+	t.rows[r.Key] = r
+}
+
+// trimLog drops the oldest changes if there are too many, down to half of the limit: each time it
+// copies the log.
+func (t *Table) trimLog() {
+	limit := max(minLogged, int(loggedShare*float64(len(t.rows))))
+	if len(t.log) <= limit {
+		return
 	}
-	t.removed = append(t.removed, r)
-	if len(t.removed) > maxRemoved {
-		cut := len(t.removed) - maxRemoved/2
-		t.removedSince = t.removed[cut-1].Version
-		t.removed = slices.Clone(t.removed[cut:])
+	cut := len(t.log) - limit/2
+	t.logSince = t.log[cut-1].Version
+	for cut < len(t.log) && t.log[cut].Version == t.logSince {
+		cut++ // the rest of a transaction of which a part is dropped
 	}
+	t.log = slices.Clone(t.log[cut:])
+}
+
+// TakeChanges returns the rows that were put or removed since the last call, in order, or whole if
+// the first content has been loaded since then.
+func (t *Table) TakeChanges() (changes []Row, whole bool) {
+	changes, whole = t.untaken, t.wholeUntaken
+	t.untaken, t.wholeUntaken = nil, false
+	if whole {
+		return nil, true
+	}
+	return changes, false
 }
 
 // ChangesSince returns what a copy of version after lacks: the later changes sorted by version, or
-// the whole table if removals may be missing from the changes. A read in several pages can leave
-// rows newer than the table's version; these are omitted, because a copy that received them would
-// wrongly skip all older changes.
+// the whole table if the changes kept do not reach back to that version.
 func (t *Table) ChangesSince(after uint64) (rows []Row, whole bool) {
-	if after == 0 || after < t.removedSince {
+	if after == 0 || after < t.logSince {
 		return t.Rows(), true
 	}
-	for _, r := range t.rows {
-		if r.Version > after && r.Version <= t.version {
-			rows = append(rows, r)
-		}
-	}
-	for _, r := range t.removed {
-		if r.Version > after {
-			rows = append(rows, r)
+	first, _ := slices.BinarySearchFunc(t.log, after, func(r Row, v uint64) int {
+		if r.Version <= v {
+			return -1
 		}
-	}
-	slices.SortFunc(rows, func(a, b Row) int { return cmp.Compare(a.Version, b.Version) })
-	return rows, false
+		return 1
+	})
+	return slices.Clone(t.log[first:]), false
 }
--- a/internal/core/replica/replica_test.go
+++ b/internal/core/replica/replica_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -55,6 +56,21 @@
 	return out
 }
 
+// follow applies to rows the changes of a copy that were not taken yet.
+func follow(rows map[string]replica.Row, c *replica.Table) {
+	changes, whole := c.TakeChanges()
+	if whole {
+		clear(rows)
+		changes = c.Rows()
+	}
+	for _, r := range changes {
+		rows[r.Key] = r
+		if r.Removed {
+			delete(rows, r.Key)
+		}
+	}
+}
+
 func row(key, value string) replica.Row { return replica.Row{Key: key, Value: []byte(value)} }
 
 var _ = Describe("a table copy", func() {
@@ -66,6 +82,7 @@
 			h := newHistory()
 			copies := []*replica.Table{replica.New(), replica.New(), replica.New()}
 			versions := make([]uint64, len(copies))
+			followed := []map[string]replica.Row{{}, {}, {}}
 			for range rapid.IntRange(1, 40).Draw(t, "steps") {
 				i := rapid.IntRange(0, len(copies)-1).Draw(t, "copy")
 				c := copies[i]
@@ -99,6 +116,10 @@
 					continue
 				}
 				want := h.content[c.Version()]
+				follow(followed[i], c)
+				if !maps.EqualFunc(followed[i], want, func(a, b replica.Row) bool { return a.Version == b.Version }) {
+					t.Fatalf("at version %d: its changes lead to %v, want %v", c.Version(), followed[i], want)
+				}
 				if len(c.Rows()) != len(want) {
 					t.Fatalf("at version %d: rows are %v, want %v", c.Version(), c.Rows(), want)
 				}
