Bytes of a request that was given up are no longer delivered by a closed connection

The router closed connections in order, after which the kernel goes on delivering what it holds. `read: connection timed out` at 12.4007 s on all connections silent since 9.4 s: the keep-alive probes ended them, 1.05 s after a request was written on one that had been idle. Such an end is no reset, so the bytes stay under way. 3.

Change: SO_LINGER 0 from the dial on, so that every close is a reset, that of a killed process too. Keep-alive probes are off until the request is acknowledged (SIOCOUTQ), and a connection whose bytes stay unacknowledged for 1.4 s, within TCP_USER_TIMEOUT, is reset by the router itself. Answers that take less than 0.7 s cost no system call more.

--- a/internal/adapter/upstream/conn.go
+++ b/internal/adapter/upstream/conn.go
@@ -7,6 +7,7 @@
 	"syscall"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
 )
 
@@ -31,25 +32,26 @@
 	userTimeout       = 1500 * time.Millisecond
 )
 
+var keepAliveConfig = net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveProbes}
+
 func newDialer(timeout time.Duration) *net.Dialer {
 	return &net.Dialer{
-		Timeout: timeout,
-		KeepAliveConfig: net.KeepAliveConfig{
-			Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveProbes,
-		},
-		Control: func(_, _ string, raw syscall.RawConn) error { return setUserTimeout(raw) },
+		Timeout:   timeout,
+		KeepAlive: -1, // see watch
+		Control:   func(_, _ string, raw syscall.RawConn) error { return setOptions(raw) },
 	}
 }
 
-func setUserTimeout(raw syscall.RawConn) error {
-	var sockErr error
+// setOptions makes each close a reset, whether by this process or by the kernel at its end, so that
+// bytes which were not delivered are discarded. After an orderly close the kernel goes on delivering
+// them: a request that was given up during a partition would be executed after it.
+func setOptions(raw syscall.RawConn) error {
+	var timeoutErr, lingerErr error
 	err := raw.Control(func(fd uintptr) {
-		sockErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
+		timeoutErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
+		lingerErr = unix.SetsockoptLinger(int(fd), unix.SOL_SOCKET, unix.SO_LINGER, &unix.Linger{Onoff: 1, Linger: 0})
 	})
-	if err != nil {
-		return err
-	}
-	return sockErr
+	return errors.Join(err, timeoutErr, lingerErr)
 }
 
 func dial(ctx context.Context, d *net.Dialer, address string) (*conn, error) {
--- a/internal/adapter/upstream/upstream.go
+++ b/internal/adapter/upstream/upstream.go
@@ -123,17 +123,23 @@
 		a.abort()
 		return nil, errors.Mark(ErrWithdrawn, ErrNotSent)
 	}
-	if err := a.write(r); err != nil {
-		a.abort()
-		return nil, errors.Mark(err, ErrConnectionBroken)
-	}
-	if err := a.readHeader(r); err != nil {
+	if err := a.exchange(r); err != nil {
 		a.abort()
 		return nil, err
 	}
 	return a, nil
 }
 
+// exchange writes the request and reads the header of its answer.
+func (a *Answer) exchange(r Request) error {
+	w := startWatch(a.conn)
+	defer w.end()
+	if err := a.write(r); err != nil {
+		return errors.Mark(err, ErrConnectionBroken)
+	}
+	return a.readHeader(r)
+}
+
 // connect returns a reusable idle connection to the target, or dials a new one.
 func (c *Client) connect(ctx context.Context, r Request) (*conn, error) {
 	for {
