A target list that changes all the time is copied at a pace of its own

While the entries of 10,002 targets come at 370 a second, the first reader passes on four changes a second. Each made every router copy the list at once, and send three digests and, as a relay, announcements to its whole data centre for it: changes x routers, 985 copies and some 20,000 datagrams four times a second. What grows faster than the fleet: both factors grow with it.

Ruled out as the reason for the haste: departures, which urgent reports spread without the list.

Change: all routers together copy the list at most 1,000 times a second, each at least once in 0.2 of the time in which departures must be known (5 s on the whole fleet: once a second for 1,000 routers and more; with 9 routers every 9 ms, so nothing changes there). A changed list triggers digests once per such interval; otherwise its version travels with the next digest, a relay's within 0.2 s. A copy counts as progress, so a router that always lags a little does not read the store itself. At 1,970 routers the interval stays at a second: 1,970 copies a second, two per router and second fewer than before.

--- a/internal/core/fleet/copying.go
+++ b/internal/core/fleet/copying.go
@@ -10,12 +10,29 @@
 
 // copyState is the state of copying one table from other routers.
 type copyState struct {
-	deadline time.Time // deadline of the pending request; zero if there is none
-	failures int       // consecutive failures
+	deadline  time.Time // deadline of the pending request; zero if there is none
+	notBefore time.Time // earliest time of the next request
+	failures  int       // consecutive failures
 	// behindSince is since when other routers have reported a newer version; zero if none does.
 	behindSince time.Time
 }
 
+const (
+	// targetsCopiesPerSecond is how many copies of the target list the routers of a fleet request
+	// together. In a large pool some entry always changes, and a copy per router for each change
+	// would grow with the fleet and its targets alike.
+	targetsCopiesPerSecond = 1000
+	// targetsCopyShare is the largest share of MaxDepartureDelay between two copies.
+	targetsCopyShare = 0.2
+)
+
+// targetsCopyInterval returns the shortest time between two copies of the target list by a router
+// that is no relay.
+func (c *Core) targetsCopyInterval() time.Duration {
+	interval := time.Second * time.Duration(len(c.peers)+1) / targetsCopiesPerSecond
+	return min(interval, time.Duration(targetsCopyShare*float64(c.settings.MaxDepartureDelay)))
+}
+
 // timeout returns the timeout of the next copy request.
 func (c *copyState) timeout() time.Duration {
 	return min(minCopyTimeout<<min(c.failures, 8), maxCopyTimeout)
@@ -26,7 +43,7 @@
 	for i := range c.tables {
 		t := Table(i)
 		copying := &c.copying[t]
-		if now.Before(copying.deadline) {
+		if now.Before(copying.deadline) || now.Before(copying.notBefore) {
 			continue
 		}
 		if from, ok := c.newestHolder(now, t); ok {
@@ -119,6 +136,9 @@
 		return
 	}
 	c.copying[ev.Table].failures = 0
+	if ev.Table == TargetsTable && !c.relay {
+		c.copying[ev.Table].notBefore = now.Add(c.targetsCopyInterval())
+	}
 	rows := make([]replica.Row, len(ev.Response.GetRows()))
 	for i, r := range ev.Response.GetRows() {
 		rows[i] = replica.Row{Key: r.GetKey(), Value: r.GetValue(), Version: r.GetVersion(), Removed: r.GetRemoved()}
@@ -132,7 +152,7 @@
 	}
 	if changed {
 		c.readStates[ev.Table].needsFullRead = false
-		c.tableChanged(ev.Table, string(ev.From))
+		c.tableChanged(now, ev.Table, string(ev.From))
 	}
 }
 
--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -157,8 +157,9 @@
 	centres                map[string]*centre // data centres with running routers
 	topologyStale          bool               // centres must be recomputed
 	relay                  bool
-	remainingAnnouncements int     // own digests that still go to the whole data centre
-	feeder                 Address // empty if there is none
+	remainingAnnouncements int       // own digests that still go to the whole data centre
+	targetsAnnouncedAt     time.Time // when a changed target list last triggered a digest
+	feeder                 Address   // empty if there is none
 	fedAt                  time.Time
 	feedRequestedAt        time.Time // when the feeder was chosen
 	lastReceivedAt         time.Time // time of the last digest from any router
@@ -357,12 +358,18 @@
 }
 
 // tableChanged reports changed content. It triggers a digest immediately, because other routers
-// request a copy as soon as they learn of the new version.
-func (c *Core) tableChanged(t Table, source string) {
-	c.digestPending = true
-	c.remainingAnnouncements = max(c.remainingAnnouncements, 1)
+// request a copy as soon as they learn of the new version. Of target lists that follow each other
+// soon, only the first does so, and the others wait for the next digest: urgent reports spread
+// departures, and a digest and a copy per router for each change would grow with the fleet and its
+// targets alike.
+func (c *Core) tableChanged(now time.Time, t Table, source string) {
+	if t == DesiredTable || due(now, &c.targetsAnnouncedAt, c.targetsCopyInterval()) {
+		c.digestPending = true
+		c.remainingAnnouncements = max(c.remainingAnnouncements, 1)
+	}
+	c.copying[t].behindSince = time.Time{} // until the next tick compares the versions of all routers
 	if t == DesiredTable {
-		c.behind = false // until the next tick compares the versions of all routers
+		c.behind = false
 	}
 	changes, whole := c.tables[t].TakeChanges()
 	c.emit(TableChanged{Table: t, Version: c.tables[t].Version(), Source: source, Changes: changes, Whole: whole})
--- a/internal/core/fleet/store.go
+++ b/internal/core/fleet/store.go
@@ -14,7 +14,7 @@
 		r.batchUntil = now.Add(c.batchDelay(ev.Table))
 	}
 	if c.tables[ev.Table].Apply(ev.Rows, 0) {
-		c.tableChanged(ev.Table, storeSource)
+		c.tableChanged(now, ev.Table, storeSource)
 	}
 }
 
@@ -25,7 +25,7 @@
 	r.needsFullRead = false
 	r.position = max(r.position, ev.Position)
 	if c.tables[ev.Table].Load(ev.Position, ev.Rows) {
-		c.tableChanged(ev.Table, storeSource)
+		c.tableChanged(now, ev.Table, storeSource)
 	}
 }
 
