A failed attempt says when its router last saw any target

All dials go through one client, which tests can point to a faulty link for one router only (DialAddress); the port probe of package gateway had a dialer of its own. No decision is changed.

--- a/internal/adapter/upstream/upstream.go
+++ b/internal/adapter/upstream/upstream.go
@@ -43,6 +43,9 @@
 	// DefaultIdleTimeout applies to connections whose target announces no idle timeout.
 	// MaxIdleTimeout caps the timeout that a target announces.
 	DefaultIdleTimeout, MaxIdleTimeout time.Duration
+	// DialAddress, if set, returns the address to dial for a target's address, so that tests can put a
+	// faulty link between one router and a target.
+	DialAddress func(address string) string
 }
 
 // DefaultSettings returns the settings that the router uses.
@@ -68,6 +71,8 @@
 	// ConfirmSend, if set, is called right before the first byte is written. If it returns false,
 	// nothing is written and Do fails with ErrWithdrawn.
 	ConfirmSend func() bool
+	// OnConnect, if set, is called when a new connection for the request has been accepted.
+	OnConnect func()
 	// OnHeader, if set, is called for each final answer on the connection, including answers to
 	// other requests.
 	OnHeader func(status int, h http.Header)
@@ -155,7 +160,28 @@
 	if c.onDial != nil {
 		c.onDial()
 	}
-	return dial(ctx, c.dialer, r.Address)
+	cn, err := dial(ctx, c.dialer, c.dialAddress(r.Address))
+	if err == nil && r.OnConnect != nil {
+		r.OnConnect()
+	}
+	return cn, err
+}
+
+func (c *Client) dialAddress(address string) string {
+	if c.settings.DialAddress == nil {
+		return address
+	}
+	return c.settings.DialAddress(address)
+}
+
+// Probe opens a connection to an address and closes it without sending a request. It fails with
+// syscall.ECONNREFUSED if no process listens there.
+func (c *Client) Probe(ctx context.Context, address string) error {
+	cn, err := c.dialer.DialContext(ctx, "tcp", c.dialAddress(address))
+	if err != nil {
+		return err
+	}
+	return cn.Close()
 }
 
 func (c *Client) popIdle(target uint64) *conn {
--- a/internal/app/gateway/answer.go
+++ b/internal/app/gateway/answer.go
@@ -105,6 +105,7 @@
 		n, err := answer.Read(chunk)
 		if n > 0 {
 			t.silence.stop()
+			t.request.proxy.traffic.path.recordBytes(t.request.proxy.now(), t.request.match.pool)
 			pending = append(pending, chunk[:n]...)
 			rest, action := t.forwardEvents(answer, pending)
 			if action.Kind == attempt.Finish {
--- a/internal/app/gateway/bench_test.go
+++ b/internal/app/gateway/bench_test.go
@@ -59,7 +59,8 @@
 func (unreachableTargets) Do(context.Context, upstream.Request) (*upstream.Answer, error) {
 	return nil, upstream.ErrNotSent
 }
-func (unreachableTargets) Prune(func(uint64) bool) {}
+func (unreachableTargets) Probe(context.Context, string) error { return nil }
+func (unreachableTargets) Prune(func(uint64) bool)             {}
 
 func targetRow(i int, version uint64) replica.Row {
 	value := fmt.Sprintf(`{"Service":"p","Address":"10.1.%d.%d:80","Zone":"a","Version":"v1","Slots":16,"State":"ready","ColdRemainingMs":0,"Seq":%d}`, i/250, i%250, version)
--- a/internal/app/gateway/control.go
+++ b/internal/app/gateway/control.go
@@ -85,7 +85,7 @@
 			gates:        make(map[string]*admission.Gate),
 			retryBudgets: make(map[string]*retry.Window), retrySpan: s.RetrySpan,
 			retryLimits:  retry.Limits{Ratio: s.RetryRatio, Slack: s.RetrySlack, Routers: initialSlackSharers(s.FirstStart)},
-			openAttempts: newAttemptRegistry(), poisonGuard: newPoisonGuard(s.Address, s.FirstStart),
+			openAttempts: newAttemptRegistry(), path: newPathState(), poisonGuard: newPoisonGuard(s.Address, s.FirstStart),
 		},
 		suspectsChanged: make(chan struct{}, 1),
 		inbox:           make(chan func(time.Time), inboxSize), stopped: make(chan struct{}),
--- a/internal/app/gateway/leaving_test.go
+++ b/internal/app/gateway/leaving_test.go
@@ -178,7 +178,8 @@
 	return nil, errors.New("no answer")
 }
 
-func (*attemptRecorder) Prune(func(uint64) bool) {}
+func (*attemptRecorder) Probe(context.Context, string) error { return nil }
+func (*attemptRecorder) Prune(func(uint64) bool)             {}
 
 // takeCount returns the number of attempts at a target and resets all counts.
 func (r *attemptRecorder) takeCount(id string) int {
--- a/internal/app/gateway/poison.go
+++ b/internal/app/gateway/poison.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"net"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -123,8 +122,6 @@
 }
 
 const (
-	// probeTimeout bounds how long a target may take to accept or refuse a connection.
-	probeTimeout = 300 * time.Millisecond
 	// exitedProbeTTL and runningProbeTTL are how long a probe's result is valid. A lifetime that
 	// has ended does not return, but a running target may exit at any time.
 	exitedProbeTTL  = 5 * time.Second
@@ -207,29 +204,19 @@
 
 // probeTarget probes the target's port. The port of an exited process refuses connections.
 func (p *Proxy) probeTarget(target placement.Target) {
-	exited := errors.Is(probePort(context.Background(), target.Address), syscall.ECONNREFUSED)
+	exited := errors.Is(p.upstream.Probe(context.Background(), target.Address), syscall.ECONNREFUSED)
 	if requests := p.traffic.poisonGuard.finishProbe(p.now(), target.UID, exited); exited {
 		p.handleTargetExit(target, requests)
 	}
 }
 
-// probePort opens a connection and closes it without sending a request.
-func probePort(ctx context.Context, address string) error {
-	dialer := net.Dialer{Timeout: probeTimeout}
-	c, err := dialer.DialContext(ctx, "tcp", address)
-	if err != nil {
-		return err
-	}
-	return c.Close()
-}
-
 // probeExitedTargets probes targets that are believed to have exited, shortly before they would get
 // requests again. Without the probe, a request would find out that the connection is refused, and
 // its caller would wait for another target.
 func (c *Control) probeExitedTargets(ctx context.Context, now time.Time) {
 	for _, t := range c.traffic.takeExitedTargetsToProbe(now) {
 		go func() {
-			err := probePort(ctx, t.Address)
+			err := c.upstream.Probe(ctx, t.Address)
 			c.traffic.recordProbe(c.now(), t.UID, err == nil)
 		}()
 	}
--- a/internal/app/gateway/ports.go
+++ b/internal/app/gateway/ports.go
@@ -81,6 +81,9 @@
 type Upstream interface {
 	// Do sends one attempt and returns the answer when its header has been read.
 	Do(ctx context.Context, r upstream.Request) (*upstream.Answer, error)
+	// Probe opens a connection to an address and closes it without sending a request. It fails with
+	// syscall.ECONNREFUSED if no process listens there.
+	Probe(ctx context.Context, address string) error
 	// Prune closes idle connections whose idle timeout has passed, and those to lifetimes for which
 	// isUsed returns false.
 	Prune(isUsed func(uid uint64) bool)
--- a/internal/app/gateway/run.go
+++ b/internal/app/gateway/run.go
@@ -108,7 +108,7 @@
 		r.logLine(eventlog.TargetSuspended).Str("target", choice.Target.ID).Str("why", a.failure).Msg("")
 	}
 	if a.failure != "" {
-		r.logLine(eventlog.AttemptFailed).Int("attempt", a.number).Str("target", choice.Target.ID).
+		p.traffic.path.logLastSeen(r.logLine(eventlog.AttemptFailed), p.now(), r.match.pool).Int("attempt", a.number).Str("target", choice.Target.ID).
 			Str("why", a.failure).AnErr("error", a.err).Int("events", a.events).Dur("after", took).Msg("")
 	}
 	return action
--- a/internal/app/gateway/signals_test.go
+++ b/internal/app/gateway/signals_test.go
@@ -41,7 +41,8 @@
 	return nil, upstream.ErrConnectionBroken
 }
 
-func (*slowDialUpstream) Prune(func(uint64) bool) {}
+func (*slowDialUpstream) Probe(context.Context, string) error { return nil }
+func (*slowDialUpstream) Prune(func(uint64) bool)             {}
 
 // startOnlyRouter starts a fleet of one router and waits until it is ready and knows all targets.
 func startOnlyRouter(ctx context.Context, store gateway.Store, up gateway.Upstream, targets int) *gateway.Control {
--- a/internal/app/gateway/stale_test.go
+++ b/internal/app/gateway/stale_test.go
@@ -74,7 +74,8 @@
 func (failingUpstream) Do(context.Context, upstream.Request) (*upstream.Answer, error) {
 	return nil, errors.New("no target")
 }
-func (failingUpstream) Prune(func(uint64) bool) {}
+func (failingUpstream) Probe(context.Context, string) error { return nil }
+func (failingUpstream) Prune(func(uint64) bool)             {}
 
 var _ = Describe("a router that can't copy a newer desired state", func() {
 	const maxApplyDelay = 800 * time.Millisecond
--- a/internal/app/gateway/target_attempt.go
+++ b/internal/app/gateway/target_attempt.go
@@ -107,8 +107,12 @@
 	return upstream.Request{
 		TargetUID: t.choice.Target.UID, Address: t.choice.Target.Address,
 		Method: call.Method, URI: call.URI, Host: call.Host, Header: r.proxy.codec.PrepareHeader(call, a), Body: r.body,
-		IsAnswer:    func(h http.Header) bool { return r.proxy.codec.MatchesCall(call, h) },
-		OnHeader:    t.applySignals,
+		IsAnswer:  func(h http.Header) bool { return r.proxy.codec.MatchesCall(call, h) },
+		OnConnect: func() { r.proxy.traffic.path.recordConnection(r.proxy.now(), r.match.pool) },
+		OnHeader: func(status int, h http.Header) {
+			r.proxy.traffic.path.recordBytes(r.proxy.now(), r.match.pool)
+			t.applySignals(status, h)
+		},
 		ConfirmSend: t.confirmSend,
 	}
 }
--- a/internal/app/gateway/view.go
+++ b/internal/app/gateway/view.go
@@ -41,6 +41,7 @@
 	targetsRowVersion atomic.Uint64
 
 	openAttempts *attemptRegistry
+	path         *pathState
 	poisonGuard  *poisonGuard
 
 	mu              sync.Mutex
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -29,6 +29,9 @@
 	// GracePeriod is the time between SIGTERM and the kill of the process.
 	GracePeriod time.Duration
 	Gateway     gateway.Settings
+	// DialAddress, if set, returns the address to dial for a target's address. Tests use it to put
+	// faulty links between this router and the targets.
+	DialAddress func(address string) string
 }
 
 const (
@@ -95,7 +98,9 @@
 		return nil, err
 	}
 	g.digestSocket = digestSocket
-	targets := upstream.New(upstream.DefaultSettings(), time.Now, m.CountDial)
+	upstreamSettings := upstream.DefaultSettings()
+	upstreamSettings.DialAddress = s.DialAddress
+	targets := upstream.New(upstreamSettings, time.Now, m.CountDial)
 	reporter := &linkReporter{digests: digestSocket, capacity: s.Gateway.LinkBytesPerSecond, log: log, metrics: m}
 	peers := &peerClient{DigestSocket: digestSocket, CopyClient: peer.NewCopyClient(copyTimeout, reporter.fetchedCopies.WrapConn)}
 	g.control = gateway.NewControl(s.Gateway, p.Store, p.Decoder, peers, targets, log, time.Now)
