--- a/gen/hemlockdyke/peer/v1/peerv1connect/peer.connect.go
+++ b/gen/hemlockdyke/peer/v1/peerv1connect/peer.connect.go
@@ -50,6 +50,8 @@
 	PeerServicePullProcedure = "/hemlockdyke.peer.v1.PeerService/Pull"
 	// PeerServiceCopyProcedure is the fully-qualified name of the PeerService's Copy RPC.
 	PeerServiceCopyProcedure = "/hemlockdyke.peer.v1.PeerService/Copy"
+	// PeerServiceForwardProcedure is the fully-qualified name of the PeerService's Forward RPC.
+	PeerServiceForwardProcedure = "/hemlockdyke.peer.v1.PeerService/Forward"
 )
 
 // PeerServiceClient is a client for the hemlockdyke.peer.v1.PeerService service.
@@ -68,6 +70,9 @@
 	Pull(context.Context, *connect.Request[v1.PullRequest]) (*connect.Response[v1.PullResponse], error)
 	// Copy returns what a router's copy of a platform table lacks.
 	Copy(context.Context, *connect.Request[v1.CopyRequest]) (*connect.Response[v1.CopyResponse], error)
+	// Forward sends an attempt of a router that reaches no target itself to a target, and returns the answer. The callee
+	// never asks another router.
+	Forward(context.Context, *connect.Request[v1.ForwardRequest]) (*connect.ServerStreamForClient[v1.ForwardResponse], error)
 }
 
 // NewPeerServiceClient constructs a client for the hemlockdyke.peer.v1.PeerService service. By
@@ -123,6 +128,12 @@
 			connect.WithSchema(peerServiceMethods.ByName("Copy")),
 			connect.WithClientOptions(opts...),
 		),
+		forward: connect.NewClient[v1.ForwardRequest, v1.ForwardResponse](
+			httpClient,
+			baseURL+PeerServiceForwardProcedure,
+			connect.WithSchema(peerServiceMethods.ByName("Forward")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -135,6 +146,7 @@
 	burn     *connect.Client[v1.BurnRequest, v1.BurnResponse]
 	pull     *connect.Client[v1.PullRequest, v1.PullResponse]
 	copy     *connect.Client[v1.CopyRequest, v1.CopyResponse]
+	forward  *connect.Client[v1.ForwardRequest, v1.ForwardResponse]
 }
 
 // Exchange calls hemlockdyke.peer.v1.PeerService.Exchange.
@@ -172,6 +184,11 @@
 	return c.copy.CallUnary(ctx, req)
 }
 
+// Forward calls hemlockdyke.peer.v1.PeerService.Forward.
+func (c *peerServiceClient) Forward(ctx context.Context, req *connect.Request[v1.ForwardRequest]) (*connect.ServerStreamForClient[v1.ForwardResponse], error) {
+	return c.forward.CallServerStream(ctx, req)
+}
+
 // PeerServiceHandler is an implementation of the hemlockdyke.peer.v1.PeerService service.
 type PeerServiceHandler interface {
 	// Exchange asks the owner of a pool for tickets and releases finished ones.
@@ -188,6 +205,9 @@
 	Pull(context.Context, *connect.Request[v1.PullRequest]) (*connect.Response[v1.PullResponse], error)
 	// Copy returns what a router's copy of a platform table lacks.
 	Copy(context.Context, *connect.Request[v1.CopyRequest]) (*connect.Response[v1.CopyResponse], error)
+	// Forward sends an attempt of a router that reaches no target itself to a target, and returns the answer. The callee
+	// never asks another router.
+	Forward(context.Context, *connect.Request[v1.ForwardRequest], *connect.ServerStream[v1.ForwardResponse]) error
 }
 
 // NewPeerServiceHandler builds an HTTP handler from the service implementation. It returns the path
@@ -239,6 +259,12 @@
 		connect.WithSchema(peerServiceMethods.ByName("Copy")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerServiceForwardHandler := connect.NewServerStreamHandler(
+		PeerServiceForwardProcedure,
+		svc.Forward,
+		connect.WithSchema(peerServiceMethods.ByName("Forward")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/hemlockdyke.peer.v1.PeerService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case PeerServiceExchangeProcedure:
@@ -255,6 +281,8 @@
 			peerServicePullHandler.ServeHTTP(w, r)
 		case PeerServiceCopyProcedure:
 			peerServiceCopyHandler.ServeHTTP(w, r)
+		case PeerServiceForwardProcedure:
+			peerServiceForwardHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -291,3 +319,7 @@
 func (UnimplementedPeerServiceHandler) Copy(context.Context, *connect.Request[v1.CopyRequest]) (*connect.Response[v1.CopyResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("hemlockdyke.peer.v1.PeerService.Copy is not implemented"))
 }
+
+func (UnimplementedPeerServiceHandler) Forward(context.Context, *connect.Request[v1.ForwardRequest], *connect.ServerStream[v1.ForwardResponse]) error {
+	return connect.NewError(connect.CodeUnimplemented, errors.New("hemlockdyke.peer.v1.PeerService.Forward is not implemented"))
+}
--- a/internal/adapter/metrics/gateway.go
+++ b/internal/adapter/metrics/gateway.go
@@ -153,7 +153,7 @@
 		{"desired_state_age_seconds", s.DesiredAge.Seconds()}, {"targets_age_seconds", s.TargetsAge.Seconds()},
 		{"peers_alive", float64(s.AlivePeers)}, {"peers_heard", float64(s.DirectPeers)}, {"relay", toFloat(s.IsRelay)},
 		{"feed_age_seconds", s.FeedAge.Seconds()}, {"suspects", float64(s.Suspects)}, {"evacuated_data_centres", float64(s.EvacuatedDataCentres)},
-		{"cold_targets", float64(s.ColdTargets)},
+		{"cold_targets", float64(s.ColdTargets)}, {"cut_pools", float64(s.CutPools)}, {"forwarding", float64(s.Forwarding)},
 	} {
 		fmt.Fprintf(w, "%s%s %g\n", prefix, gauge.name, gauge.value)
 	}
--- /dev/null
+++ b/internal/adapter/peer/forwarding.go
@@ -0,0 +1,67 @@
+package peer
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/cockroachdb/errors"
+
+	peerv1 "github.com/hemlockdyke/hemlockdyke/gen/hemlockdyke/peer/v1"
+	"github.com/hemlockdyke/hemlockdyke/gen/hemlockdyke/peer/v1/peerv1connect"
+	"github.com/hemlockdyke/hemlockdyke/internal/app/gateway"
+)
+
+const (
+	// forwardDialTimeout bounds the TCP handshake with a router, which takes some milliseconds.
+	forwardDialTimeout = 300 * time.Millisecond
+	// forwardIdleTimeout is how long a connection is kept on which nothing is forwarded.
+	forwardIdleTimeout = 3 * time.Second
+)
+
+// ForwardClient asks other routers to send attempts to targets. It is safe for concurrent use.
+type ForwardClient struct{ client *http.Client }
+
+// NewForwardClient returns a ForwardClient.
+func NewForwardClient() *ForwardClient {
+	return &ForwardClient{client: newHTTPClient(forwardDialTimeout, forwardIdleTimeout, func(c net.Conn) net.Conn { return c })}
+}
+
+// Forward asks the router at an address to send an attempt. The end of ctx ends the attempt; its
+// deadline is passed on.
+func (c *ForwardClient) Forward(ctx context.Context, address string, req *peerv1.ForwardRequest) (gateway.ForwardStream, error) {
+	client := peerv1connect.NewPeerServiceClient(c.client, "http://"+address, connect.WithReadMaxBytes(maxMessageBytes))
+	stream, err := client.Forward(ctx, connect.NewRequest(req))
+	if err != nil {
+		return nil, markNotForwarded(err)
+	}
+	return forwardStream{stream}, nil
+}
+
+type forwardStream struct {
+	*connect.ServerStreamForClient[peerv1.ForwardResponse]
+}
+
+// Receive returns the next part, or io.EOF after the last one.
+func (s forwardStream) Receive() (*peerv1.ForwardResponse, error) {
+	if s.ServerStreamForClient.Receive() {
+		return s.Msg(), nil
+	}
+	if err := s.Err(); err != nil {
+		return nil, markNotForwarded(err)
+	}
+	return nil, io.EOF
+}
+
+// markNotForwarded marks an error as gateway.ErrNotForwarded if the router can't have received the
+// request, or does not know the call.
+func markNotForwarded(err error) error {
+	var op *net.OpError
+	if connect.CodeOf(err) == connect.CodeUnimplemented || (errors.As(err, &op) && op.Op == "dial") {
+		return errors.Mark(err, gateway.ErrNotForwarded)
+	}
+	return err
+}
--- a/internal/adapter/peer/peer.go
+++ b/internal/adapter/peer/peer.go
@@ -33,6 +33,12 @@
 	Handle(ctx context.Context, m proto.Message) (proto.Message, error)
 }
 
+// Forwarder sends attempts of other routers to targets.
+type Forwarder interface {
+	// Forward sends an attempt and passes the parts of the answer to send.
+	Forward(ctx context.Context, req *peerv1.ForwardRequest, send func(*peerv1.ForwardResponse) error) error
+}
+
 // NewHandler returns the path and the HTTP handler of the peer service.
 func NewHandler(h Handler, options ...connect.HandlerOption) (string, http.Handler) {
 	return peerv1connect.NewPeerServiceHandler(&server{h}, append(options, connect.WithReadMaxBytes(maxMessageBytes))...)
@@ -105,6 +111,18 @@
 	return handle[peerv1.CopyRequest, peerv1.CopyResponse](ctx, s, req)
 }
 
+// Forward passes an attempt of another router to the Handler if that is a Forwarder.
+func (s *server) Forward(ctx context.Context, req *connect.Request[peerv1.ForwardRequest], stream *connect.ServerStream[peerv1.ForwardResponse]) error {
+	f, ok := s.handler.(Forwarder)
+	if !ok {
+		return connect.NewError(connect.CodeUnimplemented, errors.New("this process forwards no requests"))
+	}
+	if err := f.Forward(ctx, req.Msg, stream.Send); err != nil {
+		return toConnectError(err)
+	}
+	return nil
+}
+
 // Client calls routers by their ids. It is safe for concurrent use.
 type Client struct {
 	clients map[uint32]peerv1connect.PeerServiceClient
--- a/internal/adapter/upstream/upstream.go
+++ b/internal/adapter/upstream/upstream.go
@@ -114,6 +114,12 @@
 	mustCloseConn bool        // the connection can't carry another request
 }
 
+// NewForwardedAnswer returns an answer that another router has received. The body must end with io.EOF
+// only if it is complete, and fail with an error otherwise.
+func NewForwardedAnswer(status int, header http.Header, framed bool, body io.ReadCloser) *Answer {
+	return &Answer{Status: status, Header: header, Framed: framed, body: body}
+}
+
 // Do sends a request and returns the answer as soon as its header has arrived. Until the answer
 // is closed, the end of ctx closes the connection. Errors are marked as ErrNotSent,
 // ErrConnectionBroken or ErrAnswerMismatch.
@@ -308,6 +314,10 @@
 // Close releases the answer. It keeps the connection for reuse only if the request was written
 // and the answer read completely.
 func (a *Answer) Close() {
+	if a.conn == nil { // forwarded
+		_ = a.body.Close()
+		return
+	}
 	if !a.stopAbort() || !a.bodyRead || a.mustCloseConn || !a.isWritten() || a.conn.reader.Buffered() > 0 {
 		_ = a.conn.Close()
 		return
--- a/internal/app/gateway/answer.go
+++ b/internal/app/gateway/answer.go
@@ -11,6 +11,7 @@
 	"github.com/hemlockdyke/hemlockdyke/internal/adapter/upstream"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/attempt"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/placement"
+	"github.com/hemlockdyke/hemlockdyke/internal/core/reach"
 	"github.com/hemlockdyke/hemlockdyke/internal/eventlog"
 )
 
@@ -105,7 +106,7 @@
 		n, err := answer.Read(chunk)
 		if n > 0 {
 			t.silence.stop()
-			t.request.proxy.traffic.path.recordBytes(t.request.proxy.now(), t.request.match.pool)
+			t.recordBytes()
 			pending = append(pending, chunk[:n]...)
 			rest, action := t.forwardEvents(answer, pending)
 			if action.Kind == attempt.Finish {
@@ -223,13 +224,31 @@
 	t.silence.start(t.request.proxy.now(), silenceTimeout(t.request.match.route.GapObjective, eventGapTimeoutFactor))
 }
 
+// recordBytes records that bytes arrived over this router's own path.
+func (t *targetAttempt) recordBytes() {
+	if !t.isForwarded() {
+		t.request.proxy.traffic.path.recordBytes(t.request.proxy.now(), t.request.match.pool)
+	}
+}
+
 // onSilent records that the target was silent for too long. It runs before the attempt ends.
 func (t *targetAttempt) onSilent() {
 	r := t.request
-	if r.proxy.traffic.recordSilence(r.proxy.now(), t.choice.Target.UID) {
-		r.logLine(eventlog.TargetSuspended).Str("target", t.choice.Target.ID).Str("why", "silent").Msg("")
+	if t.isForwarded() {
+		r.proxy.traffic.path.recordForwarder(r.proxy.now(), r.match.pool, *t.forwarder.Load(), reach.Silent, nil)
+	} else {
+		t.recordSilence()
 	}
 	if r.match.route.AllowsRetry() && r.match.route.MaxAttempts > t.number {
 		t.cancel(errSilent)
 	}
 }
+
+// recordSilence records the silence of a target that this router sent the request to itself.
+func (t *targetAttempt) recordSilence() {
+	r := t.request
+	t.checkPathAfter(reach.NoAnswer)
+	if !r.proxy.traffic.path.isCut(r.match.pool) && r.proxy.traffic.recordSilence(r.proxy.now(), t.choice.Target.UID) {
+		r.logLine(eventlog.TargetSuspended).Str("target", t.choice.Target.ID).Str("why", "silent").Msg("")
+	}
+}
--- a/internal/app/gateway/bench_test.go
+++ b/internal/app/gateway/bench_test.go
@@ -54,6 +54,10 @@
 	return nil, context.Canceled
 }
 
+func (unreachablePeers) Forward(context.Context, string, *peerv1.ForwardRequest) (ForwardStream, error) {
+	return nil, ErrNotForwarded
+}
+
 type unreachableTargets struct{}
 
 func (unreachableTargets) Do(context.Context, upstream.Request) (*upstream.Answer, error) {
--- a/internal/app/gateway/control.go
+++ b/internal/app/gateway/control.go
@@ -34,6 +34,7 @@
 type Control struct {
 	settings Settings
 	traffic  *trafficState
+	paths    *pathChecker
 	store    Store
 	decoder  Decoder
 	peers    Peers
@@ -77,7 +78,7 @@
 	placementSettings := placement.DefaultSettings(s.DataCentre)
 	placementSettings.LoadMultiple, placementSettings.LoadSlack = s.LoadMultiple, s.LoadSlack
 	placementSettings.ColdMultiple, placementSettings.ColdSlack = s.ColdMultiple, s.ColdSlack
-	return &Control{
+	c := &Control{
 		startedAt: now(),
 		settings:  s, store: store, decoder: decoder, peers: peers, upstream: up, log: log, now: now,
 		traffic: &trafficState{
@@ -85,7 +86,7 @@
 			gates:        make(map[string]*admission.Gate),
 			retryBudgets: make(map[string]*retry.Window), retrySpan: s.RetrySpan,
 			retryLimits:  retry.Limits{Ratio: s.RetryRatio, Slack: s.RetrySlack, Routers: initialSlackSharers(s.FirstStart)},
-			openAttempts: newAttemptRegistry(), path: newPathState(), poisonGuard: newPoisonGuard(s.Address, s.FirstStart),
+			openAttempts: newAttemptRegistry(), path: newPathState(rand.New(rand.NewPCG(incarnation, 2))), poisonGuard: newPoisonGuard(s.Address, s.FirstStart),
 		},
 		suspectsChanged: make(chan struct{}, 1),
 		inbox:           make(chan func(time.Time), inboxSize), stopped: make(chan struct{}),
@@ -98,6 +99,8 @@
 		cachedTargets: newTargetCache(decoder),
 		rejections:    newRejectionLog(log),
 	}
+	c.paths = &pathChecker{dataCentre: s.DataCentre, traffic: c.traffic, upstream: up, log: log, now: now}
+	return c
 }
 
 // Run processes events until ctx ends.
@@ -141,6 +144,7 @@
 		c.publishTargets(now)
 	}
 	c.probeExitedTargets(ctx, now)
+	c.tickPath(now)
 	c.updateOtherRouters(now)
 	c.upstream.Prune(c.targetSet.HasLifetime)
 	c.updateSlackSharers(now)
--- /dev/null
+++ b/internal/app/gateway/forward.go
@@ -0,0 +1,360 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	peerv1 "github.com/hemlockdyke/hemlockdyke/gen/hemlockdyke/peer/v1"
+	"github.com/hemlockdyke/hemlockdyke/internal/adapter/upstream"
+	"github.com/hemlockdyke/hemlockdyke/internal/core/attempt"
+	"github.com/hemlockdyke/hemlockdyke/internal/core/fleet"
+	"github.com/hemlockdyke/hemlockdyke/internal/core/placement"
+	"github.com/hemlockdyke/hemlockdyke/internal/core/reach"
+	"github.com/hemlockdyke/hemlockdyke/internal/eventlog"
+)
+
+// While this router's path to a pool is cut, other routers send its attempts. All decisions stay
+// here: this router places and admits the request, counts it among its open ones, and decides on
+// retries. The forwarder only exchanges bytes with the target.
+
+// maxForwarders is how many routers are asked to send one attempt.
+const maxForwarders = 4
+
+// Errors of forwarded attempts, besides those of package upstream.
+var (
+	// errForwarderLost means that the forwarder or the connection to it failed after it may have sent
+	// the request.
+	errForwarderLost = errors.New("forwarder lost")
+	// errTargetUnreachable means that the target accepted no connection of several forwarders. The
+	// error is an ErrNotForwarded as well.
+	errTargetUnreachable = errors.New("target unreachable for forwarders")
+)
+
+// minUnreachable is how many forwarders must fail to connect to a target for it to count as
+// unreachable: a single one may have lost its own path.
+const minUnreachable = 2
+
+// forward sends the request through another router.
+func (t *targetAttempt) forward() (*upstream.Answer, error) {
+	p, pool := t.request.proxy, t.request.match.pool
+	near := []string{p.paths.dataCentre, t.choice.Target.DataCentre}
+	var asked []string
+	unreachable := 0
+	none := ""
+	t.forwarder.Store(&none)
+	for len(asked) < maxForwarders && t.ctx.Err() == nil {
+		address, ok := p.traffic.path.chooseForwarder(p.now(), pool, near, asked)
+		if !ok {
+			break
+		}
+		asked = append(asked, address)
+		if !t.confirmSend() {
+			return nil, errors.Mark(upstream.ErrWithdrawn, ErrNotForwarded)
+		}
+		t.forwarder.Store(&address)
+		answer, failure, err := t.askForwarder(address)
+		if err == nil && failure == nil {
+			p.traffic.path.recordForwarder(p.now(), pool, address, reach.Forwarded, nil)
+			return answer, nil
+		}
+		if err = t.handleForwarderFailure(address, failure, err); !errors.Is(err, ErrNotForwarded) {
+			return nil, err
+		}
+		if errors.Is(err, errTargetUnreachable) {
+			if unreachable++; unreachable >= minUnreachable {
+				return nil, err
+			}
+		}
+		if errors.Is(err, upstream.ErrWithdrawn) {
+			return nil, err
+		}
+	}
+	return nil, ErrNotForwarded
+}
+
+// isForwarded reports whether another router sends the request.
+func (t *targetAttempt) isForwarded() bool { return t.forwarder.Load() != nil }
+
+// askForwarder asks a router to send the request. It returns when the head of the answer has arrived,
+// or the router has reported a failure.
+func (t *targetAttempt) askForwarder(address string) (*upstream.Answer, *peerv1.ForwardFailure, error) {
+	r := t.request
+	r.logLine(eventlog.Forwarded).Int("attempt", t.number).Str("target", t.choice.Target.ID).Str("peer", address).Msg("")
+	ctx, cancel := context.WithCancel(t.ctx)
+	stream, err := r.proxy.peers.Forward(ctx, address, t.forwardRequest())
+	if err != nil {
+		cancel()
+		return nil, nil, err
+	}
+	body := &forwardedBody{stream: stream, cancel: cancel}
+	part, err := stream.Receive()
+	if err != nil || part.GetHead() == nil {
+		body.Close()
+		if err == nil && part.GetFailure() == nil {
+			err = errors.New("answer without a head")
+		}
+		return nil, part.GetFailure(), err
+	}
+	header := decodeHeader(part.GetHead().GetHeader())
+	status := int(part.GetHead().GetStatus())
+	r.proxy.applySignals(t.choice.Target, status, header)
+	return upstream.NewForwardedAnswer(status, header, part.GetHead().GetFramed(), body), nil, nil
+}
+
+func (t *targetAttempt) forwardRequest() *peerv1.ForwardRequest {
+	call := t.request.match.call
+	return &peerv1.ForwardRequest{
+		Protocol: fleet.Protocol, Pool: t.request.match.pool, Target: t.choice.Target.UID, Method: call.Method, Uri: call.URI, Host: call.Host,
+		Header: encodeHeader(t.header()), Body: t.request.body, RequestId: call.ID, Fingerprint: uint64(t.request.fingerprint),
+	}
+}
+
+// handleForwarderFailure records why a router did not deliver an answer, and returns the error of the
+// attempt. It is marked as ErrNotForwarded if nothing was sent.
+func (t *targetAttempt) handleForwarderFailure(address string, failure *peerv1.ForwardFailure, err error) error {
+	p, pool := t.request.proxy, t.request.match.pool
+	if t.ctx.Err() != nil {
+		return errors.Mark(t.ctx.Err(), errForwarderLost)
+	}
+	result := reach.Lost
+	switch {
+	case err != nil && errors.Is(err, ErrNotForwarded):
+	case err != nil:
+		err = errors.Mark(err, errForwarderLost)
+	default:
+		result, err = decodeForwardFailure(failure)
+	}
+	named := decodeAddresses(failure.GetForwarders())
+	p.traffic.path.recordForwarder(p.now(), pool, address, result, named)
+	t.request.logLine(eventlog.NotForwarded).Int("attempt", t.number).Str("target", t.choice.Target.ID).Str("peer", address).
+		Str("why", failure.GetKind().String()).AnErr("error", err).Msg("")
+	return err
+}
+
+// decodeForwardFailure returns what a failure says about the forwarder, and the error of the attempt.
+func decodeForwardFailure(f *peerv1.ForwardFailure) (reach.Result, error) {
+	err := errors.New(f.GetError())
+	switch f.GetKind() {
+	case peerv1.ForwardFailureKind_FORWARD_FAILURE_KIND_REFUSED:
+		return reach.Busy, errors.Mark(err, ErrNotForwarded)
+	case peerv1.ForwardFailureKind_FORWARD_FAILURE_KIND_NO_PATH:
+		return reach.NoPath, errors.Mark(err, ErrNotForwarded)
+	case peerv1.ForwardFailureKind_FORWARD_FAILURE_KIND_CLOSED:
+		return reach.Forwarded, errors.Mark(errors.Mark(err, upstream.ErrWithdrawn), ErrNotForwarded)
+	case peerv1.ForwardFailureKind_FORWARD_FAILURE_KIND_UNREACHABLE:
+		return reach.Forwarded, errors.Mark(errors.Mark(err, errTargetUnreachable), ErrNotForwarded)
+	}
+	return reach.Forwarded, errors.Mark(err, upstream.ErrConnectionBroken)
+}
+
+// handleForwardError ends a forwarded attempt that got no answer. Only what a forwarder reports about
+// the target counts as the target's failure.
+func (t *targetAttempt) handleForwardError(err error) attempt.Action {
+	r := t.request
+	t.err = err
+	switch {
+	case errors.Is(err, ErrNotForwarded):
+		t.failure = "not_forwarded"
+		switch {
+		case errors.Is(err, upstream.ErrWithdrawn):
+			t.failure = failureWithdrawn
+		case errors.Is(err, errTargetUnreachable):
+			t.outcome = placement.Unreachable
+		}
+		return r.machine.Step(attempt.NotForwarded{Attempt: t.number})
+	case errors.Is(err, errForwarderLost):
+		t.failure = t.failureCause("forwarder_lost")
+	default:
+		t.recordFailure(t.failureCause("broken"), err)
+	}
+	return r.machine.Step(attempt.ConnectionFailed{Attempt: t.number})
+}
+
+// forwardedBody reads the body of a forwarded answer.
+type forwardedBody struct {
+	stream ForwardStream
+	cancel context.CancelFunc
+	unread []byte
+	err    error
+}
+
+// Read returns io.EOF after a complete body.
+func (b *forwardedBody) Read(p []byte) (int, error) {
+	for len(b.unread) == 0 && b.err == nil {
+		part, err := b.stream.Receive()
+		switch {
+		case errors.Is(err, io.EOF):
+			b.err = io.EOF
+		case err != nil:
+			b.err = errors.Mark(err, errForwarderLost)
+		case part.GetFailure() != nil:
+			b.err = errors.Mark(errors.New(part.GetFailure().GetError()), upstream.ErrConnectionBroken)
+		}
+		b.unread = part.GetData()
+	}
+	if len(b.unread) == 0 {
+		return 0, b.err
+	}
+	n := copy(p, b.unread)
+	b.unread = b.unread[n:]
+	return n, nil
+}
+
+func (b *forwardedBody) Close() error {
+	b.cancel()
+	return b.stream.Close()
+}
+
+func encodeHeader(h http.Header) []*peerv1.HeaderField {
+	var out []*peerv1.HeaderField
+	for name, values := range h {
+		for _, v := range values {
+			out = append(out, &peerv1.HeaderField{Name: name, Value: v})
+		}
+	}
+	return out
+}
+
+func decodeHeader(fields []*peerv1.HeaderField) http.Header {
+	h := make(http.Header, len(fields))
+	for _, f := range fields {
+		h[f.GetName()] = append(h[f.GetName()], f.GetValue())
+	}
+	return h
+}
+
+func decodeAddresses(in [][]byte) []string { return addressStrings(fleet.DecodeAddresses(in)) }
+
+func encodeAddresses(in []string) [][]byte { return fleet.EncodeAddresses(toFleetAddresses(in)) }
+
+// maxForwarding is how many attempts this router sends for others at once. Each holds its body and a
+// buffer of streamReadSize.
+const maxForwarding = 256
+
+// Forward sends an attempt of another router to its target, and passes the parts of the answer to
+// send. It never asks a third router.
+func (p *Proxy) Forward(ctx context.Context, req *peerv1.ForwardRequest, send func(*peerv1.ForwardResponse) error) error {
+	if refusal := p.refuseForwarding(req); refusal != nil {
+		return send(forwardFailure(refusal))
+	}
+	target, ok := p.traffic.mayForward(p.now(), req.GetTarget())
+	if !ok {
+		return send(forwardFailure(&peerv1.ForwardFailure{Kind: peerv1.ForwardFailureKind_FORWARD_FAILURE_KIND_CLOSED, Error: "target gets no requests"}))
+	}
+	p.traffic.path.forwarding.Add(1)
+	defer p.traffic.path.forwarding.Add(-1)
+	p.traffic.earlyRequests.Add(1) // a graceful shutdown waits for it
+	defer p.traffic.earlyRequests.Add(-1)
+	p.log.Line(eventlog.Forwarding).Str("request", req.GetRequestId()).Str("target", target.ID).Msg("")
+	f := &forwarding{proxy: p, request: req, target: target, send: send}
+	return f.run(ctx)
+}
+
+// refuseForwarding returns why this router forwards no request now, or nil if it does.
+func (p *Proxy) refuseForwarding(req *peerv1.ForwardRequest) *peerv1.ForwardFailure {
+	switch {
+	case p.traffic.path.isCut(req.GetPool()):
+		return &peerv1.ForwardFailure{
+			Kind: peerv1.ForwardFailureKind_FORWARD_FAILURE_KIND_NO_PATH, Error: "path is cut",
+			Forwarders: encodeAddresses(p.traffic.path.provenForwarders(p.now(), req.GetPool())),
+		}
+	case req.GetProtocol() != fleet.Protocol, p.traffic.shuttingDown.Load(), !p.traffic.ready.Load(), p.traffic.path.forwarding.Load() >= maxForwarding:
+		return &peerv1.ForwardFailure{Kind: peerv1.ForwardFailureKind_FORWARD_FAILURE_KIND_REFUSED, Error: "stopping, not ready or busy"}
+	}
+	return nil
+}
+
+func forwardFailure(f *peerv1.ForwardFailure) *peerv1.ForwardResponse {
+	return &peerv1.ForwardResponse{Part: &peerv1.ForwardResponse_Failure{Failure: f}}
+}
+
+// forwarding is an attempt that this router sends for another one.
+type forwarding struct {
+	proxy   *Proxy
+	request *peerv1.ForwardRequest
+	target  placement.Target
+	send    func(*peerv1.ForwardResponse) error
+}
+
+func (f *forwarding) run(ctx context.Context) error {
+	p, startedAt := f.proxy, f.proxy.now()
+	answer, err := p.upstream.Do(ctx, f.upstreamRequest())
+	if err != nil {
+		return f.send(forwardFailure(f.failure(ctx, err, startedAt)))
+	}
+	defer answer.Close()
+	head := &peerv1.ForwardHead{Status: uint32(answer.Status), Header: encodeHeader(answer.Header), Framed: answer.Framed}
+	if err := f.send(&peerv1.ForwardResponse{Part: &peerv1.ForwardResponse_Head{Head: head}}); err != nil {
+		return err
+	}
+	return f.sendBody(answer)
+}
+
+// sendBody passes on the body as it arrives.
+func (f *forwarding) sendBody(answer *upstream.Answer) error {
+	chunk := make([]byte, streamReadSize)
+	for {
+		n, err := answer.Read(chunk)
+		if n > 0 {
+			f.recordBytes()
+			if err := f.send(&peerv1.ForwardResponse{Part: &peerv1.ForwardResponse_Data{Data: slices.Clone(chunk[:n])}}); err != nil {
+				return err
+			}
+		}
+		switch {
+		case errors.Is(err, io.EOF):
+			return nil
+		case err != nil:
+			return f.send(forwardFailure(&peerv1.ForwardFailure{Error: err.Error()}))
+		}
+	}
+}
+
+func (f *forwarding) recordBytes() {
+	f.proxy.traffic.path.recordBytes(f.proxy.now(), f.request.GetPool())
+}
+
+func (f *forwarding) upstreamRequest() upstream.Request {
+	p, q := f.proxy, f.request
+	call := &Call{ID: q.GetRequestId()}
+	return upstream.Request{
+		TargetUID: f.target.UID, Address: f.target.Address,
+		Method: q.GetMethod(), URI: q.GetUri(), Host: q.GetHost(), Header: decodeHeader(q.GetHeader()), Body: q.GetBody(),
+		IsAnswer:  func(h http.Header) bool { return p.codec.MatchesCall(call, h) },
+		OnConnect: func() { p.traffic.path.recordConnection(p.now(), q.GetPool()) },
+		OnHeader: func(status int, h http.Header) {
+			f.recordBytes()
+			p.applySignals(f.target, status, h)
+		},
+		ConfirmSend: func() bool {
+			_, ok := p.traffic.mayForward(p.now(), f.target.UID)
+			return ok
+		},
+	}
+}
+
+// failure returns what the other router is told about an attempt without an answer, and checks whether
+// this router's own path is at fault.
+func (f *forwarding) failure(ctx context.Context, err error, startedAt time.Time) *peerv1.ForwardFailure {
+	out := &peerv1.ForwardFailure{Error: err.Error()}
+	if ctx.Err() != nil {
+		return out
+	}
+	kind := reach.NoAnswer
+	switch {
+	case errors.Is(err, upstream.ErrWithdrawn):
+		out.Kind = peerv1.ForwardFailureKind_FORWARD_FAILURE_KIND_CLOSED
+		return out
+	case errors.Is(err, upstream.ErrNotSent):
+		kind, out.Kind = reach.NoConnection, peerv1.ForwardFailureKind_FORWARD_FAILURE_KIND_UNREACHABLE
+	}
+	if f.proxy.traffic.path.recordFailure(f.proxy.now(), f.request.GetPool(), kind, startedAt) {
+		go f.proxy.paths.check(f.request.GetPool())
+	}
+	return out
+}
--- a/internal/app/gateway/leaving_test.go
+++ b/internal/app/gateway/leaving_test.go
@@ -128,6 +128,7 @@
 // meshPeers delivers digests between routers of one process. It also delivers copies, unless the
 // links are full.
 type meshPeers struct {
+	noForwarding
 	from string
 	mesh *mesh
 }
@@ -156,6 +157,13 @@
 	}
 }
 
+// noForwarding forwards no attempts.
+type noForwarding struct{}
+
+func (noForwarding) Forward(context.Context, string, *peerv1.ForwardRequest) (gateway.ForwardStream, error) {
+	return nil, gateway.ErrNotForwarded
+}
+
 func (p *meshPeers) RequestCopy(ctx context.Context, to string, req *peerv1.CopyRequest) (*peerv1.CopyResponse, error) {
 	c := p.mesh.router(to)
 	if c == nil || p.mesh.linksFull.Load() {
--- a/internal/app/gateway/poison.go
+++ b/internal/app/gateway/poison.go
@@ -177,7 +177,7 @@
 func (t *targetAttempt) checkTargetExit(err error) {
 	p, f := t.request.proxy, t.request.fingerprint
 	now := p.now()
-	if !isConnectionReset(err) || (!t.firstEventAt.IsZero() && now.Sub(t.firstEventAt) > exitBlameWindow) || p.traffic.isLeavingOrRemoved(t.choice.Target.UID) {
+	if t.isForwarded() || !isConnectionReset(err) || (!t.firstEventAt.IsZero() && now.Sub(t.firstEventAt) > exitBlameWindow) || p.traffic.isLeavingOrRemoved(t.choice.Target.UID) {
 		return
 	}
 	probe, exited := p.traffic.poisonGuard.beginProbe(now, t.choice.Target.UID, f)
@@ -185,7 +185,7 @@
 	case exited:
 		p.handleTargetExit(t.choice.Target, []poison.Fingerprint{f})
 	case probe:
-		go p.probeTarget(t.choice.Target)
+		go p.probeTarget(t.request.match.pool, t.choice.Target)
 	}
 }
 
@@ -194,7 +194,11 @@
 // find out with requests of their own.
 func (t *targetAttempt) checkRefusedConnection(err error) {
 	if p := t.request.proxy; errors.Is(err, syscall.ECONNREFUSED) && !p.traffic.isLeavingOrRemoved(t.choice.Target.UID) {
-		p.handleTargetExit(t.choice.Target, nil)
+		go func() {
+			if p.paths.reachesAnother(t.request.match.pool, t.choice.Target.UID) {
+				p.handleTargetExit(t.choice.Target, nil)
+			}
+		}()
 	}
 }
 
@@ -202,9 +206,10 @@
 	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
 }
 
-// probeTarget probes the target's port. The port of an exited process refuses connections.
-func (p *Proxy) probeTarget(target placement.Target) {
-	exited := errors.Is(p.upstream.Probe(context.Background(), target.Address), syscall.ECONNREFUSED)
+// probeTarget probes the target's port. The port of an exited process refuses connections, and so does
+// every port over a path that is cut.
+func (p *Proxy) probeTarget(pool string, target placement.Target) {
+	exited := errors.Is(p.upstream.Probe(context.Background(), target.Address), syscall.ECONNREFUSED) && p.paths.reachesAnother(pool, target.UID)
 	if requests := p.traffic.poisonGuard.finishProbe(p.now(), target.UID, exited); exited {
 		p.handleTargetExit(target, requests)
 	}
--- a/internal/app/gateway/ports.go
+++ b/internal/app/gateway/ports.go
@@ -75,6 +75,20 @@
 	SendDigest(to []string, digest *peerv1.Digest, recipientReports []*peerv1.Report)
 	// RequestCopy requests a table copy from the router at address.
 	RequestCopy(ctx context.Context, address string, req *peerv1.CopyRequest) (*peerv1.CopyResponse, error)
+	// Forward asks the router at address to send an attempt to a target. The end of ctx ends the
+	// attempt. An error marked as ErrNotForwarded means that the router did not get the request.
+	Forward(ctx context.Context, address string, req *peerv1.ForwardRequest) (ForwardStream, error)
+}
+
+// ErrNotForwarded means that no router sent the request, and none will.
+var ErrNotForwarded = errors.New("request not forwarded")
+
+// ForwardStream is the answer to a forwarded attempt.
+type ForwardStream interface {
+	// Receive returns the next part, or io.EOF after the last one.
+	Receive() (*peerv1.ForwardResponse, error)
+	// Close must follow the end of the call's context, which ends an unfinished answer.
+	Close() error
 }
 
 // Upstream sends attempts to targets.
--- a/internal/app/gateway/relay.go
+++ b/internal/app/gateway/relay.go
@@ -55,6 +55,8 @@
 	traffic         *trafficState
 	codec           HeaderCodec
 	upstream        Upstream
+	peers           Peers
+	paths           *pathChecker
 	log             *eventlog.Log
 	now             func() time.Time
 	observer        Observer
@@ -63,7 +65,7 @@
 
 // NewProxy returns a Proxy that uses the state owned by c.
 func NewProxy(c *Control, codec HeaderCodec, up Upstream, observer Observer, log *eventlog.Log, now func() time.Time) *Proxy {
-	return &Proxy{traffic: c.traffic, codec: codec, upstream: up, observer: observer, log: log, now: now, reportDeparture: c.reportDeparture}
+	return &Proxy{traffic: c.traffic, codec: codec, upstream: up, peers: c.peers, paths: c.paths, observer: observer, log: log, now: now, reportDeparture: c.reportDeparture}
 }
 
 const (
--- a/internal/app/gateway/run.go
+++ b/internal/app/gateway/run.go
@@ -52,9 +52,13 @@
 	body   []byte
 }
 
-// retry sends the request to another target if the retry budget allows it.
+// retry sends the request to another target if the retry budget allows it. While no target has got
+// the request, another attempt takes nothing from the budget.
 func (r *openRequest) retry() attempt.Action {
 	p := r.proxy
+	if !r.machine.HasArrived() {
+		return r.attemptNext()
+	}
 	if headroom, ok := p.traffic.tryRetry(p.now(), r.match.pool); !ok {
 		r.retryDenied = true
 		r.logLine(eventlog.RetryDenied).Str("pool", r.match.pool).Int("repeats", headroom.Retries).Float64("allowed", headroom.Allowed).
@@ -103,6 +107,7 @@
 		r.retryAfter = decision.RetryAfter
 	}
 	a.recordFirstEvent(false)
+	a.suspectPath()
 	took := p.now().Sub(now)
 	if p.traffic.finishAttempt(p.now(), r.match.pool, r.match.teamName(), choice.Target.UID, a.placementOutcome(), took, a.admissionOutcome(took)) {
 		r.logLine(eventlog.TargetSuspended).Str("target", choice.Target.ID).Str("why", a.failure).Msg("")
--- a/internal/app/gateway/stale_test.go
+++ b/internal/app/gateway/stale_test.go
@@ -57,7 +57,10 @@
 }
 
 // fullLinkPeers delivers no copies while the link is full.
-type fullLinkPeers struct{ full atomic.Bool }
+type fullLinkPeers struct {
+	noForwarding
+	full atomic.Bool
+}
 
 func (*fullLinkPeers) SendDigest([]string, *peerv1.Digest, []*peerv1.Report) {}
 
--- a/internal/app/gateway/status.go
+++ b/internal/app/gateway/status.go
@@ -21,6 +21,8 @@
 	EvacuatedDataCentres int            // number of evacuated data centres
 	ColdTargets          int            // number of cold targets
 	Suspects             int            // number of suspected requests that are refused
+	CutPools             int            // number of pools to whose targets this router's own path is cut
+	Forwarding           int            // number of attempts that this router sends for others now
 	OpenRequests         map[string]int // open requests of the fleet by target ID
 }
 
@@ -40,6 +42,7 @@
 		}
 	})
 	s.Suspects = int(c.traffic.poisonGuard.refusedCount.Load())
+	s.CutPools, s.Forwarding = len(c.traffic.path.cutPools()), int(c.traffic.path.forwarding.Load())
 	c.traffic.mu.Lock()
 	defer c.traffic.mu.Unlock()
 	s.ColdTargets = c.traffic.balancer.CountCold(c.now())
--- a/internal/app/gateway/target_attempt.go
+++ b/internal/app/gateway/target_attempt.go
@@ -29,6 +29,8 @@
 	firstEventAt       time.Time // when the first event arrived; zero if none
 	// answering is true once the first complete event of a stream has arrived.
 	answering atomic.Bool
+	// forwarder is the router that was last asked to send the request; nil if this one sends it.
+	forwarder atomic.Pointer[string]
 
 	ctx     context.Context
 	cancel  context.CancelCauseFunc
@@ -41,9 +43,10 @@
 // placementOutcome returns the attempt's outcome for placement. It is Neutral if the target's
 // silence has already been recorded: recording the failure again seconds later, at the deadline,
 // could suspend a target that has recovered. It is also Neutral if the lifetime has ended, or if
-// this router cancelled the attempt because the request became suspected.
+// this router cancelled the attempt because the request became suspected, or if its own path is cut.
 func (t *targetAttempt) placementOutcome() placement.Outcome {
-	if (t.silence.hasExpired() && t.outcome == placement.Failed) || t.failure == failureRestarted || t.failure == failureSuspected {
+	pathFailed := !t.isForwarded() && (t.outcome == placement.Failed || t.outcome == placement.Unreachable) && t.request.proxy.traffic.path.isCut(t.request.match.pool)
+	if pathFailed || (t.silence.hasExpired() && t.outcome == placement.Failed) || t.failure == failureRestarted || t.failure == failureSuspected {
 		return placement.Neutral
 	}
 	return t.outcome
@@ -81,7 +84,7 @@
 	t.silence = newSilenceTimer(r.proxy.now, t.onSilent)
 	t.startSilenceTimer()
 	defer t.silence.stop()
-	answer, err := r.proxy.upstream.Do(t.ctx, t.upstreamRequest())
+	answer, err := t.send()
 	if err != nil {
 		return t.handleSendError(err)
 	}
@@ -97,21 +100,35 @@
 	return t.forwardBuffered(answer, info)
 }
 
+// send sends the request over this router's own path, or through another router while that is cut.
+func (t *targetAttempt) send() (*upstream.Answer, error) {
+	p := t.request.proxy
+	if p.traffic.path.isCut(t.request.match.pool) {
+		return t.forward()
+	}
+	return p.upstream.Do(t.ctx, t.upstreamRequest())
+}
+
+// header returns the header of the attempt if it is sent now.
+func (t *targetAttempt) header() http.Header {
+	r := t.request
+	return r.proxy.codec.PrepareHeader(r.match.call, Attempt{
+		Remaining: r.deadline.Sub(r.proxy.now()), TargetID: t.choice.Target.ID, LastEventID: r.stream.lastEventID,
+		CacheSource: t.choice.CacheSource, Team: r.match.teamName(), Priority: r.match.priority(),
+	})
+}
+
 func (t *targetAttempt) upstreamRequest() upstream.Request {
 	r := t.request
 	call := r.match.call
-	a := Attempt{
-		Remaining: r.deadline.Sub(t.startedAt), TargetID: t.choice.Target.ID, LastEventID: r.stream.lastEventID,
-		CacheSource: t.choice.CacheSource, Team: r.match.teamName(), Priority: r.match.priority(),
-	}
 	return upstream.Request{
 		TargetUID: t.choice.Target.UID, Address: t.choice.Target.Address,
-		Method: call.Method, URI: call.URI, Host: call.Host, Header: r.proxy.codec.PrepareHeader(call, a), Body: r.body,
+		Method: call.Method, URI: call.URI, Host: call.Host, Header: t.header(), Body: r.body,
 		IsAnswer:  func(h http.Header) bool { return r.proxy.codec.MatchesCall(call, h) },
 		OnConnect: func() { r.proxy.traffic.path.recordConnection(r.proxy.now(), r.match.pool) },
 		OnHeader: func(status int, h http.Header) {
 			r.proxy.traffic.path.recordBytes(r.proxy.now(), r.match.pool)
-			t.applySignals(status, h)
+			r.proxy.applySignals(t.choice.Target, status, h)
 		},
 		ConfirmSend: t.confirmSend,
 	}
@@ -128,6 +145,9 @@
 	if r.ctx.Err() != nil {
 		return t.endByContext()
 	}
+	if t.isForwarded() {
+		return t.handleForwardError(err)
+	}
 	if errors.Is(err, upstream.ErrWithdrawn) {
 		t.failure = failureWithdrawn
 		return r.machine.Step(attempt.NotSent{Attempt: t.number})
@@ -145,6 +165,10 @@
 // recordBrokenConnection records a broken connection. Unless this router cancelled the attempt
 // itself, it checks whether the target has exited.
 func (t *targetAttempt) recordBrokenConnection(reason string, err error) {
+	if errors.Is(err, errForwarderLost) {
+		t.failure, t.err = t.failureCause("forwarder_lost"), err
+		return
+	}
 	t.recordFailure(t.failureCause(reason), err)
 	if t.failure == reason {
 		t.checkTargetExit(err)
@@ -193,6 +217,9 @@
 	r := t.request
 	if !errors.Is(context.Cause(r.ctx), context.Canceled) {
 		t.recordFailure("deadline", nil)
+		if t.isForwarded() {
+			t.outcome = placement.Neutral // the target or the forwarder: this router can't tell
+		}
 	}
 	return r.endEarly()
 }
--- a/internal/core/attempt/attempt.go
+++ b/internal/core/attempt/attempt.go
@@ -47,6 +47,9 @@
 	NotSent struct{ Attempt int }
 	// WriteStarted means that the first byte may have been written.
 	WriteStarted struct{ Attempt int }
+	// NotForwarded means that the router which was to send the attempt guarantees that it wrote no
+	// byte.
+	NotForwarded struct{ Attempt int }
 	// TargetRefused means that the target guarantees that it did not execute the request.
 	TargetRefused struct{ Attempt int }
 	// Part means that a part of the answer arrived. Echo is the number of the attempt in the
@@ -78,6 +81,7 @@
 func (TicketRefused) isEvent()      {}
 func (NotSent) isEvent()            {}
 func (WriteStarted) isEvent()       {}
+func (NotForwarded) isEvent()       {}
 func (TargetRefused) isEvent()      {}
 func (Part) isEvent()               {}
 func (End) isEvent()                {}
@@ -123,6 +127,7 @@
 	target              uint64
 	offset              int
 	notExecuted         int  // number of attempts that no target executed
+	arrivals            int  // number of attempts that may have reached a target, executed or not
 	earlierPastNoReturn bool // an earlier attempt may have been executed
 	pastNoReturn        bool // the current attempt is past its point of no return
 	excluded            []uint64
@@ -143,6 +148,10 @@
 // MayHaveExecuted reports whether a target may have executed the request.
 func (m *Machine) MayHaveExecuted() bool { return m.earlierPastNoReturn || m.pastNoReturn }
 
+// HasArrived reports whether an attempt may have reached a target, even one that refused it. Until
+// then another attempt is no retry for the targets.
+func (m *Machine) HasArrived() bool { return m.arrivals > 0 }
+
 // Step handles one event and returns the action that follows.
 func (m *Machine) Step(ev Event) Action {
 	if m.state == Finished {
@@ -161,6 +170,8 @@
 		return m.forCurrentAttempt(ev.Attempt, m.notSent)
 	case WriteStarted:
 		return m.forCurrentAttempt(ev.Attempt, m.writeStarted)
+	case NotForwarded:
+		return m.forCurrentAttempt(ev.Attempt, m.notForwarded)
 	case TargetRefused:
 		return m.forCurrentAttempt(ev.Attempt, m.targetRefused)
 	case Part:
@@ -194,6 +205,7 @@
 	m.pastNoReturn = true
 	if m.state == Dispatched {
 		m.state = Sent
+		m.arrivals++
 	}
 	return Action{}
 }
@@ -207,6 +219,19 @@
 	return m.retryOrFinish(code.NoTarget, true)
 }
 
+// notForwarded undoes the point of no return, which the attempt passed when it was handed to another
+// router.
+func (m *Machine) notForwarded() Action {
+	if m.state == Answering {
+		return m.failAttempt(m.failureCode())
+	}
+	if m.state == Sent {
+		m.arrivals--
+	}
+	m.pastNoReturn = false
+	return m.retryOrFinish(code.NoTarget, false)
+}
+
 // targetRefused handles a target's guarantee that it did not execute the request. The guarantee
 // undoes the current attempt's point of no return, but not that of earlier attempts.
 func (m *Machine) targetRefused() Action {
--- a/internal/core/attempt/attempt_test.go
+++ b/internal/core/attempt/attempt_test.go
@@ -38,6 +38,9 @@
 	if w, ok := ev.(attempt.TargetRefused); ok && o.dispatched && w.Attempt == o.attempt && !o.answering {
 		o.written = false
 	}
+	if w, ok := ev.(attempt.NotForwarded); ok && o.dispatched && w.Attempt == o.attempt && !o.answering {
+		o.written = false
+	}
 	a := o.m.Step(ev)
 	switch a.Kind {
 	case attempt.Dispatch:
@@ -118,6 +121,7 @@
 	{"gap in the parts", func(n int) attempt.Event { return attempt.Part{Attempt: n, Echo: n, Offset: 7} }},
 	{"end before the last part", func(n int) attempt.Event { return attempt.End{Attempt: n, Echo: n, Total: 9} }},
 	{"target refuses the request", func(n int) attempt.Event { return attempt.TargetRefused{Attempt: n} }},
+	{"no router forwards the request", func(n int) attempt.Event { return attempt.NotForwarded{Attempt: n} }},
 	{"no ticket", func(int) attempt.Event { return attempt.TicketRefused{Code: code.QueueFull} }},
 	{"router stale", func(int) attempt.Event { return attempt.TicketRefused{Code: code.StaleConfig} }},
 	{"retry budget spent", func(int) attempt.Event { return attempt.TicketRefused{Code: code.RetryBudget} }},
@@ -176,7 +180,7 @@
 				ev := rapid.SampledFrom([]attempt.Event{
 					attempt.TicketGranted{Target: rapid.Uint64Range(1, 5).Draw(t, "target")},
 					attempt.TicketRefused{Code: code.QueueFull}, attempt.NotSent{Attempt: n}, attempt.WriteStarted{Attempt: n},
-					attempt.TargetRefused{Attempt: n}, attempt.ConnectionFailed{Attempt: n},
+					attempt.TargetRefused{Attempt: n}, attempt.ConnectionFailed{Attempt: n}, attempt.NotForwarded{Attempt: n},
 					attempt.Part{Attempt: n, Echo: echo, Offset: rapid.IntRange(0, 4).Draw(t, "offset")},
 					attempt.End{Attempt: n, Echo: echo, Total: rapid.IntRange(0, 4).Draw(t, "total")},
 					attempt.DeadlinePassed{}, attempt.CallerDisconnected{},
@@ -211,4 +215,19 @@
 		Expect(o.step(attempt.TargetRefused{Attempt: 1}).Kind).To(Equal(attempt.RequestTicket))
 		Expect(o.step(attempt.TicketRefused{Code: code.QueueFull}).Code).To(Equal(code.QueueFull))
 	})
+
+	// Guards against a budget that is used up by attempts which no target has seen.
+	It("has arrived only once a byte may have reached a target", func() {
+		o := newObserver(false)
+		o.step(attempt.TicketGranted{Target: 1})
+		o.step(attempt.NotSent{Attempt: 1})
+		o.step(attempt.TicketGranted{Target: 2})
+		o.step(attempt.WriteStarted{Attempt: 2})
+		o.step(attempt.NotForwarded{Attempt: 2})
+		Expect(o.m.HasArrived()).To(BeFalse())
+		o.step(attempt.TicketGranted{Target: 3})
+		o.step(attempt.WriteStarted{Attempt: 3})
+		o.step(attempt.TargetRefused{Attempt: 3})
+		Expect(o.m.HasArrived()).To(BeTrue(), "the target has seen it, although it did not execute it")
+	})
 })
--- a/internal/core/fleet/peers.go
+++ b/internal/core/fleet/peers.go
@@ -5,6 +5,7 @@
 	"time"
 
 	peerv1 "github.com/hemlockdyke/hemlockdyke/gen/hemlockdyke/peer/v1"
+	"github.com/hemlockdyke/hemlockdyke/internal/core/reach"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/rendezvous"
 )
 
@@ -316,6 +317,18 @@
 	return out
 }
 
+// AliveRouters returns the other routers that are alive and not about to stop, with their data
+// centres, sorted by address.
+func (c *Core) AliveRouters(now time.Time) []reach.Router {
+	out := make([]reach.Router, 0, len(c.peers))
+	for _, p := range c.sortedPeers() {
+		if p.isAlive(now) && !p.leaving {
+			out = append(out, reach.Router{Address: string(p.address), DataCentre: p.dataCentre})
+		}
+	}
+	return out
+}
+
 // PeerAddresses returns, in order, the other routers that were heard, vouched for or listed within
 // peerRetention, whether they run or not.
 func (c *Core) PeerAddresses() []Address {
--- a/internal/core/placement/pause.go
+++ b/internal/core/placement/pause.go
@@ -55,10 +55,10 @@
 // ConfirmPlacement reports whether a placed request may still be sent to its target. If so and the
 // target is cold, it counts the request as sent.
 func (b *Balancer) ConfirmPlacement(now time.Time, c Choice) bool {
-	t, ok := b.byUID[c.Target.UID]
-	if !ok || b.IsLeavingOrRemoved(t.UID) || t.evacuated || t.pause.until.After(now) {
+	if _, ok := b.MayForward(now, c.Target.UID); !ok {
 		return false
 	}
+	t := b.byUID[c.Target.UID]
 	if t.isCold(now) {
 		if t.cold.lastSequence != c.sequence && !b.maySendCold(now, t) {
 			return false
--- a/internal/core/placement/target.go
+++ b/internal/core/placement/target.go
@@ -106,7 +106,8 @@
 	pause      pause
 	exitedAt   time.Time // when its process was last reported to have exited; zero if it was not
 	// probedAt is when its port was last probed, see TakeExitedTargetsToProbe.
-	probedAt time.Time
+	probedAt  time.Time
+	witnessAt time.Time // when it was last a witness, see TakeWitnesses
 
 	cold coldState
 	// evacuated is true if operators have ordered the evacuation of its data centre.
--- /dev/null
+++ b/internal/core/reach/forwarders.go
@@ -0,0 +1,178 @@
+package reach
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// Router is another router that may forward requests.
+type Router struct {
+	Address    string
+	DataCentre string
+}
+
+// Result is what became of a request to a router to forward an attempt.
+type Result int
+
+const (
+	// Forwarded: the router sent the attempt to its target.
+	Forwarded Result = iota
+	// Busy: the router has no room, or is stopping.
+	Busy
+	// NoPath: the router reaches no target of the pool either.
+	NoPath
+	// Silent: nothing came of an attempt for too long, which may be its target's fault.
+	Silent
+	// Lost: the connection to the router broke.
+	Lost
+)
+
+const (
+	// avoidPeriod is how long a router is asked only if there is no other, after it was busy or lost.
+	avoidPeriod = 500 * time.Millisecond
+	// noPathPeriod is how long a router that reaches no target itself is not asked.
+	noPathPeriod = time.Second
+	// provenFor is how long a router that has forwarded a request is preferred to unknown ones.
+	provenFor = 5 * time.Second
+	// exploreShare is the share of requests for which an unknown router is asked although others are
+	// proven, so that the load spreads.
+	exploreShare = 0.1
+	// nearWeight is how many times as likely a router in the data centre of this router or of the
+	// target is asked: the request then crosses between data centres at most once.
+	nearWeight = 2
+	// maxNamed is how many routers a router names to one that it can't help.
+	maxNamed = 3
+)
+
+// Forwarders are the other routers, with what this router has seen of them as forwarders. It is not
+// safe for concurrent use.
+type Forwarders struct {
+	rand   *rand.Rand
+	byPool map[string]map[string]*forwarder // by pool and address
+	others []Router
+}
+
+type forwarder struct {
+	workedAt   time.Time // when it last forwarded a request, or was named by another router
+	avoidUntil time.Time
+	// noPathUntil is when the router may reach targets again, as far as this one knows.
+	noPathUntil time.Time
+}
+
+func (f *forwarder) isProven(now time.Time) bool {
+	return !f.workedAt.IsZero() && now.Sub(f.workedAt) < provenFor
+}
+
+// NewForwarders returns Forwarders without routers.
+func NewForwarders(rnd *rand.Rand) *Forwarders {
+	return &Forwarders{rand: rnd, byPool: make(map[string]map[string]*forwarder)}
+}
+
+// SetRouters replaces the routers that may be asked.
+func (f *Forwarders) SetRouters(others []Router) {
+	f.others = others
+	isKnown := make(map[string]bool, len(others))
+	for _, r := range others {
+		isKnown[r.Address] = true
+	}
+	for _, byAddress := range f.byPool {
+		for address := range byAddress {
+			if !isKnown[address] {
+				delete(byAddress, address)
+			}
+		}
+	}
+}
+
+func (f *Forwarders) state(pool, address string) *forwarder {
+	byAddress, ok := f.byPool[pool]
+	if !ok {
+		byAddress = make(map[string]*forwarder)
+		f.byPool[pool] = byAddress
+	}
+	s, ok := byAddress[address]
+	if !ok {
+		s = &forwarder{}
+		byAddress[address] = s
+	}
+	return s
+}
+
+// Choose returns the router to ask next for a pool. near are the data centres that it prefers;
+// excluded routers are not chosen. It returns false if there is none to ask now.
+func (f *Forwarders) Choose(now time.Time, pool string, near []string, excluded []string) (address string, ok bool) {
+	var proven, unknown, avoided []Router
+	for _, r := range f.others {
+		s := f.byPool[pool][r.Address]
+		switch {
+		case slices.Contains(excluded, r.Address):
+		case s == nil:
+			unknown = append(unknown, r)
+		case now.Before(s.noPathUntil):
+		case now.Before(s.avoidUntil):
+			avoided = append(avoided, r)
+		case s.isProven(now):
+			proven = append(proven, r)
+		default:
+			unknown = append(unknown, r)
+		}
+	}
+	if len(proven) > 0 && (len(unknown) == 0 || f.rand.Float64() >= exploreShare) {
+		return f.draw(proven, near)
+	}
+	if len(unknown) > 0 {
+		return f.draw(unknown, near)
+	}
+	return f.draw(avoided, near)
+}
+
+// draw draws a router, weighted by nearWeight.
+func (f *Forwarders) draw(routers []Router, near []string) (address string, ok bool) {
+	earliest := 0.0
+	for _, r := range routers {
+		weight := 1.0
+		if slices.Contains(near, r.DataCentre) {
+			weight = nearWeight
+		}
+		if at := f.rand.ExpFloat64() / weight; !ok || at < earliest {
+			address, earliest, ok = r.Address, at, true
+		}
+	}
+	return address, ok
+}
+
+// Record records what became of a request to a router.
+func (f *Forwarders) Record(now time.Time, pool, address string, r Result) {
+	s := f.state(pool, address)
+	s.workedAt = time.Time{}
+	switch r {
+	case Forwarded:
+		s.workedAt = now
+	case NoPath:
+		s.noPathUntil = now.Add(noPathPeriod)
+	case Busy, Lost:
+		s.avoidUntil = now.Add(avoidPeriod)
+	case Silent:
+	}
+}
+
+// RecordNamed records that another router named these as its forwarders.
+func (f *Forwarders) RecordNamed(now time.Time, pool string, addresses []string) {
+	for _, r := range f.others {
+		if s := f.byPool[pool][r.Address]; slices.Contains(addresses, r.Address) && (s == nil || !now.Before(s.noPathUntil)) {
+			f.state(pool, r.Address).workedAt = now
+		}
+	}
+}
+
+// Proven returns some routers that have forwarded requests of a pool lately.
+func (f *Forwarders) Proven(now time.Time, pool string) []string {
+	var out []string
+	for _, r := range f.others {
+		if s := f.byPool[pool][r.Address]; s != nil && s.isProven(now) && len(out) < maxNamed {
+			out = append(out, r.Address)
+		}
+	}
+	return out
+}
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -66,6 +66,7 @@
 	settings          GatewaySettings
 	log               *eventlog.Log
 	control           *gateway.Control
+	proxy             *gateway.Proxy
 	digestSocket      *peer.DigestSocket
 	servers           []*http.Server // the first one serves the callers
 	callerConnections *gatewayhttp.ConnTracker
@@ -102,9 +103,10 @@
 	upstreamSettings.DialAddress = s.DialAddress
 	targets := upstream.New(upstreamSettings, time.Now, m.CountDial)
 	reporter := &linkReporter{digests: digestSocket, capacity: s.Gateway.LinkBytesPerSecond, log: log, metrics: m}
-	peers := &peerClient{DigestSocket: digestSocket, CopyClient: peer.NewCopyClient(copyTimeout, reporter.fetchedCopies.WrapConn)}
+	peers := &peerClient{DigestSocket: digestSocket, CopyClient: peer.NewCopyClient(copyTimeout, reporter.fetchedCopies.WrapConn), ForwardClient: peer.NewForwardClient()}
 	g.control = gateway.NewControl(s.Gateway, p.Store, p.Decoder, peers, targets, log, time.Now)
 	proxy := gateway.NewProxy(g.control, p.HeaderCodec, targets, m, log, time.Now)
+	g.proxy = proxy
 	callerServer := gatewayhttp.New(proxy, g.control, p.HeaderCodec, time.Now, m.CountRefusal)
 	if err := g.startServers(callerServer, m, reporter); err != nil {
 		stop()
@@ -118,10 +120,11 @@
 	return g, nil
 }
 
-// peerClient sends digests as datagrams and requests table copies over HTTP.
+// peerClient sends digests as datagrams, and requests table copies and forwards attempts over HTTP.
 type peerClient struct {
 	*peer.DigestSocket
 	*peer.CopyClient
+	*peer.ForwardClient
 }
 
 // receiveDigests passes the digests of other routers to the control until the socket is closed.
@@ -141,6 +144,11 @@
 	return g.control.ServeCopy(ctx, req)
 }
 
+// Forward sends an attempt of another router to a target.
+func (g *Gateway) Forward(ctx context.Context, req *peerv1.ForwardRequest, send func(*peerv1.ForwardResponse) error) error {
+	return g.proxy.Forward(ctx, req, send)
+}
+
 // startServers opens the listeners and starts the servers.
 func (g *Gateway) startServers(callerServer *gatewayhttp.Server, m *metrics.Gateway, reporter *linkReporter) error {
 	peerMux := http.NewServeMux()
--- a/internal/eventlog/kinds.go
+++ b/internal/eventlog/kinds.go
@@ -25,6 +25,9 @@
 	AttemptFailed = Kind{"attempt_failed", zerolog.WarnLevel, 400, "an attempt failed, and why"}
 	RetryDenied   = Kind{"repeat_denied", zerolog.WarnLevel, 200, "a retry was denied, since the fleet's retry budget is used up"}
 	NotAdmitted   = Kind{"not_admitted", zerolog.WarnLevel, 400, "a request was refused before it was sent: the expected wait is too long for its remaining time, objective and rank"}
+	Forwarded     = Kind{"forwarded", zerolog.InfoLevel, 400, "another router is asked to send an attempt, since this one's own path to the pool's targets is cut"}
+	NotForwarded  = Kind{"not_forwarded", zerolog.WarnLevel, 400, "another router did not send an attempt, or was lost with it, and why"}
+	Forwarding    = Kind{"forwarding", zerolog.InfoLevel, 400, "this router sends an attempt of another router to its target"}
 	Finished      = Kind{"finished", zerolog.InfoLevel, 400, "the caller has a target's answer"}
 	PoisonRefused = Kind{"poison_refused", zerolog.WarnLevel, 200, "a request was refused before it was sent: targets have exited while they executed such requests"}
 	Failed        = Kind{"failed", zerolog.WarnLevel, 400, "the caller got a result code of the router or a truncated answer, or disconnected"}
@@ -63,6 +66,7 @@
 	TargetNotice          = Kind{"target_said", zerolog.InfoLevel, 50, "a target's answer announced that it is leaving, or a pause for this router"}
 	TargetExited          = Kind{"target_ended", zerolog.WarnLevel, 50, "a target exited: its connections broke and its port refuses new ones; how many requests of this router it was executing"}
 	PoisonChanged         = Kind{"poison", zerolog.WarnLevel, 50, "a suspected request is refused from now on, was let through and a target exited again, was answered, or is forgotten"}
+	PathChanged           = Kind{"path", zerolog.WarnLevel, 20, "this router's own path to the targets of a pool is cut, or works again: how many targets were tried, and how many accepted a connection"}
 	RoleChanged           = Kind{"role", zerolog.InfoLevel, 20, "this router began or stopped being a relay of its data centre, or another relay feeds it from now on"}
 	PeerCallFailed        = Kind{"peer_call_failed", zerolog.WarnLevel, 50, "a call to another router failed"}
 	ListenerFailed        = Kind{"listener_failed", zerolog.ErrorLevel, 10, "a listener failed; the process stops"}
@@ -77,10 +81,10 @@
 // Kinds returns all kinds.
 func Kinds() []Kind {
 	return []Kind{
-		TicketRefused, Placed, AttemptFailed, RetryDenied, NotAdmitted, PoisonRefused, Finished, Failed,
+		TicketRefused, Placed, AttemptFailed, RetryDenied, NotAdmitted, PoisonRefused, Forwarded, NotForwarded, Forwarding, Finished, Failed,
 		Started, Stopping, Stopped, Reloaded, ReloadRejected, RequestsCut, ReadyChanged, StaleChanged, DesiredState, Evacuation, TargetCold,
 		DesiredStateRejected, TargetsChanged, TargetRejected, TargetRestarted, TargetDeparted, StoreChanged, StoreReadFailed, TableCopyFailed, TableCopyRefused, TableCopied, LinkUse, RouterListFailed, SuspectStoreFailed,
-		PeerUp, PeerDown, PeerUnlisted, RoleChanged, TargetSuspended, TargetNotice, TargetExited, PoisonChanged, PeerCallFailed, ListenerFailed,
+		PeerUp, PeerDown, PeerUnlisted, PathChanged, RoleChanged, TargetSuspended, TargetNotice, TargetExited, PoisonChanged, PeerCallFailed, ListenerFailed,
 		ChangeAccepted, PlannedChangeProgress, PlannedChangeFailed, ClaimUnsettled, BurnIncomplete, LinesDropped,
 	}
 }
