Brittle targets: each router sends within its quota of their slots, the rest through others

Reports of the others' requests are 0.1 s old and more, so under overload the routers together asked for far more than there was.

The slots of a brittle target are divided among the routers by rendezvous hashing, without messages; what a router wants beyond its quota another one sends within its own, by the Forward call. The sum never exceeds the slots if the routers know the same members. A router that is refused all the same pauses that target so long that the trials of all stay at half of N.

--- a/internal/app/gateway/forward.go
+++ b/internal/app/gateway/forward.go
@@ -18,8 +18,8 @@
 	"github.com/hemlockdyke/hemlockdyke/internal/eventlog"
 )
 
-// While this router's path to a pool is cut, other routers send its attempts. All decisions stay
-// here: this router places and admits the request, counts it among its open ones, and decides on
+// While this router's path to a pool is cut, other routers send its attempts, and while a brittle
+// target's quota is used up here, those that have some left. All decisions stay here: this router places and admits the request, counts it among its open ones, and decides on
 // retries. The forwarder only exchanges bytes with the target.
 
 // maxForwarders is how many routers are asked to send one attempt.
@@ -42,17 +42,18 @@
 // forward sends the request through another router.
 func (t *targetAttempt) forward() (*upstream.Answer, error) {
 	p, pool := t.request.proxy, t.request.match.pool
-	near := []string{p.paths.dataCentre, t.choice.Target.DataCentre}
-	var asked []string
+	query := reach.Query{
+		Pool: pool, Near: []string{p.paths.dataCentre, t.choice.Target.DataCentre}, Only: p.traffic.quotaHolders(t.choice.Target.UID),
+	}
 	unreachable := 0
 	none := ""
 	t.forwarder.Store(&none)
-	for len(asked) < maxForwarders && t.ctx.Err() == nil {
-		address, ok := p.traffic.path.chooseForwarder(p.now(), pool, near, asked)
+	for len(query.Excluded) < maxForwarders && t.ctx.Err() == nil {
+		address, ok := p.traffic.path.chooseForwarder(p.now(), query)
 		if !ok {
 			break
 		}
-		asked = append(asked, address)
+		query.Excluded = append(query.Excluded, address)
 		if !t.confirmSend() {
 			return nil, errors.Mark(upstream.ErrWithdrawn, ErrNotForwarded)
 		}
@@ -142,6 +143,8 @@
 	switch f.GetKind() {
 	case peerv1.ForwardFailureKind_FORWARD_FAILURE_KIND_REFUSED:
 		return reach.Busy, errors.Mark(err, ErrNotForwarded)
+	case peerv1.ForwardFailureKind_FORWARD_FAILURE_KIND_FULL:
+		return reach.Full, errors.Mark(err, ErrNotForwarded)
 	case peerv1.ForwardFailureKind_FORWARD_FAILURE_KIND_NO_PATH:
 		return reach.NoPath, errors.Mark(err, ErrNotForwarded)
 	case peerv1.ForwardFailureKind_FORWARD_FAILURE_KIND_CLOSED:
@@ -246,6 +249,10 @@
 	if !ok {
 		return send(forwardFailure(&peerv1.ForwardFailure{Kind: peerv1.ForwardFailureKind_FORWARD_FAILURE_KIND_CLOSED, Error: "target gets no requests"}))
 	}
+	if !p.traffic.acquireSend(target.UID) {
+		return send(forwardFailure(&peerv1.ForwardFailure{Kind: peerv1.ForwardFailureKind_FORWARD_FAILURE_KIND_FULL, Error: "quota is used up"}))
+	}
+	defer p.traffic.releaseSend(target.UID)
 	p.traffic.path.forwarding.Add(1)
 	defer p.traffic.path.forwarding.Add(-1)
 	p.traffic.earlyRequests.Add(1) // a graceful shutdown waits for it
--- a/internal/app/gateway/ports.go
+++ b/internal/app/gateway/ports.go
@@ -150,6 +150,9 @@
 	PauseDuration time.Duration
 	// ColdDuration is how long the target remains cold; 0 if the target announced nothing.
 	ColdDuration time.Duration
+	// BrittleLimit is how many requests a second the target bears to refuse; 0 if it does not say that
+	// it is brittle.
+	BrittleLimit int
 	// InvalidPause is the announced pause as received if it is invalid or too long; empty
 	// otherwise. PauseDuration is limited if the pause is too long.
 	InvalidPause string
--- a/internal/app/gateway/reach.go
+++ b/internal/app/gateway/reach.go
@@ -78,10 +78,10 @@
 	s.forwarders.SetRouters(others)
 }
 
-func (s *pathState) chooseForwarder(now time.Time, pool string, near, excluded []string) (address string, ok bool) {
+func (s *pathState) chooseForwarder(now time.Time, q reach.Query) (address string, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.forwarders.Choose(now, pool, near, excluded)
+	return s.forwarders.Choose(now, q)
 }
 
 func (s *pathState) recordForwarder(now time.Time, pool, address string, result reach.Result, named []string) {
@@ -189,11 +189,11 @@
 	}
 }
 
-// tickPath checks the paths that are cut again, and keeps the list of possible forwarders while there
-// are any.
+// tickPath checks the paths that are cut again, and keeps the list of possible forwarders while some
+// may be needed.
 func (c *Control) tickPath(now time.Time) {
 	pools := c.traffic.path.cutPools()
-	if len(pools) == 0 {
+	if len(pools) == 0 && !c.traffic.hasBrittlePool() {
 		return
 	}
 	c.traffic.path.setRouters(c.core.AliveRouters(now))
--- a/internal/app/gateway/signals.go
+++ b/internal/app/gateway/signals.go
@@ -15,6 +15,9 @@
 	if info.WrongTarget {
 		return // the signals are those of another target
 	}
+	if p.traffic.markBrittle(target.UID, info.BrittleLimit) {
+		p.log.Line(eventlog.TargetBrittle).Str("target", target.ID).Int("refusals", info.BrittleLimit).Msg("")
+	}
 	if info.ColdDuration > 0 && p.traffic.markCold(p.now(), target.UID, info.ColdDuration) {
 		p.log.Line(eventlog.TargetCold).Str("target", target.ID).Dur("cold", info.ColdDuration).Msg("")
 	}
--- a/internal/app/gateway/target_attempt.go
+++ b/internal/app/gateway/target_attempt.go
@@ -25,6 +25,7 @@
 	failure            string // reason for the log; empty if the attempt succeeded
 	err                error
 	firstEventRecorded bool      // the first event, or its absence, was recorded for placement
+	acquired           bool      // it counts as sent by this router, see placement.Balancer.AcquireSend
 	events             int       // events of a stream sent to the caller
 	firstEventAt       time.Time // when the first event arrived; zero if none
 	// answering is true once the first complete event of a stream has arrived.
@@ -85,6 +86,9 @@
 	t.startSilenceTimer()
 	defer t.silence.stop()
 	answer, err := t.send()
+	if t.acquired {
+		defer r.proxy.traffic.releaseSend(t.choice.Target.UID)
+	}
 	if err != nil {
 		return t.handleSendError(err)
 	}
@@ -100,12 +104,16 @@
 	return t.forwardBuffered(answer, info)
 }
 
-// send sends the request over this router's own path, or through another router while that is cut.
+// send sends the request over this router's own path. Another router sends it while that is cut, or
+// while this router's quota of a brittle target is used up.
 func (t *targetAttempt) send() (*upstream.Answer, error) {
 	p := t.request.proxy
 	if p.traffic.path.isCut(t.request.match.pool) {
 		return t.forward()
 	}
+	if t.acquired = p.traffic.acquireSend(t.choice.Target.UID); !t.acquired {
+		return t.forward()
+	}
 	return p.upstream.Do(t.ctx, t.upstreamRequest())
 }
 
--- a/internal/app/gateway/view.go
+++ b/internal/app/gateway/view.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -162,6 +163,41 @@
 	return t.balancer.MarkCold(now, uid, d)
 }
 
+// markBrittle records how many requests a second a target bears to refuse, and reports whether it or
+// its pool begins or ends to be brittle.
+func (t *trafficState) markBrittle(uid uint64, refusalsPerSecond int) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.balancer.MarkBrittle(uid, refusalsPerSecond)
+}
+
+// acquireSend, releaseSend and quotaHolders: see placement.Balancer. quotaHolders returns nil if the
+// target is not brittle.
+func (t *trafficState) acquireSend(uid uint64) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.balancer.AcquireSend(uid)
+}
+
+func (t *trafficState) releaseSend(uid uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.balancer.ReleaseSend(uid)
+}
+
+func (t *trafficState) quotaHolders(uid uint64) []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.balancer.QuotaHolders(uid)
+}
+
+// hasBrittlePool reports whether the targets of any pool say that they are brittle.
+func (t *trafficState) hasBrittlePool() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return slices.ContainsFunc(t.balancer.PoolNames(), t.balancer.IsBrittle)
+}
+
 // setFleet sets the fleet, from which the routers that may send to a cold target are selected.
 func (t *trafficState) setFleet(f *warmup.Fleet) {
 	t.mu.Lock()
@@ -188,6 +224,8 @@
 		return code.TargetsPaused
 	case t.balancer.ColdRetryAfter(now, pool) > 0:
 		return code.TargetsCold
+	case t.balancer.IsBrittle(pool):
+		return code.QueueFull
 	}
 	return code.NoTarget
 }
--- a/internal/core/placement/choose.go
+++ b/internal/core/placement/choose.go
@@ -36,6 +36,7 @@
 	now              time.Time
 	applySuspensions bool
 	applyEjections   bool
+	loadsOutdated    bool // as in Request
 }
 
 func newSkipFilter(now time.Time, p *pool) skipFilter {
@@ -61,7 +62,7 @@
 
 // skips reports whether a target must get no new requests.
 func (f skipFilter) skips(t *target) bool {
-	if t.pause.isOn(f.now) || t.isCold(f.now) {
+	if t.pause.isOn(f.now) || t.isCold(f.now) || t.isFull(f.loadsOutdated) {
 		return true
 	}
 	if t.health.isSuspended(f.now) {
@@ -83,7 +84,7 @@
 	if t != nil {
 		return t, rule
 	}
-	return b.chooseLeastLoaded(now, p, r, func(*target) bool { return false }), RuleSuspendedOrEjected
+	return b.chooseLeastLoaded(now, p, r, func(t *target) bool { return t.isFull(r.LoadsOutdated) }), RuleSuspendedOrEjected
 }
 
 // chooseWarm chooses among the targets that are not closed and that skipFilter does not skip. An
@@ -91,6 +92,7 @@
 // requests, whereas operators guarantee the bound to the others.
 func (b *Balancer) chooseWarm(now time.Time, p *pool, r Request, bound float64) (*target, Rule) {
 	filter := newSkipFilter(now, p)
+	filter.loadsOutdated = r.LoadsOutdated
 	t, rule := b.chooseUnskipped(now, p, r, bound, filter.skips)
 	if t == nil || rule == RuleRandom || !filter.applyEjections || t.hasRoom(bound) {
 		return t, rule
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -120,6 +120,9 @@
 	if t.ownOpen--; t.ownOpen <= 0 {
 		delete(b.open, uid)
 	}
+	if o == Refused {
+		b.pauseBrittle(now, t)
+	}
 	if o == Refused && t.hasFreeSlot() {
 		o = Errored // it has a free slot, so the refusal does not mean that it is full
 	}
--- a/internal/core/placement/pool.go
+++ b/internal/core/placement/pool.go
@@ -20,6 +20,8 @@
 	// maxColdPerSecond is how many requests a second a cold target may get from all routers; 0 if
 	// there is no limit.
 	maxColdPerSecond int
+	// brittleLimit is how many requests a second a target bears to refuse; 0 if it is not brittle.
+	brittleLimit int
 }
 
 // PoolLimits are the limits that operators configure for the targets of a pool.
--- a/internal/core/placement/target.go
+++ b/internal/core/placement/target.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/hemlockdyke/hemlockdyke/internal/core/rendezvous"
+	"github.com/hemlockdyke/hemlockdyke/internal/core/warmup"
 )
 
 // Target is one lifetime of a back end, with the properties that placement needs.
@@ -108,6 +109,10 @@
 	// probedAt is when its port was last probed, see TakeExitedTargetsToProbe.
 	probedAt  time.Time
 	witnessAt time.Time // when it was last a witness, see TakeWitnesses
+	sending   int       // attempts that this router sends itself, see AcquireSend
+	// ownQuota is this router's quota among the routers of quotaFleet, for quotaSlots slots.
+	ownQuota, quotaSlots int
+	quotaFleet           *warmup.Fleet
 
 	cold coldState
 	// evacuated is true if operators have ordered the evacuation of its data centre.
--- a/internal/core/reach/forwarders.go
+++ b/internal/core/reach/forwarders.go
@@ -22,6 +22,8 @@
 	Busy
 	// NoPath: the router reaches no target of the pool either.
 	NoPath
+	// Full: the router has no quota left for the target.
+	Full
 	// Silent: nothing came of an attempt for too long, which may be its target's fault.
 	Silent
 	// Lost: the connection to the router broke.
@@ -99,14 +101,21 @@
 	return s
 }
 
-// Choose returns the router to ask next for a pool. near are the data centres that it prefers;
-// excluded routers are not chosen. It returns false if there is none to ask now.
-func (f *Forwarders) Choose(now time.Time, pool string, near []string, excluded []string) (address string, ok bool) {
+// Query says for what a forwarder is chosen.
+type Query struct {
+	Pool     string
+	Near     []string // data centres whose routers are preferred
+	Only     []string // addresses of the routers that may be chosen; nil means all
+	Excluded []string // addresses of routers that must not be chosen
+}
+
+// Choose returns the router to ask next. It returns false if there is none to ask now.
+func (f *Forwarders) Choose(now time.Time, q Query) (address string, ok bool) {
 	var proven, unknown, avoided []Router
 	for _, r := range f.others {
-		s := f.byPool[pool][r.Address]
+		s := f.byPool[q.Pool][r.Address]
 		switch {
-		case slices.Contains(excluded, r.Address):
+		case slices.Contains(q.Excluded, r.Address), q.Only != nil && !slices.Contains(q.Only, r.Address):
 		case s == nil:
 			unknown = append(unknown, r)
 		case now.Before(s.noPathUntil):
@@ -119,12 +128,12 @@
 		}
 	}
 	if len(proven) > 0 && (len(unknown) == 0 || f.rand.Float64() >= exploreShare) {
-		return f.draw(proven, near)
+		return f.draw(proven, q.Near)
 	}
 	if len(unknown) > 0 {
-		return f.draw(unknown, near)
+		return f.draw(unknown, q.Near)
 	}
-	return f.draw(avoided, near)
+	return f.draw(avoided, q.Near)
 }
 
 // draw draws a router, weighted by nearWeight.
@@ -144,6 +153,9 @@
 
 // Record records what became of a request to a router.
 func (f *Forwarders) Record(now time.Time, pool, address string, r Result) {
+	if r == Full {
+		return
+	}
 	s := f.state(pool, address)
 	s.workedAt = time.Time{}
 	switch r {
@@ -153,7 +165,7 @@
 		s.noPathUntil = now.Add(noPathPeriod)
 	case Busy, Lost:
 		s.avoidUntil = now.Add(avoidPeriod)
-	case Silent:
+	case Silent, Full:
 	}
 }
 
--- a/internal/core/reach/forwarders_test.go
+++ b/internal/core/reach/forwarders_test.go
@@ -31,13 +31,13 @@
 		f := newForwarders(2)
 		f.Record(at(0), "pool", "r0", reach.NoPath)
 		for range 50 {
-			address, ok := f.Choose(at(999), "pool", nil, nil)
+			address, ok := f.Choose(at(999), reach.Query{Pool: "pool"})
 			Expect(ok).To(BeTrue())
 			Expect(address).To(Equal("r1"))
 		}
-		_, ok := f.Choose(at(999), "pool", nil, []string{"r1"})
+		_, ok := f.Choose(at(999), reach.Query{Pool: "pool", Excluded: []string{"r1"}})
 		Expect(ok).To(BeFalse(), "it answers at once rather than ask in vain")
-		_, ok = f.Choose(at(1000), "pool", nil, []string{"r1"})
+		_, ok = f.Choose(at(1000), reach.Query{Pool: "pool", Excluded: []string{"r1"}})
 		Expect(ok).To(BeTrue())
 	})
 
@@ -45,7 +45,7 @@
 	It("asks a busy or lost router if there is no other", func() {
 		f := newForwarders(1)
 		f.Record(at(0), "pool", "r0", reach.Lost)
-		address, ok := f.Choose(at(1), "pool", nil, nil)
+		address, ok := f.Choose(at(1), reach.Query{Pool: "pool"})
 		Expect(ok).To(BeTrue())
 		Expect(address).To(Equal("r0"))
 	})
@@ -55,7 +55,7 @@
 		f := newForwarders(62)
 		asked := make(map[string]int)
 		for i := range 20000 {
-			address, ok := f.Choose(at(i), "pool", nil, nil)
+			address, ok := f.Choose(at(i), reach.Query{Pool: "pool"})
 			Expect(ok).To(BeTrue())
 			asked[address]++
 			f.Record(at(i), "pool", address, reach.Forwarded)
@@ -71,7 +71,7 @@
 		f := newForwarders(9)
 		tries := 0
 		for found := false; !found; tries++ {
-			address, ok := f.Choose(at(tries), "pool", nil, nil)
+			address, ok := f.Choose(at(tries), reach.Query{Pool: "pool"})
 			Expect(ok).To(BeTrue())
 			found = address == "r7"
 			if !found {
@@ -91,14 +91,14 @@
 			for range rapid.IntRange(1, 40).Draw(t, "steps") {
 				now += rapid.IntRange(0, 400).Draw(t, "ms")
 				excluded := []string{fmt.Sprintf("r%d", rapid.IntRange(0, 5).Draw(t, "excluded"))}
-				address, ok := f.Choose(at(now), "pool", []string{"dc1"}, excluded)
+				address, ok := f.Choose(at(now), reach.Query{Pool: "pool", Near: []string{"dc1"}, Excluded: excluded})
 				if !ok {
 					continue
 				}
 				if address == excluded[0] || noPathUntil[address] > now {
 					t.Fatalf("chose %s at %d ms", address, now)
 				}
-				result := rapid.SampledFrom([]reach.Result{reach.Forwarded, reach.Busy, reach.NoPath, reach.Silent, reach.Lost}).Draw(t, "result")
+				result := rapid.SampledFrom([]reach.Result{reach.Forwarded, reach.Busy, reach.NoPath, reach.Full, reach.Silent, reach.Lost}).Draw(t, "result")
 				f.Record(at(now), "pool", address, result)
 				if result == reach.NoPath {
 					noPathUntil[address] = now + 1000
--- a/internal/core/warmup/warmup.go
+++ b/internal/core/warmup/warmup.go
@@ -12,6 +12,8 @@
 package warmup
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/hemlockdyke/hemlockdyke/internal/core/rendezvous"
@@ -32,20 +34,56 @@
 
 // Fleet is the set of routers that this router knows. It is immutable.
 type Fleet struct {
-	self   uint64
-	others []uint64
+	self      uint64
+	others    []uint64
+	addresses []string // of the others
 }
 
 // NewFleet returns the fleet of the router with the address self and the routers with the addresses
 // others.
 func NewFleet(self string, others []string) *Fleet {
-	f := &Fleet{self: rendezvous.Hash(self), others: make([]uint64, len(others))}
+	f := &Fleet{self: rendezvous.Hash(self), others: make([]uint64, len(others)), addresses: others}
 	for i, o := range others {
 		f.others[i] = rendezvous.Hash(o)
 	}
 	return f
 }
 
+// Size returns the number of routers, this one included.
+func (f *Fleet) Size() int { return len(f.others) + 1 }
+
+// Quota returns how many of a target's slots are this router's own. The quotas of all routers add up
+// to the slots if they know the same members.
+func (f *Fleet) Quota(target uint64, slots int) int {
+	quota, rest := slots/f.Size(), slots%f.Size()
+	own := rendezvous.Mix(f.self, target)
+	for _, o := range f.others {
+		if rendezvous.Mix(o, target) > own {
+			rest--
+		}
+	}
+	if rest > 0 {
+		quota++
+	}
+	return quota
+}
+
+// Holders returns the other routers that have a quota of a target's slots.
+func (f *Fleet) Holders(target uint64, slots int) []string {
+	order := make([]int, len(f.others))
+	for i := range order {
+		order[i] = i
+	}
+	slices.SortFunc(order, func(a, b int) int {
+		return cmp.Compare(rendezvous.Mix(f.others[b], target), rendezvous.Mix(f.others[a], target))
+	})
+	out := make([]string, 0, min(slots, len(order)))
+	for _, i := range order[:min(slots, len(order))] {
+		out = append(out, f.addresses[i])
+	}
+	return out
+}
+
 // MaySend reports whether this router is selected to send to a cold target that may get perSecond
 // requests a second.
 func (f *Fleet) MaySend(target uint64, perSecond int) bool {
--- a/internal/core/warmup/warmup_test.go
+++ b/internal/core/warmup/warmup_test.go
@@ -10,9 +10,11 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
 
 	"github.com/hemlockdyke/hemlockdyke/internal/core/rendezvous"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/warmup"
+	"github.com/hemlockdyke/hemlockdyke/internal/testkit"
 )
 
 func TestWarmup(t *testing.T) {
@@ -178,4 +180,34 @@
 			}
 		}
 	})
+
+	// Guards against targets that are asked for more than their slots, or left idle, as routers disagree
+	// on whose the slots are.
+	It("divides the slots of a target among the routers, each slot once", func() {
+		testkit.Check("200", func(t *rapid.T) {
+			n, slots := rapid.IntRange(1, 80).Draw(t, "routers"), rapid.IntRange(0, 100).Draw(t, "slots")
+			target := rapid.Uint64().Draw(t, "target")
+			addresses := make([]string, n)
+			for i := range addresses {
+				addresses[i] = fmt.Sprint("router", i)
+			}
+			sum := 0
+			holders := make(map[string]bool)
+			for i, own := range addresses {
+				f := warmup.NewFleet(own, append(slices.Clone(addresses[:i]), addresses[i+1:]...))
+				if q := f.Quota(target, slots); q > 0 {
+					sum += q
+					holders[own] = true
+				}
+			}
+			if sum != slots {
+				t.Fatalf("quotas add up to %d of %d slots", sum, slots)
+			}
+			for _, h := range warmup.NewFleet("another", addresses).Holders(target, slots) {
+				if !holders[h] {
+					t.Fatalf("%s has no quota", h)
+				}
+			}
+		})
+	})
 })
