A waiting connection has keep-alive probes or TCP_USER_TIMEOUT, never both

Ours of 1.5 s ended a connection 2 s after its last byte, with one probe unanswered, where two probes and 3 s were meant: a sound target that is silent for a second or so would lose its requests. The probes start only once a request is acknowledged; then the user timeout goes off, and comes back before the connection carries another request.

--- a/internal/adapter/upstream/conn.go
+++ b/internal/adapter/upstream/conn.go
@@ -24,7 +24,8 @@
 // reset while new ones still work, and a VM that loses power sends nothing at all. Keep-alive
 // probes detect this while a request waits for its answer. TCP_USER_TIMEOUT detects that the bytes
 // of a request are not acknowledged. Without both only the request's deadline would end the wait.
-// The kernel takes the probe times in whole seconds.
+// The kernel takes the probe times in whole seconds, and ignores keepAliveProbes while
+// TCP_USER_TIMEOUT is set, so only one of the two is on at a time, see watch.
 const (
 	keepAliveIdle     = time.Second
 	keepAliveInterval = time.Second
@@ -48,12 +49,17 @@
 func setOptions(raw syscall.RawConn) error {
 	var timeoutErr, lingerErr error
 	err := raw.Control(func(fd uintptr) {
-		timeoutErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
+		timeoutErr = setUserTimeout(fd, userTimeout)
 		lingerErr = unix.SetsockoptLinger(int(fd), unix.SOL_SOCKET, unix.SO_LINGER, &unix.Linger{Onoff: 1, Linger: 0})
 	})
 	return errors.Join(err, timeoutErr, lingerErr)
 }
 
+// setUserTimeout sets TCP_USER_TIMEOUT; 0 turns it off.
+func setUserTimeout(fd uintptr, d time.Duration) error {
+	return unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(d.Milliseconds()))
+}
+
 func dial(ctx context.Context, d *net.Dialer, address string) (*conn, error) {
 	c, err := d.DialContext(ctx, "tcp", address)
 	if err != nil {
--- a/internal/adapter/upstream/watch.go
+++ b/internal/adapter/upstream/watch.go
@@ -17,7 +17,8 @@
 // It resets a connection whose target has stopped to acknowledge the request, as during a partition.
 // If the kernel's own timeouts ended the connection instead, bytes that a partition holds up would
 // still arrive after it, and the target would execute a request that was given up. So keep-alive
-// probes start only once the request is acknowledged.
+// probes start only once the request is acknowledged, and take the place of TCP_USER_TIMEOUT: that
+// would end the connection after the first probe, and a sound target may be silent for a second.
 type watch struct {
 	conn  *conn
 	timer *time.Timer
@@ -61,7 +62,7 @@
 	n := w.conn.unackedBytes()
 	if n == 0 {
 		w.probing = true
-		w.conn.setKeepAlive(keepAliveConfig)
+		w.conn.startProbes()
 	}
 	return n
 }
@@ -71,24 +72,29 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.probing {
-		w.conn.setKeepAlive(net.KeepAliveConfig{Enable: false})
+		w.conn.stopProbes()
 	}
 	w.ended = true
 }
 
-// unackedBytes returns how many bytes the kernel holds that the target has not acknowledged; 0 if
-// that is unknown.
-func (c *conn) unackedBytes() int {
+// control passes the connection's socket to f. It does nothing if the connection is closed already.
+func (c *conn) control(f func(fd uintptr)) {
 	tcp, ok := c.Conn.(*net.TCPConn)
 	if !ok {
-		return 0
+		return
 	}
 	raw, err := tcp.SyscallConn()
 	if err != nil {
-		return 0
+		return
 	}
+	_ = raw.Control(f) // fails only if the connection is closed already
+}
+
+// unackedBytes returns how many bytes the kernel holds that the target has not acknowledged; 0 if
+// that is unknown.
+func (c *conn) unackedBytes() int {
 	n := 0
-	_ = raw.Control(func(fd uintptr) { // fails only if the connection is closed already
+	c.control(func(fd uintptr) {
 		if held, err := unix.IoctlGetInt(int(fd), unix.SIOCOUTQ); err == nil {
 			n = held
 		}
@@ -96,6 +102,18 @@
 	return n
 }
 
+// startProbes turns keep-alive probes on in place of TCP_USER_TIMEOUT.
+func (c *conn) startProbes() {
+	c.control(func(fd uintptr) { _ = setUserTimeout(fd, 0) })
+	c.setKeepAlive(keepAliveConfig)
+}
+
+// stopProbes undoes startProbes.
+func (c *conn) stopProbes() {
+	c.setKeepAlive(net.KeepAliveConfig{Enable: false})
+	c.control(func(fd uintptr) { _ = setUserTimeout(fd, userTimeout) })
+}
+
 func (c *conn) setKeepAlive(config net.KeepAliveConfig) {
 	if tcp, ok := c.Conn.(*net.TCPConn); ok {
 		_ = tcp.SetKeepAliveConfig(config) // fails only if the connection is closed already
