--- a/internal/app/gateway/control.go
+++ b/internal/app/gateway/control.go
@@ -166,31 +166,6 @@
 	return retention
 }
 
-// initialSlackSharers returns the number of routers that share the retry slack when this router
-// starts: 1 if the whole fleet starts for the first time, 0 otherwise. With 0 this router uses no
-// slack, because an earlier process may have used it a moment ago. See updateSlackSharers.
-func initialSlackSharers(firstStart bool) int {
-	if firstStart {
-		return 1
-	}
-	return 0
-}
-
-// updateSlackSharers sets the number of routers that share the retry slack. Known routers that are
-// not heard, such as registered ones, count, since they may be running. Routers that were alive
-// earlier count too, since they may be partitioned. Unless the whole fleet starts for the first
-// time, the number stays 0 until the other routers are known and retry.SlackDelay is over.
-func (c *Control) updateSlackSharers(now time.Time) {
-	c.maxAlive = max(c.maxAlive, c.core.AliveCount(now)+1)
-	if !c.settings.FirstStart && (c.otherRouters == nil || now.Sub(c.startedAt) < retry.SlackDelay(c.settings.RetrySpan)) {
-		return
-	}
-	n := max(c.maxAlive, len(c.otherRouters)+1)
-	c.traffic.mu.Lock()
-	defer c.traffic.mu.Unlock()
-	c.traffic.retryLimits.Routers = n
-}
-
 // updateOtherRouters passes the known routers to placement once warmup.StartupDelay is over. A
 // router to which no other is alive waits until it has read the store's router list. Otherwise
 // partitioned routers would each assume that they are the only one.
@@ -302,23 +277,6 @@
 	return c.traffic.ready.Load() && !c.traffic.shuttingDown.Load() && !c.traffic.stale.Load()
 }
 
-// ShuttingDown reports whether the router is shutting down.
-func (c *Control) ShuttingDown() bool { return c.traffic.shuttingDown.Load() }
-
-// BeginShutdown makes the router permanently unready. It is the first step of a graceful shutdown.
-func (c *Control) BeginShutdown(ctx context.Context) {
-	c.traffic.shuttingDown.Store(true)
-	c.postEvent(ctx, fleet.Shutdown{})
-}
-
-// SetShutdownDeadline starts the last phase of a graceful shutdown. New requests are accepted only
-// if their deadline is not after by.
-func (c *Control) SetShutdownDeadline(by time.Time) { c.traffic.shutdownDeadline.Store(&by) }
-
-// OpenEarlyRequests returns the number of open requests that were accepted before
-// SetShutdownDeadline was called.
-func (c *Control) OpenEarlyRequests() int64 { return c.traffic.earlyRequests.Load() }
-
 // ApplySettings applies the ratio and slack of the retry budget and the load bounds in s. All other
 // settings need a restart.
 func (c *Control) ApplySettings(s Settings) {
--- /dev/null
+++ b/internal/app/gateway/shutdown.go
@@ -0,0 +1,25 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/hemlockdyke/hemlockdyke/internal/core/fleet"
+)
+
+// ShuttingDown reports whether the router is shutting down.
+func (c *Control) ShuttingDown() bool { return c.traffic.shuttingDown.Load() }
+
+// BeginShutdown makes the router permanently unready. It is the first step of a graceful shutdown.
+func (c *Control) BeginShutdown(ctx context.Context) {
+	c.traffic.shuttingDown.Store(true)
+	c.postEvent(ctx, fleet.Shutdown{})
+}
+
+// SetShutdownDeadline starts the last phase of a graceful shutdown. New requests are accepted only
+// if their deadline is not after by.
+func (c *Control) SetShutdownDeadline(by time.Time) { c.traffic.shutdownDeadline.Store(&by) }
+
+// OpenEarlyRequests returns the number of open requests that were accepted before
+// SetShutdownDeadline was called.
+func (c *Control) OpenEarlyRequests() int64 { return c.traffic.earlyRequests.Load() }
