The owner of a pool no longer believes a router that fails at all targets

The new test: three routers, four targets, one router fails at each; then no target was left to the others. Now the failures of a router that has failed at several targets since its last success count for none, and those that it alone had reported before are taken back. With one router nothing changes: there is none to compare it with.

--- a/internal/core/ledger/ledger.go
+++ b/internal/core/ledger/ledger.go
@@ -111,6 +111,8 @@
 	lastReply      *peerv1.ExchangeResponse
 	tickets        map[uint64]ticket
 	lastExchangeAt time.Time
+	// failedTargets are the targets at which its requests have failed since its last success.
+	failedTargets map[uint64]bool
 }
 
 // Ledger counts the open requests of one pool and grants its tickets. It is not safe for
@@ -311,9 +313,27 @@
 	switch r.GetOutcome() {
 	case peerv1.Outcome_OUTCOME_DONE:
 		l.releaseRate.observe(now)
+		clear(f.failedTargets)
 		l.target(t.target).recordSuccess()
 	case peerv1.Outcome_OUTCOME_FAILED:
-		l.target(t.target).recordFailure(now)
+		l.recordFailure(now, router, f, t.target)
+	}
+}
+
+// recordFailure records a failed request of a router at a target. A router that has failed at several
+// targets without a success may have lost its own links to all of them: its failures then count for
+// none, as long as there are other routers that would see a failing target as well.
+func (l *Ledger) recordFailure(now time.Time, router uint32, f *follower, uid uint64) {
+	if f.failedTargets == nil {
+		f.failedTargets = make(map[uint64]bool)
+	}
+	f.failedTargets[uid] = true
+	if len(f.failedTargets) == 1 || len(l.followers) == 1 {
+		l.target(uid).recordFailure(now, router)
+		return
+	}
+	for failed := range f.failedTargets {
+		l.target(failed).forgetFailures(router)
 	}
 }
 
--- a/internal/core/ledger/target.go
+++ b/internal/core/ledger/target.go
@@ -18,10 +18,13 @@
 	recentGrants []time.Time // times of the grants within reportLag, oldest first
 
 	consecutiveFailures int
-	suspensions         int // consecutive suspensions, reset after resetSuspensionsAfter successes
-	suspendedUntil      time.Time
-	successes           int // since the last suspension or since the target joined
-	warmedUp            bool
+	// failingRouter is the only router that has seen these failures, or those of the suspension; 0 if
+	// there are several.
+	failingRouter  uint32
+	suspensions    int // consecutive suspensions, reset after resetSuspensionsAfter successes
+	suspendedUntil time.Time
+	successes      int // since the last suspension or since the target joined
+	warmedUp       bool
 }
 
 func (t *target) ticketCount() int { return t.followerTickets + t.orphans }
@@ -55,7 +58,12 @@
 
 // recordFailure counts a failed request and suspends the target after suspendAfterFailures
 // consecutive failures. The target is cold after the suspension.
-func (t *target) recordFailure(now time.Time) {
+func (t *target) recordFailure(now time.Time, router uint32) {
+	if t.consecutiveFailures == 0 && !t.suspendedUntil.After(now) {
+		t.failingRouter = router
+	} else if t.failingRouter != router {
+		t.failingRouter = 0
+	}
 	t.consecutiveFailures++
 	if t.consecutiveFailures < suspendAfterFailures || t.suspendedUntil.After(now) {
 		return
@@ -67,6 +75,19 @@
 	t.warmedUp = false
 }
 
+// forgetFailures forgets failures that only one router has seen, and ends the suspension that they led
+// to.
+func (t *target) forgetFailures(router uint32) {
+	if t.failingRouter != router || router == 0 {
+		return
+	}
+	t.consecutiveFailures, t.failingRouter = 0, 0
+	if !t.suspendedUntil.IsZero() {
+		t.suspendedUntil, t.warmedUp = time.Time{}, true
+		t.suspensions = max(t.suspensions-1, 0)
+	}
+}
+
 // recordSuccess counts a successful request.
 func (t *target) recordSuccess() {
 	t.consecutiveFailures = 0
--- a/internal/core/ledger/target_test.go
+++ b/internal/core/ledger/target_test.go
@@ -1,6 +1,7 @@
 package ledger_test
 
 import (
+	"slices"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -79,4 +80,24 @@
 		_, g := b.requestTicket(1, &peerv1.Ask{Team: busyTeam, Priority: urgent, Excluded: []uint64{100}})
 		Expect(g.GetTarget()).To(Equal(uint64(101)))
 	})
+
+	// Guards against sound targets that no router uses, since one router has lost its links to all of
+	// them and reports them as failing.
+	It("are not suspended by a router that fails at all of them", func() {
+		b := newTestLedger(newTable(4, modelPool), 3, nil)
+		b.addFollowers(1, 2, 3)
+		fail := func(router uint32, times int) {
+			for range times {
+				id, g := b.requestTicket(router, &peerv1.Ask{Team: busyTeam, Priority: urgent})
+				Expect(g.GetTarget()).NotTo(BeZero())
+				b.releaseTicket(id, peerv1.Outcome_OUTCOME_FAILED)
+			}
+		}
+		fail(1, 60)
+		all := []uint64{100, 101, 102, 103}
+		for i, uid := range all {
+			_, g := b.requestTicket(2, &peerv1.Ask{Team: busyTeam, Priority: urgent, Excluded: slices.Delete(slices.Clone(all), i, i+1)})
+			Expect(g.GetTarget()).To(Equal(uid))
+		}
+	})
 })
