A forwarder checks whether the target of a forwarded attempt has exited

Found by reading the diff: the router that places a request sees no connection to the target while another one sends the attempt, so requests that make targets exit were never suspected there, and each try ended another target. The forwarder now checks for the exit, with the request's fingerprint, which the call carried unused, and reports refused connections like its own.

--- a/internal/app/gateway/forward.go
+++ b/internal/app/gateway/forward.go
@@ -17,8 +17,9 @@
 )
 
 // While this router's path to a pool is cut, other routers send its attempts, and while a brittle
-// target's quota is used up here, those that have some left. All decisions stay here: this router places and admits the request, counts it among its open ones, and decides on
-// retries. The forwarder only exchanges bytes with the target.
+// target's quota is used up here, those that have some left. All decisions stay here: this router places
+// and admits the request, counts it among its open ones, and decides on retries. The forwarder only
+// exchanges bytes with the target, and checks whether the target has exited.
 
 // maxForwarders is how many routers are asked to send one attempt.
 const maxForwarders = 4
--- a/internal/app/gateway/forwarding.go
+++ b/internal/app/gateway/forwarding.go
@@ -13,6 +13,7 @@
 	"github.com/hemlockdyke/hemlockdyke/internal/adapter/upstream"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/fleet"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/placement"
+	"github.com/hemlockdyke/hemlockdyke/internal/core/poison"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/reach"
 	"github.com/hemlockdyke/hemlockdyke/internal/eventlog"
 )
@@ -64,10 +65,11 @@
 
 // forwarding is an attempt that this router sends for another one.
 type forwarding struct {
-	proxy   *Proxy
-	request *peerv1.ForwardRequest
-	target  placement.Target
-	send    func(*peerv1.ForwardResponse) error
+	proxy       *Proxy
+	request     *peerv1.ForwardRequest
+	target      placement.Target
+	send        func(*peerv1.ForwardResponse) error
+	firstByteAt time.Time // when the first part of the body arrived; zero before
 }
 
 func (f *forwarding) run(ctx context.Context) error {
@@ -90,6 +92,9 @@
 	for {
 		n, err := answer.Read(chunk)
 		if n > 0 {
+			if f.firstByteAt.IsZero() {
+				f.firstByteAt = f.proxy.now()
+			}
 			f.recordBytes()
 			if err := f.send(&peerv1.ForwardResponse{Part: &peerv1.ForwardResponse_Data{Data: slices.Clone(chunk[:n])}}); err != nil {
 				return err
@@ -99,11 +104,20 @@
 		case errors.Is(err, io.EOF):
 			return nil
 		case err != nil:
+			f.checkTargetExit(err)
 			return f.send(forwardFailure(&peerv1.ForwardFailure{Error: err.Error()}))
 		}
 	}
 }
 
+// checkTargetExit checks whether the target has exited after its connection failed. The other router
+// can't tell.
+func (f *forwarding) checkTargetExit(err error) {
+	if f.firstByteAt.IsZero() || f.proxy.now().Sub(f.firstByteAt) <= exitBlameWindow {
+		f.proxy.checkTargetExit(f.request.GetPool(), f.target, poison.Fingerprint(f.request.GetFingerprint()), err)
+	}
+}
+
 func (f *forwarding) recordBytes() {
 	f.proxy.traffic.path.recordBytes(f.proxy.now(), f.request.GetPool())
 }
@@ -141,6 +155,9 @@
 		return out
 	case errors.Is(err, upstream.ErrNotSent):
 		kind, out.Kind = reach.NoConnection, peerv1.ForwardFailureKind_FORWARD_FAILURE_KIND_UNREACHABLE
+		f.proxy.checkRefusedConnection(f.request.GetPool(), f.target, err)
+	default:
+		f.checkTargetExit(err)
 	}
 	if f.proxy.traffic.path.recordFailure(f.proxy.now(), f.request.GetPool(), kind, startedAt) {
 		go f.proxy.paths.check(f.request.GetPool())
--- a/internal/app/gateway/poison.go
+++ b/internal/app/gateway/poison.go
@@ -170,36 +170,45 @@
 // target exits. A request that makes targets exit does so soon after it starts to execute.
 const exitBlameWindow = time.Second
 
-// checkTargetExit probes the target if the attempt's connection was reset, as happens when a
-// process exits. Targets also reset connections and keep running, hence the probe. A network
-// partition or a lost VM causes no reset. A target that has announced its shutdown is not probed,
-// since it exits for that reason.
+// checkTargetExit checks whether the target has exited after the attempt's connection failed.
+// Forwarders check it for the attempts that they send.
 func (t *targetAttempt) checkTargetExit(err error) {
-	p, f := t.request.proxy, t.request.fingerprint
-	now := p.now()
-	if t.isForwarded() || !isConnectionReset(err) || (!t.firstEventAt.IsZero() && now.Sub(t.firstEventAt) > exitBlameWindow) || p.traffic.isLeavingOrRemoved(t.choice.Target.UID) {
+	p := t.request.proxy
+	if t.isForwarded() || (!t.firstEventAt.IsZero() && p.now().Sub(t.firstEventAt) > exitBlameWindow) {
 		return
 	}
-	probe, exited := p.traffic.poisonGuard.beginProbe(now, t.choice.Target.UID, f)
+	p.checkTargetExit(t.request.match.pool, t.choice.Target, t.request.fingerprint, err)
+}
+
+// checkTargetExit probes a target if the connection of a request was reset, as happens when a process
+// exits. Targets also reset connections and keep running, hence the probe. A network partition or a
+// lost VM causes no reset. A target that has announced its shutdown is not probed, since it exits for
+// that reason.
+func (p *Proxy) checkTargetExit(pool string, target placement.Target, f poison.Fingerprint, err error) {
+	if !isConnectionReset(err) || p.traffic.isLeavingOrRemoved(target.UID) {
+		return
+	}
+	probe, exited := p.traffic.poisonGuard.beginProbe(p.now(), target.UID, f)
 	switch {
 	case exited:
-		p.handleTargetExit(t.choice.Target, []poison.Fingerprint{f})
+		p.handleTargetExit(target, []poison.Fingerprint{f})
 	case probe:
-		go p.probeTarget(t.request.match.pool, t.choice.Target)
+		go p.probeTarget(pool, target)
 	}
 }
 
-// checkRefusedConnection reports the target as exited if its port refused the connection. No
-// process listens there any more. The exit is reported to the other routers, so that they need not
-// find out with requests of their own.
-func (t *targetAttempt) checkRefusedConnection(err error) {
-	if p := t.request.proxy; errors.Is(err, syscall.ECONNREFUSED) && !p.traffic.isLeavingOrRemoved(t.choice.Target.UID) {
-		go func() {
-			if p.paths.reachesAnother(t.request.match.pool, t.choice.Target.UID) {
-				p.handleTargetExit(t.choice.Target, nil)
-			}
-		}()
+// checkRefusedConnection reports a target as exited if its port refused a connection. No process
+// listens there any more. The exit is reported to the other routers, so that they need not find out
+// with requests of their own.
+func (p *Proxy) checkRefusedConnection(pool string, target placement.Target, err error) {
+	if !errors.Is(err, syscall.ECONNREFUSED) || p.traffic.isLeavingOrRemoved(target.UID) {
+		return
 	}
+	go func() {
+		if p.paths.reachesAnother(pool, target.UID) {
+			p.handleTargetExit(target, nil)
+		}
+	}()
 }
 
 func isConnectionReset(err error) bool {
--- a/internal/app/gateway/target_attempt.go
+++ b/internal/app/gateway/target_attempt.go
@@ -163,7 +163,7 @@
 	if errors.Is(err, upstream.ErrNotSent) {
 		t.recordFailure("not_sent", err)
 		t.outcome = placement.Unreachable
-		t.checkRefusedConnection(err)
+		r.proxy.checkRefusedConnection(r.match.pool, t.choice.Target, err)
 		return r.machine.Step(attempt.NotSent{Attempt: t.number})
 	}
 	t.recordBrokenConnection("broken", err)
--- a/internal/core/reach/forwarders.go
+++ b/internal/core/reach/forwarders.go
@@ -151,9 +151,9 @@
 	return address, ok
 }
 
-// Record records what became of a request to a router.
+// Record records what became of a request to a router. An empty address has no effect.
 func (f *Forwarders) Record(now time.Time, pool, address string, r Result) {
-	if r == Full {
+	if r == Full || address == "" {
 		return
 	}
 	s := f.state(pool, address)
