--- a/internal/app/gateway/slack.go
+++ b/internal/app/gateway/budget.go
@@ -30,3 +30,31 @@
 	defer c.traffic.mu.Unlock()
 	c.traffic.retryLimits.Routers = n
 }
+
+// retryBudget returns the retry budget of a pool, which it creates on first use.
+func (t *trafficState) retryBudget(now time.Time, pool string) *retry.Window {
+	w, ok := t.retryBudgets[pool]
+	if !ok {
+		w = retry.NewWindow(now, t.retrySpan)
+		t.retryBudgets[pool] = w
+	}
+	return w
+}
+
+func (t *trafficState) recordRequest(now time.Time, pool string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.retryBudget(now, pool).RecordRequest(now)
+}
+
+// tryRetry counts a retry if the pool's budget allows it. If ok is false, the budget is exhausted
+// and headroom shows what it allows.
+func (t *trafficState) tryRetry(now time.Time, pool string) (headroom retry.Headroom, ok bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	w := t.retryBudget(now, pool)
+	if w.TryRetry(now, t.retryLimits) {
+		return retry.Headroom{}, true
+	}
+	return w.TightestHeadroom(now, t.retryLimits), false
+}
--- a/internal/app/gateway/view.go
+++ b/internal/app/gateway/view.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -163,41 +162,6 @@
 	return t.balancer.MarkCold(now, uid, d)
 }
 
-// markBrittle records how many requests a second a target bears to refuse, and reports whether it or
-// its pool begins or ends to be brittle.
-func (t *trafficState) markBrittle(uid uint64, refusalsPerSecond int) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.balancer.MarkBrittle(uid, refusalsPerSecond)
-}
-
-// acquireSend, releaseSend and quotaHolders: see placement.Balancer. quotaHolders returns nil if the
-// target is not brittle.
-func (t *trafficState) acquireSend(uid uint64) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.balancer.AcquireSend(uid)
-}
-
-func (t *trafficState) releaseSend(uid uint64) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.balancer.ReleaseSend(uid)
-}
-
-func (t *trafficState) quotaHolders(uid uint64) []string {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.balancer.QuotaHolders(uid)
-}
-
-// hasBrittlePool reports whether the targets of any pool say that they are brittle.
-func (t *trafficState) hasBrittlePool() bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return slices.ContainsFunc(t.balancer.PoolNames(), t.balancer.IsBrittle)
-}
-
 // setFleet sets the fleet, from which the routers that may send to a cold target are selected.
 func (t *trafficState) setFleet(f *warmup.Fleet) {
 	t.mu.Lock()
@@ -260,34 +224,6 @@
 	return t.balancer.RecordSilence(now, uid)
 }
 
-// retryBudget returns the retry budget of a pool, which it creates on first use.
-func (t *trafficState) retryBudget(now time.Time, pool string) *retry.Window {
-	w, ok := t.retryBudgets[pool]
-	if !ok {
-		w = retry.NewWindow(now, t.retrySpan)
-		t.retryBudgets[pool] = w
-	}
-	return w
-}
-
-func (t *trafficState) recordRequest(now time.Time, pool string) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.retryBudget(now, pool).RecordRequest(now)
-}
-
-// tryRetry counts a retry if the pool's budget allows it. If ok is false, the budget is exhausted
-// and headroom shows what it allows.
-func (t *trafficState) tryRetry(now time.Time, pool string) (headroom retry.Headroom, ok bool) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	w := t.retryBudget(now, pool)
-	if w.TryRetry(now, t.retryLimits) {
-		return retry.Headroom{}, true
-	}
-	return w.TightestHeadroom(now, t.retryLimits), false
-}
-
 // forgetSources drops the loads that the given sources reported, or all reported loads if sources
 // is empty. See fleet.ReportReceived for sources.
 func (t *trafficState) forgetSources(sources []uint32) {
