--- a/internal/core/reach/forwarders.go
+++ b/internal/core/reach/forwarders.go
@@ -109,46 +109,53 @@
 	Excluded []string // addresses of routers that must not be chosen
 }
 
-// Choose returns the router to ask next. It returns false if there is none to ask now.
+// Choose returns the router to ask next. It returns false if there is none to ask now. Its cost counts:
+// it passes over all routers for each attempt.
 func (f *Forwarders) Choose(now time.Time, q Query) (address string, ok bool) {
-	var proven, unknown, avoided []Router
+	var proven, unknown, avoided draw
+	states := f.byPool[q.Pool]
 	for _, r := range f.others {
-		s := f.byPool[q.Pool][r.Address]
+		if slices.Contains(q.Excluded, r.Address) || (q.Only != nil && !slices.Contains(q.Only, r.Address)) {
+			continue
+		}
+		s, known := states[r.Address]
 		switch {
-		case slices.Contains(q.Excluded, r.Address), q.Only != nil && !slices.Contains(q.Only, r.Address):
-		case s == nil:
-			unknown = append(unknown, r)
+		case !known:
+			unknown.add(f.rand, r, q.Near)
 		case now.Before(s.noPathUntil):
 		case now.Before(s.avoidUntil):
-			avoided = append(avoided, r)
+			avoided.add(f.rand, r, q.Near)
 		case s.isProven(now):
-			proven = append(proven, r)
+			proven.add(f.rand, r, q.Near)
 		default:
-			unknown = append(unknown, r)
+			unknown.add(f.rand, r, q.Near)
 		}
 	}
-	if len(proven) > 0 && (len(unknown) == 0 || f.rand.Float64() >= exploreShare) {
-		return f.draw(proven, q.Near)
-	}
-	if len(unknown) > 0 {
-		return f.draw(unknown, q.Near)
+	switch {
+	case proven.ok && (!unknown.ok || f.rand.Float64() >= exploreShare):
+		return proven.address, true
+	case unknown.ok:
+		return unknown.address, true
 	}
-	return f.draw(avoided, q.Near)
+	return avoided.address, avoided.ok
 }
 
-// draw draws a router, weighted by nearWeight.
-func (f *Forwarders) draw(routers []Router, near []string) (address string, ok bool) {
-	earliest := 0.0
-	for _, r := range routers {
-		weight := 1.0
-		if slices.Contains(near, r.DataCentre) {
-			weight = nearWeight
-		}
-		if at := f.rand.ExpFloat64() / weight; !ok || at < earliest {
-			address, earliest, ok = r.Address, at, true
-		}
+// draw draws one of several routers, weighted by nearWeight: of exponentially distributed times, the
+// probability that one is the shortest is proportional to its rate.
+type draw struct {
+	address string
+	ok      bool
+	at      float64
+}
+
+func (d *draw) add(rnd *rand.Rand, r Router, near []string) {
+	at := rnd.ExpFloat64()
+	if slices.Contains(near, r.DataCentre) {
+		at /= nearWeight
+	}
+	if !d.ok || at < d.at {
+		d.address, d.ok, d.at = r.Address, true, at
 	}
-	return address, ok
 }
 
 // Record records what became of a request to a router. An empty address has no effect.
