A router takes the targets that it has suspended as the last witnesses of its path

Callers of routers cut off five of nine targets got late answers: 32 times such a router drew three witnesses that it could not reach, took its path for cut, and forgot its suspensions with it, so requests ran into the lost links anew. Witnesses are now taken first among the targets that are not suspended: those it reaches are among them.

--- a/internal/core/placement/witness.go
+++ b/internal/core/placement/witness.go
@@ -8,7 +8,8 @@
 
 // TakeWitnesses returns up to n targets of a pool to which a connection shows whether this router
 // reaches the pool at all: active ones that have not exited, except the one with the given UID. Those
-// that were taken longest ago come first, so that new ones are soon among them.
+// that this router has not suspended come first, since it may have lost its links to the others only;
+// of these the ones that were taken longest ago, so that new ones are soon among them.
 func (b *Balancer) TakeWitnesses(now time.Time, pool string, except uint64, n int) []Target {
 	p, ok := b.pools[pool]
 	if !ok {
@@ -22,7 +23,15 @@
 			found = append(found, t)
 		}
 	}
-	slices.SortStableFunc(found, func(a, b *target) int { return a.witnessAt.Compare(b.witnessAt) })
+	slices.SortStableFunc(found, func(a, b *target) int {
+		if s := a.health.isSuspended(now); s != b.health.isSuspended(now) {
+			if s {
+				return 1
+			}
+			return -1
+		}
+		return a.witnessAt.Compare(b.witnessAt)
+	})
 	var out []Target
 	for _, t := range found[:min(n, len(found))] {
 		t.witnessAt = now
--- a/internal/core/placement/witness_test.go
+++ b/internal/core/placement/witness_test.go
@@ -49,4 +49,18 @@
 		b.SetTargets(start, map[string][]placement.Target{pool: append(list, added)})
 		Expect(b.TakeWitnesses(start.Add(time.Second), pool, 0, 2)).To(ConsistOf(list[0], added))
 	})
+
+	// Guards against a router that has lost its links to some targets, takes its whole path for cut now
+	// and then, and forgets each time which targets it does not reach.
+	It("takes targets that it has suspended only after the others", func() {
+		list := targets(9)
+		b := newBalancer(list...)
+		for _, t := range list[:6] {
+			b.FinishRequest(start, t.UID, placement.Unreachable)
+		}
+		for i := range 20 {
+			now := start.Add(time.Duration(i) * 10 * time.Millisecond)
+			Expect(b.TakeWitnesses(now, pool, 0, 3)).To(ConsistOf(list[6], list[7], list[8]))
+		}
+	})
 })
