explain follows attempts that another router sends; not_forwarded names why in words

A request that was passed on showed as bare event names, and a lost forwarder as a broken target. Lines and causes now read, for example, 'attempt 1 at i-9 is passed to router 10.0.0.7:1'. Logs and texts only.

--- a/internal/app/gateway/forward.go
+++ b/internal/app/gateway/forward.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"strings"
 
 	"github.com/cockroachdb/errors"
 
@@ -132,10 +133,18 @@
 	named := decodeAddresses(failure.GetForwarders())
 	p.traffic.path.recordForwarder(p.now(), pool, address, result, named)
 	t.request.logLine(eventlog.NotForwarded).Int("attempt", t.number).Str("target", t.choice.Target.ID).Str("peer", address).
-		Str("why", failure.GetKind().String()).AnErr("error", err).Msg("")
+		Str("why", forwarderReason(failure)).AnErr("error", err).Msg("")
 	return err
 }
 
+// forwarderReason names a failure in the log; nil means that the forwarder reported none.
+func forwarderReason(f *peerv1.ForwardFailure) string {
+	if f == nil {
+		return "lost"
+	}
+	return strings.ToLower(strings.TrimPrefix(f.GetKind().String(), "FORWARD_FAILURE_KIND_"))
+}
+
 // decodeForwardFailure returns what a failure says about the forwarder, and the error of the attempt.
 func decodeForwardFailure(f *peerv1.ForwardFailure) (reach.Result, error) {
 	err := errors.New(f.GetError())
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -28,6 +28,7 @@
 
 	Attempt        int     `json:"attempt"`
 	Target         string  `json:"target"`
+	Peer           string  `json:"peer"`
 	Rule           string  `json:"rule"`
 	OpenRequests   int     `json:"open"`
 	Bound          float64 `json:"bound"`
@@ -112,6 +113,12 @@
 			text += ", resumes after event " + e.ResumeFrom
 		}
 		return text
+	case eventlog.Forwarded.Name:
+		return fmt.Sprintf("attempt %d at %s is passed to router %s", e.Attempt, e.Target, e.Peer)
+	case eventlog.NotForwarded.Name:
+		return fmt.Sprintf("router %s did not send attempt %d to %s: %s (%s)", e.Peer, e.Attempt, e.Target, e.Reason, e.Error)
+	case eventlog.Forwarding.Name:
+		return fmt.Sprintf("sends the attempt to %s for another router", e.Target)
 	case eventlog.AttemptFailed.Name:
 		return fmt.Sprintf("attempt %d failed after %.0f ms: %s", e.Attempt, e.FailedAfter, e.failure())
 	case eventlog.RetryDenied.Name:
@@ -135,21 +142,23 @@
 
 // failureTexts describes the values of Entry.Reason of failed attempts.
 var failureTexts = map[string]string{
-	"not_sent":      "the target accepted no connection, so the request was not executed",
-	"broken":        "the connection to the target broke after the request was sent",
-	"restarted":     "the target has restarted since, so the request is no longer executed",
-	"withdrawn":     "the target became unavailable before the request was sent: it announced a pause or its shutdown, is cold, or its data centre is evacuated",
-	"suspected":     "targets have exited while they executed this request, so the attempt was cancelled",
-	"silent":        "the target was silent for longer than its answers usually take",
-	"truncated":     "the target's answer was truncated",
-	"stream_cut":    "the target broke off the stream",
-	"not_sealed":    "the answer has no seal of the target",
-	"false_promise": "the target answered with a status that wrongly guarantees that the request was not executed",
-	"too_large":     "the answer was too large",
-	"target_error":  "the target answered with an error of its own",
-	"turned_away":   "the target refused the request without executing it",
-	"wrong_target":  "the address belongs to a different target",
-	"deadline":      "the target did not answer before the deadline",
+	"not_sent":       "the target accepted no connection, so the request was not executed",
+	"broken":         "the connection to the target broke after the request was sent",
+	"restarted":      "the target has restarted since, so the request is no longer executed",
+	"withdrawn":      "the target became unavailable before the request was sent: it announced a pause or its shutdown, is cold, or its data centre is evacuated",
+	"not_forwarded":  "this router's path to the pool is cut or its quota used up, and no other router sent the request, so it was not executed",
+	"forwarder_lost": "the router that was to send the request was lost; it may have sent it",
+	"suspected":      "targets have exited while they executed this request, so the attempt was cancelled",
+	"silent":         "the target was silent for longer than its answers usually take",
+	"truncated":      "the target's answer was truncated",
+	"stream_cut":     "the target broke off the stream",
+	"not_sealed":     "the answer has no seal of the target",
+	"false_promise":  "the target answered with a status that wrongly guarantees that the request was not executed",
+	"too_large":      "the answer was too large",
+	"target_error":   "the target answered with an error of its own",
+	"turned_away":    "the target refused the request without executing it",
+	"wrong_target":   "the address belongs to a different target",
+	"deadline":       "the target did not answer before the deadline",
 }
 
 // failure returns the target and the reason of a failed attempt.
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -27,6 +27,12 @@
 {"level":"info","router":"front-b-1","event":"finished","request":"r5","status":500,"time":"2026-04-21T22:03:08Z"}
 {"level":"warn","router":"front-b-1","event":"poison_refused","request":"r7","fingerprint":"c0ffee","wait":9000,"time":"2026-04-21T22:03:08Z"}
 {"level":"warn","router":"front-b-1","event":"failed","request":"r7","code":2011,"name":"poison","ran":"no","time":"2026-04-21T22:03:08Z"}
+{"level":"info","router":"front-b-1","event":"placed","request":"r8","attempt":1,"target":"i-9","time":"2026-04-21T22:03:08Z"}
+{"level":"info","router":"front-b-1","event":"forwarded","request":"r8","attempt":1,"target":"i-9","peer":"10.0.0.7:1","time":"2026-04-21T22:03:08Z"}
+{"level":"info","router":"front-a-1","event":"forwarding","request":"r8","target":"i-9","time":"2026-04-21T22:03:08Z"}
+{"level":"warn","router":"front-b-1","event":"not_forwarded","request":"r8","attempt":1,"target":"i-9","peer":"10.0.0.7:1","why":"lost","error":"reset","time":"2026-04-21T22:03:08Z"}
+{"level":"warn","router":"front-b-1","event":"attempt_failed","request":"r8","attempt":1,"target":"i-9","why":"forwarder_lost","time":"2026-04-21T22:03:08Z"}
+{"level":"warn","router":"front-b-1","event":"failed","request":"r8","code":4001,"name":"outcome_unknown","ran":"unknown","time":"2026-04-21T22:03:09Z"}
 not a line of ours, r1
 {"request": broken r1
 `
@@ -44,6 +50,7 @@
 		Entry("the caller disconnected", "r4", "the caller's connection ended after 300 ms, while the request was at i-9"),
 		Entry("the target answered with an error", "r5", "status 500 is the target's own"),
 		Entry("targets exited while they executed it", "r7", "targets have exited while they executed requests with the fingerprint c0ffee; retry after 9000 ms; ended as poison"),
+		Entry("the router that was to send it was lost", "r8", "i-9: the router that was to send the request was lost; it may have sent it; ended as outcome_unknown"),
 		Entry("no router logged it", "r6", "no router logged r6"),
 	)
 
@@ -55,4 +62,12 @@
 		explain.Print(&out, "r1", entries)
 		Expect(out.String()).To(MatchRegexp(`(?s)attempt 1 goes to i-1 by rule home: 3 open.*attempt 1 failed.*attempt 2 goes to i-2.*answered with status 200.*cause: `))
 	})
+
+	It("follows an attempt that another router sends", func() {
+		entries, err := explain.Read(strings.NewReader(logLines), "r8")
+		Expect(err).NotTo(HaveOccurred())
+		var out bytes.Buffer
+		explain.Print(&out, "r8", entries)
+		Expect(out.String()).To(MatchRegexp(`(?s)attempt 1 at i-9 is passed to router 10.0.0.7:1.*front-a-1 +sends the attempt to i-9 for another router.*router 10.0.0.7:1 did not send attempt 1 to i-9: lost \(reset\)`))
+	})
 })
