--- a/internal/core/placement/brittle.go
+++ b/internal/core/placement/brittle.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-// A brittle target falls over if it has to refuse too many requests within a second, from all routers
+// A brittle target crashes if it has to refuse too many requests within a second, from all routers
 // together. It says so in its answers, and lets few requests wait meanwhile. Each router then sends to
 // it within a quota of its slots only, see warmup.Fleet; what is beyond, another router sends within
 // its own. So the target is never asked for more than it has, whatever the routers know of each
--- a/internal/core/placement/brittle_test.go
+++ b/internal/core/placement/brittle_test.go
@@ -15,7 +15,7 @@
 )
 
 // brittlePool simulates routers before brittle targets: a target that has no free slot refuses, and
-// one that refuses more than limit requests within a second falls over for some seconds.
+// one that refuses more than limit requests within a second crashes and is back after some seconds.
 type brittlePool struct {
 	routers, targets, slots, limit int
 	work                           time.Duration // how long a request takes
@@ -51,9 +51,9 @@
 	return last
 }
 
-// run plays 20 s and returns how often targets fell over, and the share of what the targets can do
+// run plays 20 s and returns how often targets crashed, and the share of what the targets can do
 // that was served.
-func (s brittlePool) run() (falls int, served float64) {
+func (s brittlePool) run() (crashes int, served float64) {
 	const seconds = 20
 	rnd := rand.New(rand.NewPCG(8, 9))
 	list := targets(s.targets)
@@ -131,11 +131,11 @@
 			t.refusals = t.refusals[1:]
 		}
 		if t.refusals = append(t.refusals, now); len(t.refusals) > s.limit {
-			falls++
+			crashes++
 			t.downTill, t.refusals = now.Add(4*time.Second), nil
 		}
 	}
-	return falls, float64(answered) / (capacity * seconds)
+	return crashes, float64(answered) / (capacity * seconds)
 }
 
 // acquire returns the router that sends a placed request: the one that placed it, or another one that
@@ -155,13 +155,13 @@
 }
 
 var _ = Describe("brittle targets under overload", func() {
-	// Guards against targets that fall over one after the other, as the routers together send them more
+	// Guards against targets that crash one after the other, as the routers together send them more
 	// than they can refuse.
-	DescribeTable("fall over no more often than the platform allows, and go on serving",
+	DescribeTable("crash no more often than the platform allows, and go on serving",
 		func(s brittlePool) {
-			falls, served := s.run()
-			AddReportEntry(fmt.Sprintf("%d falls, %.2f served", falls, served))
-			Expect(float64(falls)).To(BeNumerically("<=", 2+0.1*float64(s.targets)))
+			crashes, served := s.run()
+			AddReportEntry(fmt.Sprintf("%d crashes, %.2f served", crashes, served))
+			Expect(float64(crashes)).To(BeNumerically("<=", 2+0.1*float64(s.targets)))
 			Expect(served).To(BeNumerically(">", 0.3))
 		},
 		Entry("9 routers, short work, twice the load", brittlePool{routers: 9, targets: 3, slots: 6, limit: 5, work: 30 * time.Millisecond, load: 2}),
@@ -171,8 +171,8 @@
 		Entry("62 routers, short work, twice the load", brittlePool{routers: 62, targets: 5, slots: 6, limit: 5, work: 30 * time.Millisecond, load: 2}),
 	)
 
-	It("fall over again and again if they do not say so", func() {
-		falls, _ := brittlePool{routers: 9, targets: 3, slots: 6, limit: 5, work: 30 * time.Millisecond, load: 2, silent: true}.run()
-		Expect(falls).To(BeNumerically(">", 5), "the simulated load is too low to show anything")
+	It("crash again and again if they do not say so", func() {
+		crashes, _ := brittlePool{routers: 9, targets: 3, slots: 6, limit: 5, work: 30 * time.Millisecond, load: 2, silent: true}.run()
+		Expect(crashes).To(BeNumerically(">", 5), "the simulated load is too low to show anything")
 	})
 })
--- a/internal/eventlog/kinds.go
+++ b/internal/eventlog/kinds.go
@@ -44,7 +44,7 @@
 	ReadyChanged          = Kind{"ready", zerolog.InfoLevel, 20, "the answer to the balancer's checks changed"}
 	Evacuation            = Kind{"evacuation", zerolog.InfoLevel, 20, "an operator's order to evacuate a data centre was applied or withdrawn"}
 	TargetCold            = Kind{"target_cold", zerolog.InfoLevel, 50, "a target that was considered warm reports that it is cold"}
-	TargetBrittle         = Kind{"target_brittle", zerolog.WarnLevel, 20, "a target says that its pool falls over if it has to refuse more requests a second than `refusals`, or, with 0, that it does not any more"}
+	TargetBrittle         = Kind{"target_brittle", zerolog.WarnLevel, 20, "a target says that its pool crashes if it has to refuse more requests a second than `refusals`, or, with 0, that it does not any more"}
 	StaleChanged          = Kind{"stale", zerolog.WarnLevel, 20, "this router stopped serving, since others have had a newer desired state for too long, or it serves again"}
 	DesiredState          = Kind{"desired_state", zerolog.InfoLevel, 50, "a desired state was applied: its version, the version of its row, and its source"}
 	DesiredStateRejected  = Kind{"desired_state_rejected", zerolog.ErrorLevel, 20, "a desired state can't be decoded; the last good one stays applied"}
