--- a/internal/app/gateway/ports.go
+++ b/internal/app/gateway/ports.go
@@ -116,11 +116,14 @@
 	PromptTokens   int // tokens in the whole prompt; 0 if there is no prompt
 	// LastEventID is the ID of the event after which the caller resumes a stream.
 	LastEventID string
-	Method      string
-	Host        string
-	URI         string // path and query as received
-	Path        string
-	Header      http.Header // headers to forward to the target
+	// ResumedID is the ID of the request that brought the first event of the stream that the caller
+	// resumes; empty if the caller named none.
+	ResumedID string
+	Method    string
+	Host      string
+	URI       string // path and query as received
+	Path      string
+	Header    http.Header // headers to forward to the target
 }
 
 // Attempt contains the values that an attempt adds to the caller's request.
--- a/internal/app/gateway/run.go
+++ b/internal/app/gateway/run.go
@@ -194,5 +194,5 @@
 		Stringer("fingerprint", r.fingerprint).Str("target", c.Target.ID).Str("rule", string(c.Rule)).Int("open", c.Open).Float64("bound", c.Bound).
 		Str("source", c.CacheSource).Dur("loads_age", loadReportAge).Uint64("version", r.match.desiredVersion).
 		Uint64("targets_row", r.proxy.traffic.targetsRowVersion.Load()).
-		Str("resume_from", r.stream.lastEventID).Bool("trial", r.suspectTrial).Msg("")
+		Str("software", c.Target.SoftwareVersion).Str("resume_from", r.stream.lastEventID).Str("resumes", r.match.call.ResumedID).Bool("trial", r.suspectTrial).Msg("")
 }
--- a/internal/core/placement/target.go
+++ b/internal/core/placement/target.go
@@ -26,6 +26,8 @@
 	// StartedAtMs is when the lifetime began, in Unix milliseconds; 0 if unknown. A target that
 	// starts again keeps its ID, by which its chats find it, and no other state.
 	StartedAtMs int64
+	// SoftwareVersion is the version of the software that the lifetime runs.
+	SoftwareVersion string
 }
 
 // UID returns the UID of a target's lifetime, given its ID and its start in Unix milliseconds. All
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -36,6 +36,8 @@
 	Version        uint64  `json:"version"`
 	Fingerprint    string  `json:"fingerprint"`
 	ResumeFrom     string  `json:"resume_from"`
+	Software       string  `json:"software"`
+	Resumes        string  `json:"resumes"`
 	Reason         string  `json:"why"`
 	Error          string  `json:"error"`
 	FailedAfter    float64 `json:"after"`
@@ -109,9 +111,15 @@
 		}
 		text := fmt.Sprintf("attempt %d goes to %s by rule %s: %d open requests of at most %.1f, load report age %.0f ms; desired state %d",
 			e.Attempt, e.Target, e.Rule, e.OpenRequests, e.Bound, e.LoadReportAge, e.Version)
+		if e.Software != "" {
+			text += ", software " + e.Software
+		}
 		if e.ResumeFrom != "" {
 			text += ", resumes after event " + e.ResumeFrom
 		}
+		if e.Resumes != "" {
+			text += " a stream that request " + e.Resumes + " began"
+		}
 		return text
 	case eventlog.Forwarded.Name:
 		return fmt.Sprintf("attempt %d at %s is passed to router %s", e.Attempt, e.Target, e.Peer)
