A stream whose target breaks off goes on at the software version that began it, or ends

Cause: placement took all targets of a pool for interchangeable, so the second attempt went to any of them; the version in a target's entry was checked and dropped.

Now the first event binds the stream to the version of the lifetime that sent it, and placement leaves out all others, by whichever rule it chooses. Where few targets run that version, streams that are bound to it are not placed above the load bound while others have room; where none has room, the bound holds them no more than other requests. A lifetime whose start isn't known is told from the next one by its version as well, and if an id turns out to have come back at another version, its attempts end and their streams go nowhere: the list may have been late, so nobody knows which version sent the events. The UID of a lifetime changes with that, so routers of this release and earlier ones don't count each other's open requests while both run.

--- a/internal/app/gateway/answer.go
+++ b/internal/app/gateway/answer.go
@@ -10,6 +10,7 @@
 
 	"github.com/hemlockdyke/hemlockdyke/internal/adapter/upstream"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/attempt"
+	"github.com/hemlockdyke/hemlockdyke/internal/core/lineage"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/placement"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/reach"
 	"github.com/hemlockdyke/hemlockdyke/internal/eventlog"
@@ -92,6 +93,9 @@
 type streamProgress struct {
 	lastEventID string // ID of the last event sent
 	events      int    // events sent, over all attempts
+	// software is the version that sent the first event, the only one that may send more; 0 if the
+	// stream has not begun.
+	software lineage.Software
 }
 
 // streamReadSize is the size of the buffer for reading a stream, in bytes.
@@ -145,6 +149,7 @@
 	if t.firstEventAt.IsZero() {
 		t.firstEventAt = r.proxy.now()
 		t.answering.Store(true)
+		r.bindStream(t.choice.Target)
 	}
 	if id, ok := findLastEventID(data[:completeBytes]); ok {
 		r.stream.lastEventID = id
--- a/internal/app/gateway/attempt_registry.go
+++ b/internal/app/gateway/attempt_registry.go
@@ -13,6 +13,10 @@
 // request.
 var errRestarted = errors.New("target has restarted")
 
+// errVersionChanged is errRestarted for a target that runs another software version now. The list may
+// have shown that late, so nobody knows which version sent the events of the attempt.
+var errVersionChanged = errors.Mark(errors.New("target has restarted with another software version"), errRestarted)
+
 // attemptRegistry holds the open attempts by target lifetime. If a target is partitioned, crashes
 // and restarts, the router sees no connection reset. An attempt at the earlier lifetime would wait
 // until its deadline, although the target list shows that no answer can come. It is safe for
@@ -68,13 +72,13 @@
 	return n
 }
 
-// cancelRestarted cancels the attempts at a lifetime that has ended and returns how many there
-// were.
-func (r *attemptRegistry) cancelRestarted(uid uint64) int {
+// cancelRestarted cancels the attempts at a lifetime that has ended, for a cause, and returns how many
+// there were.
+func (r *attemptRegistry) cancelRestarted(uid uint64, cause error) int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, cancel := range r.byTarget[uid] {
-		cancel(errRestarted)
+		cancel(cause)
 	}
 	return len(r.byTarget[uid])
 }
--- a/internal/app/gateway/bench_test.go
+++ b/internal/app/gateway/bench_test.go
@@ -28,7 +28,7 @@
 	for _, r := range rows {
 		var fields map[string]json.RawMessage
 		if json.Unmarshal(r.Value, &fields) == nil {
-			out["p"] = append(out["p"], placement.Target{UID: placement.UID(r.Key, 0), ID: r.Key, RowVersion: r.Version, Slots: 16, DataCentre: r.Key[len(r.Key)-1:]})
+			out["p"] = append(out["p"], placement.Target{UID: placement.UID(r.Key, 0, ""), ID: r.Key, RowVersion: r.Version, Slots: 16, DataCentre: r.Key[len(r.Key)-1:]})
 		}
 	}
 	return out, nil
@@ -128,7 +128,7 @@
 			c, now := newControlWithTargets(n)
 			var loads []placement.Load
 			for i := range n / 10 {
-				loads = append(loads, placement.Load{Target: placement.UID(fmt.Sprintf("i-%07d", i), 0), Open: 1})
+				loads = append(loads, placement.Load{Target: placement.UID(fmt.Sprintf("i-%07d", i), 0, ""), Open: 1})
 			}
 			b.ReportAllocs()
 			b.ResetTimer()
--- a/internal/app/gateway/leaving_test.go
+++ b/internal/app/gateway/leaving_test.go
@@ -119,7 +119,7 @@
 	out := make(map[string][]placement.Target)
 	for _, r := range rows {
 		out["p"] = append(out["p"], placement.Target{
-			UID: placement.UID(r.Key, 0), ID: r.Key, Address: r.Key, Leaving: string(r.Value) == "draining", Slots: 8,
+			UID: placement.UID(r.Key, 0, ""), ID: r.Key, Address: r.Key, Leaving: string(r.Value) == "draining", Slots: 8,
 		})
 	}
 	return out, nil
@@ -193,7 +193,7 @@
 func (r *attemptRecorder) takeCount(id string) int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	n := r.sent[placement.UID(id, 0)]
+	n := r.sent[placement.UID(id, 0, "")]
 	r.sent = make(map[uint64]int)
 	return n
 }
--- a/internal/app/gateway/run.go
+++ b/internal/app/gateway/run.go
@@ -88,11 +88,15 @@
 	}
 	choice, decision, ok := p.traffic.placeRequest(now, placement.Request{
 		Pool: r.match.pool, ChatHash: r.match.call.ChatHash, PromptPrefixes: r.match.call.PromptPrefixes, PromptTokens: r.match.call.PromptTokens,
-		Objective: r.match.route.Objective, Excluded: r.machine.Excluded(),
+		Objective: r.match.route.Objective, Excluded: r.machine.Excluded(), Software: r.stream.software,
 	}, admission.Request{Team: r.match.teamName(), Priority: r.match.priority(), RoutePriority: r.match.route.Priority, Remaining: r.deadline.Sub(now), Objective: r.match.route.Objective}, r.machine.MayHaveExecuted())
 	switch {
 	case !ok:
-		return r.machine.Step(attempt.TicketRefused{Code: p.traffic.noTargetCode(now, r.match.pool)})
+		c := p.traffic.noTargetCode(now, r.match.pool, r.stream.software)
+		if r.stream.software != 0 {
+			r.logStreamRefused(c)
+		}
+		return r.machine.Step(attempt.TicketRefused{Code: c})
 	case decision.Code != code.OK:
 		r.logLine(eventlog.NotAdmitted).Str("target", choice.Target.ID).Int("open", choice.Open).
 			Dur("wait", decision.Wait).Dur("left", r.deadline.Sub(now)).Int("rank", r.match.priority()).Msg("")
@@ -106,6 +110,9 @@
 	if a.failure == failureNotExecuted {
 		r.retryAfter = decision.RetryAfter
 	}
+	if errors.Is(context.Cause(a.ctx), errVersionChanged) && a.events > 0 {
+		r.unbindStream()
+	}
 	a.recordFirstEvent(false)
 	a.suspectPath()
 	took := p.now().Sub(now)
@@ -137,7 +144,7 @@
 		// The target's own error tells the caller more than a result code.
 		r.sendAnswer(r.targetError.status, r.targetError.header, r.targetError.body)
 	case r.firstByteAt.IsZero():
-		if wait := p.traffic.unavailableRetryAfter(p.now(), r.match.pool); wait > 0 && r.minRetryAfter == 0 && isTargetUnavailable(c) {
+		if wait := p.traffic.unavailableRetryAfter(p.now(), r.match.pool, r.stream.software); wait > 0 && r.minRetryAfter == 0 && isTargetUnavailable(c) {
 			r.minRetryAfter = wait
 		}
 		retryAfter := r.retryAfter
--- a/internal/app/gateway/targets.go
+++ b/internal/app/gateway/targets.go
@@ -39,8 +39,13 @@
 	c.departures.add(u.Departures)
 	c.publishTargets(now)
 	for _, t := range u.Ended {
-		n := c.traffic.openAttempts.cancelRestarted(t.UID)
-		c.log.Line(eventlog.TargetRestarted).Str("target", t.ID).Int64("started", t.StartedAtMs).Int("attempts", n).Msg("")
+		cause := errRestarted
+		if t.VersionChanged {
+			cause = errVersionChanged
+		}
+		n := c.traffic.openAttempts.cancelRestarted(t.UID, cause)
+		c.log.Line(eventlog.TargetRestarted).Str("target", t.ID).Int64("started", t.StartedAtMs).Str("software", t.SoftwareVersion).
+			Bool("version_changed", t.VersionChanged).Int("attempts", n).Msg("")
 	}
 	return u.DepartedIDs
 }
--- a/internal/app/gateway/view.go
+++ b/internal/app/gateway/view.go
@@ -9,6 +9,7 @@
 	"github.com/hemlockdyke/hemlockdyke/internal/core/code"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/evacuation"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/fleet"
+	"github.com/hemlockdyke/hemlockdyke/internal/core/lineage"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/placement"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/retry"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/route"
@@ -177,18 +178,21 @@
 	return t.balancer.ConfirmPlacement(now, c)
 }
 
-// noTargetCode returns the result code for a request that found no target.
-func (t *trafficState) noTargetCode(now time.Time, pool string) code.Code {
+// noTargetCode returns the result code for a request that found no target. software is the only
+// version that may serve it; 0 if all may.
+func (t *trafficState) noTargetCode(now time.Time, pool string, software lineage.Software) code.Code {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	switch {
 	case t.balancer.IsEvacuated(pool):
 		return code.Evacuated
-	case t.balancer.PausedRetryAfter(now, pool) > 0:
+	case software != 0 && !t.balancer.ServesSoftware(pool, software):
+		return code.NoSuchVersion
+	case t.balancer.PausedRetryAfter(now, pool, software) > 0:
 		return code.TargetsPaused
-	case t.balancer.ColdRetryAfter(now, pool) > 0:
+	case t.balancer.ColdRetryAfter(now, pool, software) > 0:
 		return code.TargetsCold
-	case t.balancer.IsBrittle(pool):
+	case t.balancer.IsBrittle(pool), software != 0:
 		return code.QueueFull
 	}
 	return code.NoTarget
@@ -202,11 +206,11 @@
 }
 
 // unavailableRetryAfter returns when callers should retry, before jitter, if all active targets of
-// a pool are paused or all are cold; 0 otherwise.
-func (t *trafficState) unavailableRetryAfter(now time.Time, pool string) time.Duration {
+// a pool that run a software version are paused or all are cold; 0 otherwise.
+func (t *trafficState) unavailableRetryAfter(now time.Time, pool string, software lineage.Software) time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return max(t.balancer.PausedRetryAfter(now, pool), t.balancer.ColdRetryAfter(now, pool))
+	return max(t.balancer.PausedRetryAfter(now, pool, software), t.balancer.ColdRetryAfter(now, pool, software))
 }
 
 // targetID returns the ID of a target by its lifetime's UID; empty if unknown.
--- a/internal/core/code/code.go
+++ b/internal/core/code/code.go
@@ -59,6 +59,8 @@
 	TargetsPaused    Code = 2012
 	Evacuated        Code = 2013
 	TargetsCold      Code = 2014
+	UnknownStream    Code = 2015
+	NoSuchVersion    Code = 2016
 
 	AttemptsSpent   Code = 3001
 	DeadlinePassed  Code = 3002
@@ -116,6 +118,8 @@
 	TargetsPaused:    {"targets_paused", 503, NotExecuted, "Come back after Retry-After; all targets of the pool want nothing for now."},
 	Evacuated:        {"evacuated", 503, NotExecuted, "Come back after Retry-After; take the order to evacuate back if the pool is to serve."},
 	TargetsCold:      {"targets_cold", 503, NotExecuted, "Come back after Retry-After; all targets of the pool have just started."},
+	UnknownStream:    {"unknown_stream", 503, NotExecuted, "Begin the stream anew; no router knows which software version began it."},
+	NoSuchVersion:    {"no_such_version", 503, NotExecuted, "Begin the stream anew; no target runs the software version that began it."},
 	AttemptsSpent:    {"attempts_spent", 502, Executed, "Ask again; every attempt failed."},
 	DeadlinePassed:   {"deadline_passed", 504, Executed, "Ask again with a later deadline."},
 	StreamCut:        {"stream_cut", 502, Executed, "Ask again; the stream ended before its end marker."},
--- a/internal/core/placement/choose.go
+++ b/internal/core/placement/choose.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"slices"
 	"time"
 
 	"github.com/hemlockdyke/hemlockdyke/internal/core/ablate"
@@ -77,14 +78,14 @@
 func (b *Balancer) choose(now time.Time, p *pool, r Request, bound float64) (*target, Rule) {
 	t, rule := b.chooseWarm(now, p, r, bound)
 	if t == nil || !t.hasFreeSlot() {
-		if c := b.chooseCold(now, p, r); c != nil {
+		if c := b.chooseCold(now, p, r, bound); c != nil {
 			return c, RuleCold
 		}
 	}
 	if t != nil {
 		return t, rule
 	}
-	return b.chooseLeastLoaded(now, p, r, func(t *target) bool { return t.isFull(r.LoadsOutdated) }), RuleSuspendedOrEjected
+	return b.chooseLeastLoaded(now, p, r, bound, func(t *target) bool { return t.isFull(r.LoadsOutdated) }), RuleSuspendedOrEjected
 }
 
 // chooseWarm chooses among the targets that are not closed and that skipFilter does not skip. An
@@ -98,7 +99,7 @@
 		return t, rule
 	}
 	skipWithoutRoom := func(t *target) bool { return !t.hasRoom(bound) || filter.skips(t) }
-	if other := b.chooseLeastLoaded(now, p, r, skipWithoutRoom); other != nil {
+	if other := b.chooseLeastLoaded(now, p, r, bound, skipWithoutRoom); other != nil {
 		return other, rule
 	}
 	filter.applyEjections = false
@@ -116,9 +117,9 @@
 		}
 	}
 	if r.LoadsOutdated && !ablate.IsOff(ablate.ShortWork) {
-		return b.chooseRandom(now, p, r, skip), RuleRandom
+		return b.chooseRandom(now, p, r, bound, skip), RuleRandom
 	}
-	return b.chooseLeastLoaded(now, p, r, skip), RuleLeastLoaded
+	return b.chooseLeastLoaded(now, p, r, bound, skip), RuleLeastLoaded
 }
 
 // chooseByChat returns the first target in the chat's rendezvous order that is below the load bound
@@ -127,7 +128,7 @@
 // target gets the same one at every router.
 func (b *Balancer) chooseByChat(now time.Time, p *pool, r Request, bound float64, skip func(*target) bool) (*target, Rule) {
 	var c candidates
-	p.collectCandidates(&c, r, min(bound, p.maxOpen), skip)
+	p.collectCandidates(&c, r, bound, skip)
 	if c.n == 0 {
 		return nil, ""
 	}
@@ -149,13 +150,14 @@
 	preferred int
 }
 
-// collectCandidates collects the targets that would hold at most limit open requests with this one,
-// in the chat's order. Targets above the load given by spillLoadFactor come last, except the home.
-func (p *pool) collectCandidates(c *candidates, r Request, limit float64, skip func(*target) bool) {
+// collectCandidates collects the targets that stay within the load bound with one more request, in the
+// chat's order. Targets above the load given by spillLoadFactor come last, except the home.
+func (p *pool) collectCandidates(c *candidates, r Request, bound float64, skip func(*target) bool) {
 	var top rendezvous.Top
+	limit := min(bound, p.maxOpen)
 	order := p.chatOrder(r.ChatHash, skip)
 	for i, t := range p.targets {
-		if t.isActive() && !r.excludes(t.UID) {
+		if t.isActive() && !r.excludes(t, bound) {
 			top.Insert(int32(i), order.weight(t), rendezvous.MaxTopNodes)
 		}
 	}
@@ -258,11 +260,11 @@
 
 // chooseLeastLoaded returns the target with the lowest cost, see Balancer.cost; nil if there is
 // none.
-func (b *Balancer) chooseLeastLoaded(now time.Time, p *pool, r Request, skip func(*target) bool) *target {
+func (b *Balancer) chooseLeastLoaded(now time.Time, p *pool, r Request, bound float64, skip func(*target) bool) *target {
 	var best *target
 	bestCost := 0.0
 	for _, t := range p.targets {
-		if t.isClosed(now) || t.isCold(now) || r.excludes(t.UID) || skip(t) || float64(t.totalOpen()+1) > p.maxOpen {
+		if t.isClosed(now) || t.isCold(now) || r.excludes(t, bound) || skip(t) || float64(t.totalOpen()+1) > p.maxOpen {
 			continue
 		}
 		cost := b.cost(now, t)
@@ -277,11 +279,11 @@
 // requests, and with a preference for this data centre. It is used when load reports are outdated:
 // all routers would choose the target that was the least loaded one in the last reports, so their
 // requests would arrive there together while the other targets are idle.
-func (b *Balancer) chooseRandom(now time.Time, p *pool, r Request, skip func(*target) bool) *target {
+func (b *Balancer) chooseRandom(now time.Time, p *pool, r Request, bound float64, skip func(*target) bool) *target {
 	var best *target
 	earliest := 0.0
 	for _, t := range p.targets {
-		if t.isClosed(now) || t.isCold(now) || r.excludes(t.UID) || skip(t) || float64(t.ownOpen+1) > p.maxOpen {
+		if t.isClosed(now) || t.isCold(now) || r.excludes(t, bound) || skip(t) || float64(t.ownOpen+1) > p.maxOpen {
 			continue
 		}
 		// The probability that an exponentially distributed time is the shortest is proportional to
@@ -317,11 +319,6 @@
 	return cost
 }
 
-func (r *Request) excludes(uid uint64) bool {
-	for _, e := range r.Excluded {
-		if e == uid {
-			return true
-		}
-	}
-	return false
+func (r *Request) excludes(t *target, bound float64) bool {
+	return !t.runs(r.Software) || (r.limited && !t.hasRoom(bound)) || slices.Contains(r.Excluded, t.UID)
 }
--- a/internal/core/placement/cold.go
+++ b/internal/core/placement/cold.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/hemlockdyke/hemlockdyke/internal/core/lineage"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/warmup"
 )
 
@@ -78,7 +79,7 @@
 
 // chooseCold returns the cold target for a request: the first one in the chat's order that has a
 // free slot and that this router may send to; nil if there is none.
-func (b *Balancer) chooseCold(now time.Time, p *pool, r Request) *target {
+func (b *Balancer) chooseCold(now time.Time, p *pool, r Request, bound float64) *target {
 	if p.maxColdPerSecond == 0 {
 		return nil
 	}
@@ -86,7 +87,7 @@
 	var bestWeight uint64
 	order := p.chatOrder(r.ChatHash, func(*target) bool { return false })
 	for _, t := range p.targets {
-		if !t.isCold(now) || t.isClosed(now) || r.excludes(t.UID) || t.health.isSuspended(now) || t.isEjected(now) || !t.hasFreeSlot() {
+		if !t.isCold(now) || t.isClosed(now) || r.excludes(t, bound) || t.health.isSuspended(now) || t.isEjected(now) || !t.hasFreeSlot() {
 			continue
 		}
 		if w := order.weight(t); (best == nil || w > bestWeight) && b.maySendCold(now, t) {
@@ -101,8 +102,8 @@
 const maxColdRetryAfter = time.Second
 
 // ColdRetryAfter returns the time after which callers should retry because all active targets of a
-// pool are cold; 0 if one is not.
-func (b *Balancer) ColdRetryAfter(now time.Time, pool string) time.Duration {
+// pool that run a software version are cold; 0 if one is not.
+func (b *Balancer) ColdRetryAfter(now time.Time, pool string, s lineage.Software) time.Duration {
 	p, ok := b.pools[pool]
 	if !ok {
 		return 0
@@ -110,7 +111,7 @@
 	shortest := time.Duration(0)
 	for _, t := range p.targets {
 		switch {
-		case !t.isActive():
+		case !t.isActive(), !t.runs(s):
 		case !t.isCold(now):
 			return 0
 		default:
--- a/internal/core/placement/cold_test.go
+++ b/internal/core/placement/cold_test.go
@@ -159,7 +159,7 @@
 		}
 		Expect(served).To(BeNumerically(">", 100))
 		Expect(f.unplaced).To(BeNumerically(">", 0))
-		wait := f.balancers[0].ColdRetryAfter(start.Add(2500*time.Millisecond), pool)
+		wait := f.balancers[0].ColdRetryAfter(start.Add(2500*time.Millisecond), pool, 0)
 		Expect(wait).To(And(BeNumerically(">", 0), BeNumerically("<=", time.Second)))
 	})
 
--- a/internal/core/placement/inventory_test.go
+++ b/internal/core/placement/inventory_test.go
@@ -129,7 +129,7 @@
 				if rnd.IntN(4) == 0 {
 					i := rnd.IntN(len(list))
 					list[i].StartedAtMs++
-					list[i].UID = placement.UID(list[i].ID, list[i].StartedAtMs)
+					list[i].UID = placement.UID(list[i].ID, list[i].StartedAtMs, "")
 					list[i].Address = list[i].Address + "'"
 					b.SetTargets(now, map[string][]placement.Target{pool: list})
 				}
--- a/internal/core/placement/pause.go
+++ b/internal/core/placement/pause.go
@@ -1,6 +1,10 @@
 package placement
 
-import "time"
+import (
+	"time"
+
+	"github.com/hemlockdyke/hemlockdyke/internal/core/lineage"
+)
 
 // pause is the time for which a target has asked this router to send it no requests. After a pause
 // one trial request is sent, and no other before its first event. Otherwise the requests that
@@ -68,16 +72,16 @@
 	return true
 }
 
-// PausedRetryAfter returns the time until the first pause in a pool ends if all of its active
-// targets are paused; 0 otherwise.
-func (b *Balancer) PausedRetryAfter(now time.Time, pool string) time.Duration {
+// PausedRetryAfter returns the time until the first pause ends if all active targets of a pool that run
+// a software version are paused; 0 otherwise.
+func (b *Balancer) PausedRetryAfter(now time.Time, pool string, s lineage.Software) time.Duration {
 	p, ok := b.pools[pool]
 	if !ok {
 		return 0
 	}
 	shortest := time.Duration(0)
 	for _, t := range p.targets {
-		if !t.isActive() {
+		if !t.isActive() || !t.runs(s) {
 			continue
 		}
 		remaining := t.pause.until.Sub(now)
--- a/internal/core/placement/pause_test.go
+++ b/internal/core/placement/pause_test.go
@@ -91,11 +91,11 @@
 
 	It("leaves no target if all are paused, and reports when the first pause ends", func() {
 		b.MarkPaused(now, 1, 4*time.Second)
-		Expect(b.PausedRetryAfter(now, "p")).To(BeZero())
+		Expect(b.PausedRetryAfter(now, "p", 0)).To(BeZero())
 		b.MarkPaused(now, 2, 2*time.Second)
 		_, ok := place()
 		Expect(ok).To(BeFalse())
-		Expect(b.PausedRetryAfter(now, "p")).To(BeNumerically("~", 2250*time.Millisecond, 250*time.Millisecond))
+		Expect(b.PausedRetryAfter(now, "p", 0)).To(BeNumerically("~", 2250*time.Millisecond, 250*time.Millisecond))
 	})
 
 	It("gets no new placements, in any order of pauses, ends and placements", func() {
--- a/internal/core/placement/target.go
+++ b/internal/core/placement/target.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/hemlockdyke/hemlockdyke/internal/core/lineage"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/rendezvous"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/warmup"
 )
@@ -30,10 +31,11 @@
 	SoftwareVersion string
 }
 
-// UID returns the UID of a target's lifetime, given its ID and its start in Unix milliseconds. All
-// routers compute the same value.
-func UID(id string, startedAtMs int64) uint64 {
-	return rendezvous.Mix(rendezvous.Hash(id), uint64(startedAtMs))
+// UID returns the UID of a target's lifetime, given its ID, its start in Unix milliseconds and its
+// software version. All routers compute the same value. The version tells lifetimes apart whose start
+// is unknown.
+func UID(id string, startedAtMs int64, softwareVersion string) uint64 {
+	return rendezvous.Mix(rendezvous.Mix(rendezvous.Hash(id), uint64(startedAtMs)), rendezvous.Hash(softwareVersion))
 }
 
 // Request describes a request that needs a target.
@@ -52,6 +54,10 @@
 	// stream; 0 if it has none.
 	Objective time.Duration
 	Excluded  []uint64 // UIDs of targets that must not be chosen
+	// Software is the only version whose targets may be chosen; 0 if all may.
+	Software lineage.Software
+	// limited is set if targets above the load bound must not be chosen, see Balancer.chooseByVersion.
+	limited bool
 	// LoadsOutdated is true if requests of the pool take less time than the load reports of other
 	// routers, so that the reported loads are of no use.
 	LoadsOutdated bool
@@ -100,6 +106,7 @@
 	joinedAt time.Time
 	usedAt   time.Time // when a request was first seen at it; zero if never
 	seed     uint64    // hash of its ID, for the chats' orders
+	software lineage.Software
 	ownOpen  int
 	peerOpen int // reported by all other routers
 	// ownSilent and peerSilent are how many of these are silent, see Load.
--- a/internal/core/placement/targetset.go
+++ b/internal/core/placement/targetset.go
@@ -54,8 +54,8 @@
 // ListUpdate is what a version of the target list has changed.
 type ListUpdate struct {
 	// Ended are the lifetimes that have ended because their targets started again, according to the
-	// targets' own clocks.
-	Ended []Target
+	// targets' own clocks or their software versions.
+	Ended []EndedLifetime
 	// Departures are the targets that were not leaving before and are now leaving or removed, and
 	// DepartedIDs their IDs, sorted. Targets with an invalid entry are left out: they may be
 	// running.
@@ -63,6 +63,12 @@
 	DepartedIDs []string
 }
 
+// EndedLifetime is a lifetime of a target that has ended because the target started again.
+type EndedLifetime struct {
+	Target
+	VersionChanged bool // the next lifetime runs another software version
+}
+
 // Update replaces the target list by the one of a version. rejected are the IDs of its invalid
 // entries.
 func (s *TargetSet) Update(now time.Time, version uint64, pools map[string][]Target, rejected []string) ListUpdate {
@@ -124,8 +130,8 @@
 	s.markChanged(id)
 	if ok && before.UID != t.UID {
 		delete(s.byUID, before.UID)
-		if before.StartedAtMs < t.StartedAtMs {
-			u.Ended = append(u.Ended, before)
+		if versionChanged := before.SoftwareVersion != t.SoftwareVersion; versionChanged || before.StartedAtMs < t.StartedAtMs {
+			u.Ended = append(u.Ended, EndedLifetime{Target: before, VersionChanged: versionChanged})
 		}
 	}
 	e.pool, e.row, e.target, e.listed = pool, t, t, true
--- a/internal/core/placement/targetset_test.go
+++ b/internal/core/placement/targetset_test.go
@@ -33,7 +33,7 @@
 
 	lifetime := func(started int64) map[string][]placement.Target {
 		t := target("0", "a")
-		t.StartedAtMs, t.UID = started, placement.UID(t.ID, started)
+		t.StartedAtMs, t.UID = started, placement.UID(t.ID, started, "")
 		return map[string][]placement.Target{pool: {t}}
 	}
 
@@ -70,7 +70,7 @@
 var _ = Describe("the lifetimes of a target", func() {
 	lifetime := func(started int64) placement.Target {
 		t := target("0", "a")
-		t.StartedAtMs, t.UID = started, placement.UID(t.ID, started)
+		t.StartedAtMs, t.UID = started, placement.UID(t.ID, started, "")
 		return t
 	}
 	others := targets(6)[1:]
@@ -137,7 +137,7 @@
 				out := make(map[string]placement.Target)
 				for i := range version {
 					id := fmt.Sprint("t", history[i].target)
-					out[id] = placement.Target{UID: placement.UID(id, 0), ID: id, Leaving: history[i].state == "leaving"}
+					out[id] = placement.Target{UID: placement.UID(id, 0, ""), ID: id, Leaving: history[i].state == "leaving"}
 					if history[i].state == "removed" {
 						delete(out, id)
 					}
--- a/internal/core/placement/update.go
+++ b/internal/core/placement/update.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/hemlockdyke/hemlockdyke/internal/core/lineage"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/rendezvous"
 )
 
@@ -68,7 +69,7 @@
 		}
 		t.cold.extend(now, u.Target.ColdRemaining)
 	}
-	t.Target = u.Target
+	t.Target, t.software = u.Target, lineage.SoftwareOf(u.Pool, u.Target.SoftwareVersion)
 	t.evacuated = b.evacuationOrders.IsEvacuated(t.DataCentre)
 	b.applyLeavingNotice(now, t)
 	b.poolNamed(u.Pool).add(t)
--- a/internal/core/placement/update_test.go
+++ b/internal/core/placement/update_test.go
@@ -35,7 +35,7 @@
 	}
 	started := int64(rapid.IntRange(0, 2).Draw(t, "started"))
 	entry := placement.PoolTarget{Pool: rapid.SampledFrom([]string{"p", "q"}).Draw(t, "pool"), Target: placement.Target{
-		UID: placement.UID(id, started), ID: id, StartedAtMs: started, RowVersion: h.version, Slots: 8,
+		UID: placement.UID(id, started, ""), ID: id, StartedAtMs: started, RowVersion: h.version, Slots: 8,
 		DataCentre: rapid.SampledFrom([]string{"a", "b"}).Draw(t, "data centre"), Leaving: rapid.IntRange(0, 3).Draw(t, "leaving") == 0,
 	}}
 	h.listed[id] = entry
@@ -82,7 +82,7 @@
 				switch rapid.IntRange(0, 3).Draw(t, "step") {
 				case 0:
 					id := fmt.Sprint("t", rapid.IntRange(0, 4).Draw(t, "departed"))
-					d := placement.Departure{Target: placement.UID(id, int64(rapid.IntRange(0, 2).Draw(t, "lifetime"))), ListVersion: h.version + uint64(rapid.IntRange(0, 2).Draw(t, "ahead")), Removed: rapid.Bool().Draw(t, "removed")}
+					d := placement.Departure{Target: placement.UID(id, int64(rapid.IntRange(0, 2).Draw(t, "lifetime")), ""), ListVersion: h.version + uint64(rapid.IntRange(0, 2).Draw(t, "ahead")), Removed: rapid.Bool().Draw(t, "removed")}
 					byChange.ApplyDepartures(now, []placement.Departure{d})
 					byList.ApplyDepartures(now, []placement.Departure{d})
 				case 1:
--- a/internal/eventlog/kinds.go
+++ b/internal/eventlog/kinds.go
@@ -28,6 +28,7 @@
 	Forwarded     = Kind{"forwarded", zerolog.InfoLevel, 400, "another router is asked to send an attempt, since this one's own path to the pool's targets is cut"}
 	NotForwarded  = Kind{"not_forwarded", zerolog.WarnLevel, 400, "another router did not send an attempt, or was lost with it, and why"}
 	Forwarding    = Kind{"forwarding", zerolog.InfoLevel, 400, "this router sends an attempt of another router to its target"}
+	StreamRefused = Kind{"stream_refused", zerolog.WarnLevel, 400, "a stream can't go on, and why: no router knows the software version that began it, or no target of that version takes it"}
 	Finished      = Kind{"finished", zerolog.InfoLevel, 400, "the caller has a target's answer"}
 	PoisonRefused = Kind{"poison_refused", zerolog.WarnLevel, 200, "a request was refused before it was sent: targets have exited while they executed such requests"}
 	Failed        = Kind{"failed", zerolog.WarnLevel, 400, "the caller got a result code of the router or a truncated answer, or disconnected"}
@@ -82,7 +83,7 @@
 // Kinds returns all kinds.
 func Kinds() []Kind {
 	return []Kind{
-		TicketRefused, Placed, AttemptFailed, RetryDenied, NotAdmitted, PoisonRefused, Forwarded, NotForwarded, Forwarding, Finished, Failed,
+		TicketRefused, Placed, AttemptFailed, RetryDenied, NotAdmitted, PoisonRefused, Forwarded, NotForwarded, Forwarding, StreamRefused, Finished, Failed,
 		Started, Stopping, Stopped, Reloaded, ReloadRejected, RequestsCut, ReadyChanged, StaleChanged, DesiredState, Evacuation, TargetCold, TargetBrittle,
 		DesiredStateRejected, TargetsChanged, TargetRejected, TargetRestarted, TargetDeparted, StoreChanged, StoreReadFailed, TableCopyFailed, TableCopyRefused, TableCopied, LinkUse, RouterListFailed, SuspectStoreFailed,
 		PeerUp, PeerDown, PeerUnlisted, PathChanged, RoleChanged, TargetSuspended, TargetNotice, TargetExited, PoisonChanged, PeerCallFailed, ListenerFailed,
