A caller that comes back for a stream goes on at the version that began it, at any router, or is refused

Now the first event of a resumable stream makes a record (core/lineage): stream, software version of the lifetime that sent it. A record never changes; two that differ make the stream one that goes on nowhere, so a lost, late or repeated message can't lead to a wrong version. Routers tell records to the relays of their data centre in the digests that they send anyway, once more to a relay that has started since; where a data centre has followers, one of its relays passes each on to another data centre. No version is ever concluded from the target list. Memory is bounded by the longest stream and 15 s, and by 2 x 131,072 records.

--- a/gen/hemlockdyke/peer/v1/peerv1connect/peer.connect.go
+++ b/gen/hemlockdyke/peer/v1/peerv1connect/peer.connect.go
@@ -52,6 +52,8 @@
 	PeerServiceCopyProcedure = "/hemlockdyke.peer.v1.PeerService/Copy"
 	// PeerServiceForwardProcedure is the fully-qualified name of the PeerService's Forward RPC.
 	PeerServiceForwardProcedure = "/hemlockdyke.peer.v1.PeerService/Forward"
+	// PeerServiceFindStreamsProcedure is the fully-qualified name of the PeerService's FindStreams RPC.
+	PeerServiceFindStreamsProcedure = "/hemlockdyke.peer.v1.PeerService/FindStreams"
 )
 
 // PeerServiceClient is a client for the hemlockdyke.peer.v1.PeerService service.
@@ -73,6 +75,8 @@
 	// Forward sends an attempt of a router that reaches no target itself to a target, and returns the answer. The callee
 	// never asks another router.
 	Forward(context.Context, *connect.Request[v1.ForwardRequest]) (*connect.ServerStreamForClient[v1.ForwardResponse], error)
+	// FindStreams returns at which software versions streams began, as far as the router knows.
+	FindStreams(context.Context, *connect.Request[v1.FindStreamsRequest]) (*connect.Response[v1.FindStreamsResponse], error)
 }
 
 // NewPeerServiceClient constructs a client for the hemlockdyke.peer.v1.PeerService service. By
@@ -134,19 +138,26 @@
 			connect.WithSchema(peerServiceMethods.ByName("Forward")),
 			connect.WithClientOptions(opts...),
 		),
+		findStreams: connect.NewClient[v1.FindStreamsRequest, v1.FindStreamsResponse](
+			httpClient,
+			baseURL+PeerServiceFindStreamsProcedure,
+			connect.WithSchema(peerServiceMethods.ByName("FindStreams")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
 // peerServiceClient implements PeerServiceClient.
 type peerServiceClient struct {
-	exchange *connect.Client[v1.ExchangeRequest, v1.ExchangeResponse]
-	deliver  *connect.Client[v1.DeliverRequest, v1.DeliverResponse]
-	gossip   *connect.Client[v1.GossipRequest, v1.GossipResponse]
-	push     *connect.Client[v1.PushRequest, v1.PushResponse]
-	burn     *connect.Client[v1.BurnRequest, v1.BurnResponse]
-	pull     *connect.Client[v1.PullRequest, v1.PullResponse]
-	copy     *connect.Client[v1.CopyRequest, v1.CopyResponse]
-	forward  *connect.Client[v1.ForwardRequest, v1.ForwardResponse]
+	exchange    *connect.Client[v1.ExchangeRequest, v1.ExchangeResponse]
+	deliver     *connect.Client[v1.DeliverRequest, v1.DeliverResponse]
+	gossip      *connect.Client[v1.GossipRequest, v1.GossipResponse]
+	push        *connect.Client[v1.PushRequest, v1.PushResponse]
+	burn        *connect.Client[v1.BurnRequest, v1.BurnResponse]
+	pull        *connect.Client[v1.PullRequest, v1.PullResponse]
+	copy        *connect.Client[v1.CopyRequest, v1.CopyResponse]
+	forward     *connect.Client[v1.ForwardRequest, v1.ForwardResponse]
+	findStreams *connect.Client[v1.FindStreamsRequest, v1.FindStreamsResponse]
 }
 
 // Exchange calls hemlockdyke.peer.v1.PeerService.Exchange.
@@ -189,6 +200,11 @@
 	return c.forward.CallServerStream(ctx, req)
 }
 
+// FindStreams calls hemlockdyke.peer.v1.PeerService.FindStreams.
+func (c *peerServiceClient) FindStreams(ctx context.Context, req *connect.Request[v1.FindStreamsRequest]) (*connect.Response[v1.FindStreamsResponse], error) {
+	return c.findStreams.CallUnary(ctx, req)
+}
+
 // PeerServiceHandler is an implementation of the hemlockdyke.peer.v1.PeerService service.
 type PeerServiceHandler interface {
 	// Exchange asks the owner of a pool for tickets and releases finished ones.
@@ -208,6 +224,8 @@
 	// Forward sends an attempt of a router that reaches no target itself to a target, and returns the answer. The callee
 	// never asks another router.
 	Forward(context.Context, *connect.Request[v1.ForwardRequest], *connect.ServerStream[v1.ForwardResponse]) error
+	// FindStreams returns at which software versions streams began, as far as the router knows.
+	FindStreams(context.Context, *connect.Request[v1.FindStreamsRequest]) (*connect.Response[v1.FindStreamsResponse], error)
 }
 
 // NewPeerServiceHandler builds an HTTP handler from the service implementation. It returns the path
@@ -265,6 +283,12 @@
 		connect.WithSchema(peerServiceMethods.ByName("Forward")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerServiceFindStreamsHandler := connect.NewUnaryHandler(
+		PeerServiceFindStreamsProcedure,
+		svc.FindStreams,
+		connect.WithSchema(peerServiceMethods.ByName("FindStreams")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/hemlockdyke.peer.v1.PeerService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case PeerServiceExchangeProcedure:
@@ -283,6 +307,8 @@
 			peerServiceCopyHandler.ServeHTTP(w, r)
 		case PeerServiceForwardProcedure:
 			peerServiceForwardHandler.ServeHTTP(w, r)
+		case PeerServiceFindStreamsProcedure:
+			peerServiceFindStreamsHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -323,3 +349,7 @@
 func (UnimplementedPeerServiceHandler) Forward(context.Context, *connect.Request[v1.ForwardRequest], *connect.ServerStream[v1.ForwardResponse]) error {
 	return connect.NewError(connect.CodeUnimplemented, errors.New("hemlockdyke.peer.v1.PeerService.Forward is not implemented"))
 }
+
+func (UnimplementedPeerServiceHandler) FindStreams(context.Context, *connect.Request[v1.FindStreamsRequest]) (*connect.Response[v1.FindStreamsResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("hemlockdyke.peer.v1.PeerService.FindStreams is not implemented"))
+}
--- a/internal/adapter/metrics/gateway.go
+++ b/internal/adapter/metrics/gateway.go
@@ -90,6 +90,9 @@
 // SignalInvalid.
 func (g *Gateway) CountSignal(signal string) { g.add("targets_said_total", "what", signal, 1) }
 
+// CountResumption counts a stream that a caller takes up, by who knew it.
+func (g *Gateway) CountResumption(known string) { g.add("resumptions_total", "known", known, 1) }
+
 // CountRefusal counts a request that was refused before it had a route.
 func (g *Gateway) CountRefusal(c code.Code) { g.add("refused_total", "code", c.Lookup().Name, 1) }
 
@@ -153,7 +156,7 @@
 		{"desired_state_age_seconds", s.DesiredAge.Seconds()}, {"targets_age_seconds", s.TargetsAge.Seconds()},
 		{"peers_alive", float64(s.AlivePeers)}, {"peers_heard", float64(s.DirectPeers)}, {"relay", toFloat(s.IsRelay)},
 		{"feed_age_seconds", s.FeedAge.Seconds()}, {"suspects", float64(s.Suspects)}, {"evacuated_data_centres", float64(s.EvacuatedDataCentres)},
-		{"cold_targets", float64(s.ColdTargets)}, {"cut_pools", float64(s.CutPools)}, {"forwarding", float64(s.Forwarding)},
+		{"cold_targets", float64(s.ColdTargets)}, {"cut_pools", float64(s.CutPools)}, {"forwarding", float64(s.Forwarding)}, {"known_streams", float64(s.KnownStreams)},
 	} {
 		fmt.Fprintf(w, "%s%s %g\n", prefix, gauge.name, gauge.value)
 	}
--- a/internal/adapter/peer/forwarding.go
+++ b/internal/adapter/peer/forwarding.go
@@ -22,7 +22,8 @@
 	forwardIdleTimeout = 3 * time.Second
 )
 
-// ForwardClient asks other routers to send attempts to targets. It is safe for concurrent use.
+// ForwardClient asks other routers to send attempts to targets, and which streams they know. It is safe
+// for concurrent use.
 type ForwardClient struct{ client *http.Client }
 
 // NewForwardClient returns a ForwardClient.
@@ -41,6 +42,16 @@
 	return forwardStream{stream}, nil
 }
 
+// FindStreams asks the router at an address at which software versions streams began.
+func (c *ForwardClient) FindStreams(ctx context.Context, address string, req *peerv1.FindStreamsRequest) (*peerv1.FindStreamsResponse, error) {
+	client := peerv1connect.NewPeerServiceClient(c.client, "http://"+address, connect.WithReadMaxBytes(maxMessageBytes))
+	resp, err := client.FindStreams(ctx, connect.NewRequest(req))
+	if err != nil {
+		return nil, err
+	}
+	return resp.Msg, nil
+}
+
 type forwardStream struct {
 	*connect.ServerStreamForClient[peerv1.ForwardResponse]
 }
--- a/internal/adapter/peer/peer.go
+++ b/internal/adapter/peer/peer.go
@@ -111,6 +111,10 @@
 	return handle[peerv1.CopyRequest, peerv1.CopyResponse](ctx, s, req)
 }
 
+func (s *server) FindStreams(ctx context.Context, req *connect.Request[peerv1.FindStreamsRequest]) (*connect.Response[peerv1.FindStreamsResponse], error) {
+	return handle[peerv1.FindStreamsRequest, peerv1.FindStreamsResponse](ctx, s, req)
+}
+
 // Forward passes an attempt of another router to the Handler if that is a Forwarder.
 func (s *server) Forward(ctx context.Context, req *connect.Request[peerv1.ForwardRequest], stream *connect.ServerStream[peerv1.ForwardResponse]) error {
 	f, ok := s.handler.(Forwarder)
--- a/internal/app/gateway/apply.go
+++ b/internal/app/gateway/apply.go
@@ -56,6 +56,7 @@
 	c.desiredVersion = state.Version
 	before, table := c.traffic.table.Load(), route.Build(state)
 	c.traffic.table.Store(table)
+	c.traffic.streams.setLongestStream(table.LongestStream(defaultTimeout))
 	c.traffic.mu.Lock()
 	c.traffic.balancer.SetLimits(poolLimits(table))
 	c.traffic.mu.Unlock()
--- a/internal/app/gateway/bench_test.go
+++ b/internal/app/gateway/bench_test.go
@@ -54,6 +54,9 @@
 	return nil, context.Canceled
 }
 
+func (unreachablePeers) FindStreams(context.Context, string, *peerv1.FindStreamsRequest) (*peerv1.FindStreamsResponse, error) {
+	return nil, ErrNotForwarded
+}
 func (unreachablePeers) Forward(context.Context, string, *peerv1.ForwardRequest) (ForwardStream, error) {
 	return nil, ErrNotForwarded
 }
--- a/internal/app/gateway/control.go
+++ b/internal/app/gateway/control.go
@@ -87,6 +87,7 @@
 			retryBudgets: make(map[string]*retry.Window), retrySpan: s.RetrySpan,
 			retryLimits:  retry.Limits{Ratio: s.RetryRatio, Slack: s.RetrySlack, Routers: initialSlackSharers(s.FirstStart)},
 			openAttempts: newAttemptRegistry(), path: newPathState(rand.New(rand.NewPCG(incarnation, 2))), poisonGuard: newPoisonGuard(s.Address, s.FirstStart),
+			streams: newStreamRegistry(peers, now),
 		},
 		suspectsChanged: make(chan struct{}, 1),
 		inbox:           make(chan func(time.Time), inboxSize), stopped: make(chan struct{}),
@@ -146,6 +147,8 @@
 	c.probeExitedTargets(ctx, now)
 	c.tickPath(now)
 	c.updateOtherRouters(now)
+	near, far := c.core.StreamKeepers(now)
+	c.traffic.streams.setKeepers(addressStrings(near), addressStrings(far))
 	c.upstream.Prune(c.targetSet.HasLifetime)
 	c.updateSlackSharers(now)
 }
@@ -240,6 +243,8 @@
 		c.traffic.forgetSources(a.Sources)
 	case fleet.SuspectsSynced:
 		c.traffic.poisonGuard.markSuspectsSynced()
+	case fleet.StreamsMissed:
+		c.traffic.streams.reportAgain()
 	case fleet.RoleChanged:
 		c.log.Line(eventlog.RoleChanged).Bool("relay", a.Relay).Str("feeder", string(a.Feeder)).Msg("")
 	case fleet.PeerUp:
@@ -263,6 +268,7 @@
 	}
 	c.traffic.balancer.ReceivePrefixReads(now, a.PrefixReads)
 	c.traffic.mu.Unlock()
+	c.traffic.streams.receive(a.Streams)
 	c.applyDepartures(now, a.Departures)
 	if !a.Poison.Empty() {
 		c.poisonReportPending = c.traffic.poisonGuard.receiveReport(now, a.Poison) || c.poisonReportPending
--- a/internal/app/gateway/leaving_test.go
+++ b/internal/app/gateway/leaving_test.go
@@ -160,6 +160,10 @@
 // noForwarding forwards no attempts.
 type noForwarding struct{}
 
+func (noForwarding) FindStreams(context.Context, string, *peerv1.FindStreamsRequest) (*peerv1.FindStreamsResponse, error) {
+	return nil, errors.New("unreachable")
+}
+
 func (noForwarding) Forward(context.Context, string, *peerv1.ForwardRequest) (gateway.ForwardStream, error) {
 	return nil, gateway.ErrNotForwarded
 }
@@ -213,6 +217,7 @@
 func (discardResponder) Abort()                             {}
 func (discardResponder) RecordResult(gateway.Result)        {}
 func (discardResponder) CountSignal(string)                 {}
+func (discardResponder) CountResumption(string)             {}
 
 var _ = Describe("a router that can't copy the target list", func() {
 	const maxDelay = time.Second
--- a/internal/app/gateway/ports.go
+++ b/internal/app/gateway/ports.go
@@ -78,6 +78,8 @@
 	// Forward asks the router at address to send an attempt to a target. The end of ctx ends the
 	// attempt. An error marked as ErrNotForwarded means that the router did not get the request.
 	Forward(ctx context.Context, address string, req *peerv1.ForwardRequest) (ForwardStream, error)
+	// FindStreams asks the router at address at which software versions streams began.
+	FindStreams(ctx context.Context, address string, req *peerv1.FindStreamsRequest) (*peerv1.FindStreamsResponse, error)
 }
 
 // ErrNotForwarded means that no router sent the request, and none will.
--- a/internal/app/gateway/proxy.go
+++ b/internal/app/gateway/proxy.go
@@ -22,6 +22,9 @@
 	// CountSignal counts a signal in a target's answer: one of SignalLeaving, SignalPause and
 	// SignalInvalid.
 	CountSignal(signal string)
+	// CountResumption counts a stream that a caller takes up: one of ResumptionKnown, ResumptionAsked
+	// and ResumptionUnknown.
+	CountResumption(known string)
 }
 
 // Signals that targets send in their answers.
@@ -223,7 +226,15 @@
 	var cancel context.CancelFunc
 	r.ctx, cancel = context.WithDeadline(ctx, r.deadline.Add(answerGrace))
 	defer cancel()
+	mayGoOn := code.OK
+	if r.resumes() {
+		mayGoOn = r.resume()
+	}
 	p.traffic.recordRequest(m.startedAt, m.pool)
+	if mayGoOn != code.OK {
+		r.finish(mayGoOn)
+		return
+	}
 	action := r.attemptNext()
 	for action.Kind == attempt.RequestTicket {
 		action = r.retry()
--- a/internal/app/gateway/run.go
+++ b/internal/app/gateway/run.go
@@ -11,6 +11,7 @@
 	"github.com/hemlockdyke/hemlockdyke/internal/core/admission"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/attempt"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/code"
+	"github.com/hemlockdyke/hemlockdyke/internal/core/lineage"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/placement"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/poison"
 	"github.com/hemlockdyke/hemlockdyke/internal/eventlog"
@@ -76,6 +77,9 @@
 	if r.ctx.Err() != nil || !now.Before(r.deadline) {
 		return r.endEarly()
 	}
+	if r.stream.events > 0 && p.traffic.streams.known(r.streamID()) == lineage.Conflicting {
+		r.unbindStream()
+	}
 	poisonDecision := p.traffic.poisonGuard.admit(now, r.fingerprint)
 	if poisonDecision.Refused {
 		r.logLine(eventlog.PoisonRefused).Stringer("fingerprint", r.fingerprint).Dur("wait", poisonDecision.RetryAfter).Msg("")
@@ -89,7 +93,7 @@
 	choice, decision, ok := p.traffic.placeRequest(now, placement.Request{
 		Pool: r.match.pool, ChatHash: r.match.call.ChatHash, PromptPrefixes: r.match.call.PromptPrefixes, PromptTokens: r.match.call.PromptTokens,
 		Objective: r.match.route.Objective, Excluded: r.machine.Excluded(), Software: r.stream.software,
-	}, admission.Request{Team: r.match.teamName(), Priority: r.match.priority(), RoutePriority: r.match.route.Priority, Remaining: r.deadline.Sub(now), Objective: r.match.route.Objective}, r.machine.MayHaveExecuted())
+	}, admission.Request{Team: r.match.teamName(), Priority: r.match.priority(), RoutePriority: r.match.route.Priority, Remaining: r.deadline.Sub(now), Objective: r.match.route.Objective}, r.machine.MayHaveExecuted() || r.stream.software != 0)
 	switch {
 	case !ok:
 		c := p.traffic.noTargetCode(now, r.match.pool, r.stream.software)
--- a/internal/app/gateway/status.go
+++ b/internal/app/gateway/status.go
@@ -23,6 +23,7 @@
 	Suspects             int            // number of suspected requests that are refused
 	CutPools             int            // number of pools to whose targets this router's own path is cut
 	Forwarding           int            // number of attempts that this router sends for others now
+	KnownStreams         int            // number of streams whose software version this router knows
 	OpenRequests         map[string]int // open requests of the fleet by target ID
 }
 
@@ -43,6 +44,7 @@
 	})
 	s.Suspects = int(c.traffic.poisonGuard.refusedCount.Load())
 	s.CutPools, s.Forwarding = len(c.traffic.path.cutPools()), int(c.traffic.path.forwarding.Load())
+	s.KnownStreams = c.traffic.streams.count()
 	c.traffic.mu.Lock()
 	defer c.traffic.mu.Unlock()
 	s.ColdTargets = c.traffic.balancer.CountCold(c.now())
--- a/internal/app/gateway/targets.go
+++ b/internal/app/gateway/targets.go
@@ -39,13 +39,13 @@
 	c.departures.add(u.Departures)
 	c.publishTargets(now)
 	for _, t := range u.Ended {
-		cause := errRestarted
+		cause, revoked := errRestarted, 0
 		if t.VersionChanged {
-			cause = errVersionChanged
+			cause, revoked = errVersionChanged, c.traffic.streams.revoke(t.UID)
 		}
 		n := c.traffic.openAttempts.cancelRestarted(t.UID, cause)
 		c.log.Line(eventlog.TargetRestarted).Str("target", t.ID).Int64("started", t.StartedAtMs).Str("software", t.SoftwareVersion).
-			Bool("version_changed", t.VersionChanged).Int("attempts", n).Msg("")
+			Bool("version_changed", t.VersionChanged).Int("attempts", n).Int("streams", revoked).Msg("")
 	}
 	return u.DepartedIDs
 }
--- a/internal/app/gateway/view.go
+++ b/internal/app/gateway/view.go
@@ -44,6 +44,7 @@
 	openAttempts *attemptRegistry
 	path         *pathState
 	poisonGuard  *poisonGuard
+	streams      *streamRegistry
 
 	mu              sync.Mutex
 	balancer        *placement.Balancer
@@ -213,6 +214,18 @@
 	return max(t.balancer.PausedRetryAfter(now, pool, software), t.balancer.ColdRetryAfter(now, pool, software))
 }
 
+// poolServing returns the pool of a route in which a software version may get requests.
+func (t *trafficState) poolServing(r *route.Route, s lineage.Software) (pool string, ok bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, w := range r.Split {
+		if w.Weight > 0 && t.balancer.ServesSoftware(w.Pool, s) {
+			return w.Pool, true
+		}
+	}
+	return "", false
+}
+
 // targetID returns the ID of a target by its lifetime's UID; empty if unknown.
 func (t *trafficState) targetID(uid uint64) string {
 	t.mu.Lock()
@@ -255,10 +268,13 @@
 // each and must fit into one packet. Package fleet bounds those that a relay passes on.
 const maxOwnPrefixReadsPerDigest = 32
 
-// digestContent returns the router's own loads, target outcomes and prefix reads for the next
+// digestContent returns the router's own loads, target outcomes, prefix reads and streams for the next
 // digest.
 func (t *trafficState) digestContent(now time.Time) fleet.Tick {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return fleet.Tick{Loads: t.balancer.OwnLoads(now), Outcomes: t.balancer.OutcomesToReport(now), PrefixReads: t.balancer.TakePrefixReads(maxOwnPrefixReadsPerDigest)}
+	return fleet.Tick{
+		Loads: t.balancer.OwnLoads(now), Outcomes: t.balancer.OutcomesToReport(now),
+		PrefixReads: t.balancer.TakePrefixReads(maxOwnPrefixReadsPerDigest), Streams: t.streams.takeUnreported(),
+	}
 }
--- a/internal/core/fleet/digest.go
+++ b/internal/core/fleet/digest.go
@@ -72,6 +72,7 @@
 	if c.relay {
 		c.sendCentreDigest(now)
 		c.sendFleetDigest(now)
+		c.sendStreamsElsewhere(now)
 	}
 	c.prefixReads, c.departures, c.poison = c.prefixReads[:0], nil, poison.Report{}
 }
@@ -105,6 +106,8 @@
 	d.Seeks = c.needsRelays(now)
 	d.Report = encodeReport(c.lastLoads, c.outcomes, due(now, &c.outcomesSentAt, outcomesInterval))
 	setPrefixReads(d, c.prefixReads)
+	c.streams.moveTo(d)
+	c.checkStreamKeepers(to)
 	c.addUrgentReports(d)
 	if c.relay && !own.hasFollowers() && due(now, &c.centreOutbox.listSentAt, listInterval) {
 		c.addPeerList(now, d, func(p *peer) bool { return p.isHeard(now) })
--- a/internal/core/fleet/events.go
+++ b/internal/core/fleet/events.go
@@ -8,6 +8,7 @@
 	"time"
 
 	peerv1 "github.com/hemlockdyke/hemlockdyke/gen/hemlockdyke/peer/v1"
+	"github.com/hemlockdyke/hemlockdyke/internal/core/lineage"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/placement"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/poison"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/replica"
@@ -86,6 +87,8 @@
 		Outcomes []placement.TargetOutcomes
 		// PrefixReads are sent in the next digest only.
 		PrefixReads []placement.PrefixRead
+		// Streams are the records of this router's streams that other routers have to learn.
+		Streams []lineage.Record
 		UrgentReports
 	}
 	// UrgentReportsPending passes reports that the core must send before the next tick.
@@ -174,7 +177,8 @@
 		PrefixReads []placement.PrefixRead
 		Departures  []placement.Departure
 		Poison      poison.Report
-		// Partial is set if the report has only prefix reads, departures and poison reports.
+		Streams     []lineage.Record
+		// Partial is set if the report has only prefix reads, departures, poison reports and streams.
 		Partial bool
 	}
 	// ReportsDiscarded invalidates the reports of these sources, or of all sources if Sources is
@@ -182,6 +186,9 @@
 	ReportsDiscarded struct{ Sources []uint32 }
 	// SuspectsSynced reports that this router holds the same suspects as a router that is synced.
 	SuspectsSynced struct{}
+	// StreamsMissed reports that a router which keeps the records of this router's streams has started:
+	// they have to be told again.
+	StreamsMissed struct{}
 	// RoleChanged reports that this router became a relay or stopped being one, or that its feeder
 	// changed.
 	RoleChanged struct {
@@ -215,6 +222,7 @@
 func (ReportReceived) isAction()    {}
 func (ReportsDiscarded) isAction()  {}
 func (SuspectsSynced) isAction()    {}
+func (StreamsMissed) isAction()     {}
 func (RoleChanged) isAction()       {}
 func (PeerUp) isAction()            {}
 func (PeerDown) isAction()          {}
--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -138,15 +138,19 @@
 	outages             outageDetector
 	leaving             bool
 
-	sequence         uint64
-	lastSentAt       time.Time
-	lastLoads        []placement.Load
-	outcomes         []placement.TargetOutcomes
-	prefixReads      []placement.PrefixRead // not yet sent
-	departures       []placement.Departure
-	poison           poison.Report
-	suspects         suspects
-	suspectSyncPeers []Address // routers with other suspects; they receive all of this router's
+	sequence    uint64
+	lastSentAt  time.Time
+	lastLoads   []placement.Load
+	outcomes    []placement.TargetOutcomes
+	prefixReads []placement.PrefixRead // not yet sent
+	departures  []placement.Departure
+	poison      poison.Report
+	// streams are this router's records that were not sent yet, streamsElsewhere those that this relay
+	// has to pass on to another data centre.
+	streams, streamsElsewhere streamQueue
+	streamKeepers             map[Address]uint64 // incarnations of the routers that were sent records
+	suspects                  suspects
+	suspectSyncPeers          []Address // routers with other suspects; they receive all of this router's
 
 	outcomesSentAt time.Time
 	digestPending  bool // a digest must be sent immediately
@@ -186,6 +190,7 @@
 	c := &Core{
 		settings: s, own: candidate{rankOf(s.Self, s.Strength), s.Self}, startedAt: now, rand: rand.New(rand.NewPCG(s.Seed, s.Incarnation)), peers: make(map[Address]*peer),
 		centres: make(map[string]*centre), centreSums: make(map[string]*sourceReport),
+		streamKeepers: make(map[Address]uint64),
 	}
 	c.readDelayFactor = 1 + 0.5*c.rand.Float64()
 	for i := range c.tables {
@@ -315,6 +320,8 @@
 	c.outages.tick(now, c.hasReader(now))
 	c.updateVersionLag(now)
 	c.outcomes, c.prefixReads = ev.Outcomes, append(c.prefixReads, ev.PrefixReads...)
+	c.streams.add(ev.Streams...)
+	c.passStreamsOn(ev.Streams)
 	c.setUrgentReports(ev.UrgentReports)
 	heartbeat, reportsToForward := heartbeatInterval, false
 	if c.relay && c.centres[c.settings.DataCentre].hasFollowers() {
@@ -323,7 +330,7 @@
 	if c.needsRelays(now) || c.remainingAnnouncements > 0 {
 		heartbeat = min(heartbeat, relaySearchInterval)
 	}
-	if len(c.prefixReads) > 0 || c.hasUrgentReports() || reportsToForward || !equalLoads(ev.Loads, c.lastLoads) || now.Sub(c.lastSentAt) >= heartbeat {
+	if len(c.prefixReads) > 0 || len(c.streams) > 0 || len(c.streamsElsewhere) > 0 || c.hasUrgentReports() || reportsToForward || !equalLoads(ev.Loads, c.lastLoads) || now.Sub(c.lastSentAt) >= heartbeat {
 		c.sendDigests(now, ev.Loads)
 	}
 	c.probe(now)
--- a/internal/core/fleet/sums.go
+++ b/internal/core/fleet/sums.go
@@ -13,8 +13,11 @@
 // routers count the fleet's sum from their feeder, without their own part.
 func (c *Core) handleReport(now time.Time, from Address, p *peer, d *peerv1.Digest) {
 	loads, outcomes := decodeLoads(d.GetReport()), decodeOutcomes(d.GetReport())
-	report := ReportReceived{PrefixReads: decodePrefixReads(d), Departures: decodeDepartures(d), Poison: decodePoison(d), Partial: true}
+	report := ReportReceived{PrefixReads: decodePrefixReads(d), Departures: decodeDepartures(d), Poison: decodePoison(d), Streams: decodeStreams(d), Partial: true}
 	sameCentre := p.dataCentre == c.settings.DataCentre
+	if sameCentre {
+		c.passStreamsOn(report.Streams)
+	}
 	if c.relay && d.GetScope() != peerv1.Scope_SCOPE_FLEET {
 		c.followerOutbox.add(report.PrefixReads)
 		if sameCentre && p.feeder == c.own.rank.hash {
@@ -40,7 +43,7 @@
 	if !report.Partial {
 		report.Loads, report.Outcomes = loads, outcomes
 	}
-	if !report.Partial || len(report.PrefixReads) > 0 || len(report.Departures) > 0 || !report.Poison.Empty() {
+	if !report.Partial || len(report.PrefixReads) > 0 || len(report.Departures) > 0 || len(report.Streams) > 0 || !report.Poison.Empty() {
 		c.emit(report)
 	}
 }
--- a/internal/core/lineage/lineage.go
+++ b/internal/core/lineage/lineage.go
@@ -43,7 +43,7 @@
 	// When one is full, the older one is dropped, and its streams become unknown.
 	maxRecords = 1 << 17
 	// maxUnreported bounds the own records that wait to be reported; the oldest are dropped.
-	maxUnreported = 4096
+	maxUnreported = 8192
 )
 
 // Registry holds the records of this router's streams, and of those that other routers reported. It
@@ -82,6 +82,20 @@
 	r.report(Record{rec.Stream, r.Find(now, rec.Stream)})
 }
 
+// ReportAgain makes all records of this router's streams unreported: a router that has started lacks
+// them.
+func (r *Registry) ReportAgain(now time.Time) {
+	r.expire(now)
+	r.unreported = r.unreported[:0]
+	for _, g := range []generation{r.previous, r.current} {
+		for _, streams := range g.byTarget {
+			for _, s := range streams {
+				r.report(Record{s, r.Find(now, s)})
+			}
+		}
+	}
+}
+
 // Receive adds records that another router reported.
 func (r *Registry) Receive(now time.Time, records []Record) {
 	for _, rec := range records {
--- a/internal/core/placement/software_test.go
+++ b/internal/core/placement/software_test.go
@@ -85,7 +85,7 @@
 				break
 			}
 			placed++
-			Expect(float64(c.Open+1)).To(BeNumerically("<=", c.Bound))
+			Expect(float64(c.Open + 1)).To(BeNumerically("<=", c.Bound))
 		}
 		Expect(placed).To(And(BeNumerically(">", 10), BeNumerically("<", 60)))
 	})
--- a/internal/core/route/route.go
+++ b/internal/core/route/route.go
@@ -140,6 +140,25 @@
 	return nil, false
 }
 
+// LongestStream returns the longest timeout of the routes whose streams may be resumed; fallback stands
+// for a route without one.
+func (t *Table) LongestStream(fallback time.Duration) time.Duration {
+	longest := time.Duration(0)
+	for _, routes := range t.byHost {
+		for _, r := range routes {
+			if r.Kind != Stream || !r.Resumable {
+				continue
+			}
+			timeout := r.Timeout
+			if timeout <= 0 {
+				timeout = fallback
+			}
+			longest = max(longest, timeout)
+		}
+	}
+	return longest
+}
+
 // ReferencesPool reports whether the state defines a pool or a route refers to it.
 func (t *Table) ReferencesPool(name string) bool { return t.referenced[name] }
 
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -135,13 +135,15 @@
 	}
 }
 
-// Handle replies to a copy request of another router.
+// Handle replies to a request of another router.
 func (g *Gateway) Handle(ctx context.Context, m proto.Message) (proto.Message, error) {
-	req, ok := m.(*peerv1.CopyRequest)
-	if !ok {
-		return nil, code.New(code.BadProtocol, "unexpected message")
+	switch m := m.(type) {
+	case *peerv1.CopyRequest:
+		return g.control.ServeCopy(ctx, m)
+	case *peerv1.FindStreamsRequest:
+		return g.control.ServeStreams(m)
 	}
-	return g.control.ServeCopy(ctx, req)
+	return nil, code.New(code.BadProtocol, "unexpected message")
 }
 
 // Forward sends an attempt of another router to a target.
