Cached prompt prefixes are fetched from targets of the same software version only

What one version of the software has cached need not fit another, and targets don't check it. Suspected only: no caller has reported such an answer. The test drew a fetch across versions on its first case before; with one version in a pool nothing changes. The first targets of a new version read their prompts themselves.

--- a/internal/core/placement/software_test.go
+++ b/internal/core/placement/software_test.go
@@ -72,6 +72,38 @@
 		})
 	})
 
+	// Guards against a target that goes on from what another software version has cached.
+	It("fetches cached prefixes from targets of its own version only", func() {
+		fetches := 0
+		testkit.Check("100", func(t *rapid.T) {
+			list := versionedTargets(6, rapid.IntRange(1, 5).Draw(t, "old"))
+			versionAt := make(map[string]string)
+			for _, l := range list {
+				versionAt[l.Address] = l.SoftwareVersion
+			}
+			b := newBalancer(list...)
+			now := start
+			for range 60 {
+				now = now.Add(time.Duration(rapid.IntRange(1, 500).Draw(t, "pause")) * time.Millisecond)
+				c, ok := b.Place(now, newRequest(root, uint64(rapid.IntRange(1, 6).Draw(t, "chat"))))
+				if !ok {
+					t.Fatal("not placed")
+				}
+				if c.CacheSource != "" {
+					fetches++
+				}
+				if c.CacheSource != "" && versionAt[c.CacheSource] != c.Target.SoftwareVersion {
+					t.Fatalf("a target of %s fetches from one of %s", c.Target.SoftwareVersion, versionAt[c.CacheSource])
+				}
+				b.RecordFirstEvent(now, c, true)
+				if rapid.Bool().Draw(t, "ends") {
+					b.FinishRequest(now, c.Target.UID, placement.Answered)
+				}
+			}
+		})
+		Expect(fetches).To(BeNumerically(">", 100))
+	})
+
 	// Guards against the last targets of a version that are overrun by the streams which only they may serve.
 	It("is not placed above the load bound while targets of other versions have room", func() {
 		b := newBalancer(versionedTargets(9, 2)...)
--- a/internal/core/placement/source.go
+++ b/internal/core/placement/source.go
@@ -38,15 +38,18 @@
 	return ""
 }
 
-// shares reports whether other targets may fetch cached prefixes from the target.
-func (t *target) shares(now time.Time) bool { return !t.health.isSuspended(now) && !t.pause.isOn(now) }
+// sharesWith reports whether another target may fetch cached prefixes from the target. What one
+// software version has cached need not fit another.
+func (t *target) sharesWith(now time.Time, other *target) bool {
+	return t.software == other.software && !t.health.isSuspended(now) && !t.pause.isOn(now)
+}
 
 // longestHeldElsewhere returns the longest prefix of the prompt that another target of the pool
 // holds, and that target; the Prefix is zero if there is none.
 func (b *Balancer) longestHeldElsewhere(now time.Time, r Request, t *target) (Prefix, *target) {
 	return b.inventory.longestHeldElsewhere(now, r.PromptPrefixes, t, func(uid uint64) (*target, bool) {
 		o, ok := b.byUID[uid]
-		return o, ok && o.pool == t.pool && o.shares(now)
+		return o, ok && o.sharesWith(now, t)
 	})
 }
 
@@ -69,7 +72,7 @@
 	var bestWeight uint64
 	for _, o := range p.targets {
 		w := order.weight(o)
-		if o == t || !o.shares(now) || (!isNew && w < weight) {
+		if o == t || !o.sharesWith(now, t) || (!isNew && w < weight) {
 			continue
 		}
 		if isNew && !o.servedBefore(t.joinedAt) || !isNew && now.Sub(o.joinedAt) < newTargetPeriod {
