--- a/internal/core/admission/retryafter.go
+++ b/internal/core/admission/retryafter.go
@@ -10,7 +10,7 @@
 	// stoppingRetryAfter is for callers of a router that is stopping: they retry at once, since
 	// another router serves them.
 	stoppingRetryAfter = 20 * time.Millisecond
-	// startingRetryAfter is for callers of a router that has just started or lags behind: other
+	// startingRetryAfter is for callers of a router that has just started, lags behind or lacks their streams: other
 	// routers serve at once, and this one is ready within milliseconds of the first digest from a
 	// peer.
 	startingRetryAfter = 250 * time.Millisecond
@@ -26,9 +26,9 @@
 	switch c {
 	case code.ShuttingDown:
 		return stoppingRetryAfter
-	case code.NotReady, code.StaleConfig:
+	case code.NotReady, code.StaleConfig, code.UnknownStream:
 		return startingRetryAfter
-	case code.NoTarget, code.Evacuated, code.TargetRefused, code.QueueFull:
+	case code.NoTarget, code.Evacuated, code.TargetRefused, code.QueueFull, code.NoSuchVersion:
 		return time.Duration(retryShare * float64(remaining))
 	}
 	return 0
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -37,6 +37,7 @@
 	Fingerprint    string  `json:"fingerprint"`
 	ResumeFrom     string  `json:"resume_from"`
 	Software       string  `json:"software"`
+	Events         int     `json:"events"`
 	Resumes        string  `json:"resumes"`
 	Reason         string  `json:"why"`
 	Error          string  `json:"error"`
@@ -133,6 +134,8 @@
 		return fmt.Sprintf("retry denied: %d recent retries, %.1f allowed for %.0f requests and a slack of %.1f", e.Retries, e.AllowedRetries, e.Requests, e.Slack)
 	case eventlog.PoisonRefused.Name:
 		return fmt.Sprintf("not sent: targets have exited while they executed requests with the fingerprint %s; retry after %.0f ms", e.Fingerprint, e.Wait)
+	case eventlog.StreamRefused.Name:
+		return e.describeStream()
 	case eventlog.NotAdmitted.Name:
 		return fmt.Sprintf("not sent to %s: expected wait of %.0f ms behind %d open requests, %.0f ms remaining, rank %d", e.Target, e.Wait, e.OpenRequests, e.RemainingTime, e.Rank)
 	case eventlog.TargetSuspended.Name:
@@ -148,6 +151,27 @@
 	return e.Event
 }
 
+// describeStream says which stream can't go on, and why.
+func (e Entry) describeStream() string {
+	stream := "the stream"
+	if e.Resumes != "" {
+		stream += " that request " + e.Resumes + " began"
+	}
+	reason := "its targets are " + e.Reason
+	switch e.Reason {
+	case code.UnknownStream.Lookup().Name:
+		reason = "no router knows which software version began it"
+		if e.Resumes == "" && e.Events == 0 {
+			reason = "the caller named no request that began it"
+		}
+	case code.NoSuchVersion.Lookup().Name:
+		reason = "no target of the software version that began it takes requests"
+	case code.QueueFull.Lookup().Name:
+		reason = "the targets of the software version that began it are at the load bound or were tried"
+	}
+	return fmt.Sprintf("%s can't go on after event %s: %s", stream, e.ResumeFrom, reason)
+}
+
 // failureTexts describes the values of Entry.Reason of failed attempts.
 var failureTexts = map[string]string{
 	"not_sent":       "the target accepted no connection, so the request was not executed",
@@ -192,7 +216,7 @@
 		switch e := &entries[i]; e.Event {
 		case eventlog.Placed.Name:
 			placed = e
-		case eventlog.AttemptFailed.Name, eventlog.NotAdmitted.Name, eventlog.PoisonRefused.Name, eventlog.RetryDenied.Name, eventlog.TicketRefused.Name:
+		case eventlog.AttemptFailed.Name, eventlog.NotAdmitted.Name, eventlog.PoisonRefused.Name, eventlog.RetryDenied.Name, eventlog.TicketRefused.Name, eventlog.StreamRefused.Name:
 			failure = e
 		case eventlog.Finished.Name, eventlog.Failed.Name:
 			outcome = e
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -33,6 +33,12 @@
 {"level":"warn","router":"front-b-1","event":"not_forwarded","request":"r8","attempt":1,"target":"i-9","peer":"10.0.0.7:1","why":"lost","error":"reset","time":"2026-04-21T22:03:08Z"}
 {"level":"warn","router":"front-b-1","event":"attempt_failed","request":"r8","attempt":1,"target":"i-9","why":"forwarder_lost","time":"2026-04-21T22:03:08Z"}
 {"level":"warn","router":"front-b-1","event":"failed","request":"r8","code":4001,"name":"outcome_unknown","ran":"unknown","time":"2026-04-21T22:03:09Z"}
+{"level":"warn","router":"front-b-1","event":"stream_refused","request":"r9","why":"unknown_stream","resume_from":"12","resumes":"r-first","events":0,"time":"2026-04-21T22:03:09Z"}
+{"level":"warn","router":"front-b-1","event":"failed","request":"r9","code":2015,"name":"unknown_stream","ran":"no","time":"2026-04-21T22:03:09Z"}
+{"level":"warn","router":"front-b-1","event":"stream_refused","request":"r10","why":"unknown_stream","resume_from":"12","resumes":"","events":0,"time":"2026-04-21T22:03:09Z"}
+{"level":"warn","router":"front-b-1","event":"failed","request":"r10","code":2015,"name":"unknown_stream","ran":"no","time":"2026-04-21T22:03:09Z"}
+{"level":"warn","router":"front-b-1","event":"stream_refused","request":"r11","why":"no_such_version","resume_from":"4","resumes":"","events":4,"time":"2026-04-21T22:03:09Z"}
+{"level":"warn","router":"front-b-1","event":"failed","request":"r11","code":3003,"name":"stream_cut","ran":"yes","time":"2026-04-21T22:03:09Z"}
 not a line of ours, r1
 {"request": broken r1
 `
@@ -51,6 +57,9 @@
 		Entry("the target answered with an error", "r5", "status 500 is the target's own"),
 		Entry("targets exited while they executed it", "r7", "targets have exited while they executed requests with the fingerprint c0ffee; retry after 9000 ms; ended as poison"),
 		Entry("the router that was to send it was lost", "r8", "i-9: the router that was to send the request was lost; it may have sent it; ended as outcome_unknown"),
+		Entry("nobody knows the stream that it resumes", "r9", "the stream that request r-first began can't go on after event 12: no router knows which software version began it; ended as unknown_stream"),
+		Entry("its caller doesn't name the stream", "r10", "can't go on after event 12: the caller named no request that began it; ended as unknown_stream"),
+		Entry("no other target runs its version", "r11", "the stream can't go on after event 4: no target of the software version that began it takes requests; ended as stream_cut"),
 		Entry("no router logged it", "r6", "no router logged r6"),
 	)
 
