A target that held answers back in a silence is not taken for a slow one

Answers that were held back counted with their whole time, 200 times what the model expects; the sums decay together, so the ratio falls only by further answers, and a target that gets none has none. A pending request's wait counted at most 8 times the expected time already, for the same reason; now an answer's does too, so a few answers after the silence outweigh it.

Evidence: placement test, five answers held back: 29 of 200 requests, 100 would be its part; 50 and more now.

--- a/internal/core/placement/model.go
+++ b/internal/core/placement/model.go
@@ -20,9 +20,9 @@
 	// priorAnswers is how many answers at average speed a target's slowdown starts with, since a
 	// single late answer is not significant.
 	priorAnswers = 2.0
-	// maxWaitFactor limits the waiting time of a pending request, as a multiple of its expected
-	// time. Its answer may be lost, and one lost answer from a healthy target is no reason to move
-	// its chats.
+	// maxWaitFactor limits the time that counts for a request, as a multiple of its expected time. The
+	// answer of a pending one may be lost, and one that came later was held back by a silence that has
+	// ended: neither is a reason to move a healthy target's chats.
 	maxWaitFactor = 8
 	// minModelAnswers is how many answers, as a decayed count, the model needs before it predicts
 	// anything.
@@ -182,8 +182,9 @@
 	if m.isFitted() {
 		t.counts.decay(now)
 		b.counted[t.UID] = t
-		t.counts.took += took
-		t.counts.expected += m.firstEventSeconds(r.unreadTokens)
+		predicted := m.firstEventSeconds(r.unreadTokens)
+		t.counts.took += min(took, maxWaitFactor*predicted)
+		t.counts.expected += predicted
 	}
 }
 
--- a/internal/core/placement/model_test.go
+++ b/internal/core/placement/model_test.go
@@ -250,6 +250,47 @@
 
 	// One answer is lost and its request waits until its deadline. With the whole waiting time
 	// counted, the chats would leave a healthy target.
+	// Guards against a sound target that hardly gets a request for ten seconds after a silence of one: the
+	// answers that it held back counted as hundreds of times slower than others, and it got none by which
+	// that could have been corrected.
+	DescribeTable("uses a target again within a second after a silence", func(loadsOutdated bool, held int) {
+		b := newBalancer(targets(2)...)
+		now, at := start, map[uint64]int{}
+		serve := func(took time.Duration, n int) {
+			for range n {
+				c, ok := b.Place(now, placement.Request{Pool: pool, LoadsOutdated: loadsOutdated})
+				Expect(ok).To(BeTrue())
+				at[c.Target.UID]++
+				now = now.Add(took)
+				answer(b, now, c)
+			}
+		}
+		serve(5*time.Millisecond, 200)
+		silent := targets(2)[0].UID
+		var pending []placement.Choice
+		for i := 0; i < 400 && len(pending) < held; i++ {
+			c, ok := b.Place(now, placement.Request{Pool: pool, LoadsOutdated: loadsOutdated})
+			Expect(ok).To(BeTrue())
+			if c.Target.UID == silent {
+				pending = append(pending, c)
+			} else {
+				answer(b, now.Add(5*time.Millisecond), c)
+			}
+		}
+		Expect(pending).To(HaveLen(held))
+		serve(5*time.Millisecond, 240)
+		for _, c := range pending {
+			answer(b, now, c)
+		}
+		clear(at)
+		serve(5*time.Millisecond, 200)
+		Expect(at[silent]).To(BeNumerically(">=", 50), "half of its part of 200")
+	},
+		Entry("one answer held back, drawn", true, 1),
+		Entry("five, drawn", true, 5),
+		Entry("one, the least loaded", false, 1),
+	)
+
 	It("does not consider a target slow because of one lost answer", func() {
 		s := newSim(spread(3, 3))
 		s.run(6*time.Second, 100)
