A stream whose target has restarted at the same version goes on elsewhere

Found by reading the diff: the cause for a restart with another version was made by Mark, which makes the plain cause equal to it as well, so every restart under the same id gave up the streams that it struck, and their callers got a broken answer. Now the one wraps the other. The test failed before (one arrival instead of two) and passes; its second entry shows that a restart with another version still ends the stream.

--- a/internal/app/gateway/attempt_registry.go
+++ b/internal/app/gateway/attempt_registry.go
@@ -15,7 +15,7 @@
 
 // errVersionChanged is errRestarted for a target that runs another software version now. The list may
 // have shown that late, so nobody knows which version sent the events of the attempt.
-var errVersionChanged = errors.Mark(errors.New("target has restarted with another software version"), errRestarted)
+var errVersionChanged = errors.Wrap(errRestarted, "with another software version")
 
 // attemptRegistry holds the open attempts by target lifetime. If a target is partitioned, crashes
 // and restarts, the router sees no connection reset. An attempt at the earlier lifetime would wait
