--- a/internal/core/lineage/lineage.go
+++ b/internal/core/lineage/lineage.go
@@ -39,7 +39,7 @@
 }
 
 const (
-	// maxRecords bounds each of the two generations of a Registry, which take about 4 MB each when full.
+	// maxRecords bounds each of the two generations of a Registry, which take about 5 MB each when full.
 	// When one is full, the older one is dropped, and its streams become unknown.
 	maxRecords = 1 << 17
 	// maxUnreported bounds the own records that wait to be reported; the oldest are dropped.
