--- a/internal/app/gateway/ports.go
+++ b/internal/app/gateway/ports.go
@@ -116,6 +116,9 @@
 	// PromptPrefixes are the prefixes of the prompt that other requests may share, shortest first.
 	PromptPrefixes []placement.Prefix
 	PromptTokens   int // tokens in the whole prompt; 0 if there is no prompt
+	// PromptParts are the IDs of the parts of the prompt that other requests may share, each once, in
+	// one spelling, whatever stands before them.
+	PromptParts []string
 	// LastEventID is the ID of the event after which the caller resumes a stream.
 	LastEventID string
 	// ResumedID is the ID of the request that brought the first event of the stream that the caller
--- a/internal/app/gateway/run.go
+++ b/internal/app/gateway/run.go
@@ -125,7 +125,7 @@
 	}
 	if a.failure != "" {
 		p.traffic.path.logLastSeen(r.logLine(eventlog.AttemptFailed), p.now(), r.match.pool).Int("attempt", a.number).Str("target", choice.Target.ID).
-			Str("why", a.failure).AnErr("error", a.err).Int("events", a.events).Dur("after", took).Msg("")
+			Str("why", a.failure).AnErr("error", a.err).Int("events", a.events).Strs("parts", r.match.call.PromptParts).Dur("after", took).Msg("")
 	}
 	return action
 }
