A router closes new connections unread while it has more work than its processor can do

Cause: nothing bounds what a router accepts; it begins all and finishes each after its caller has left. Why it works: the delays of the scheduler's worst tenth and connections accepted beyond those begun tell of waiting work; what is closed unread meets another router.

--- a/internal/adapter/gatewayhttp/connections.go
+++ b/internal/adapter/gatewayhttp/connections.go
@@ -17,12 +17,16 @@
 // request has been read in part. The caller gets no answer and can't know whether the request was
 // executed. ConnTracker is safe for concurrent use.
 type ConnTracker struct {
+	begun func() // called for the first request of each connection
+
 	mu   sync.Mutex
 	open map[*connection]struct{}
 }
 
-// NewConnTracker returns an empty ConnTracker.
-func NewConnTracker() *ConnTracker { return &ConnTracker{open: make(map[*connection]struct{})} }
+// NewConnTracker returns an empty ConnTracker. It calls begun for the first request of each connection.
+func NewConnTracker(begun func()) *ConnTracker {
+	return &ConnTracker{begun: begun, open: make(map[*connection]struct{})}
+}
 
 // connection is a caller's connection.
 type connection struct {
@@ -30,6 +34,7 @@
 	tracker *ConnTracker
 
 	mu               sync.Mutex
+	hasBegun         bool      // it has had a request
 	idle             bool      // the last answer is complete and nothing has been read since
 	readsInterrupted bool      // a read deadline in the past interrupts reads
 	drainingRead     bool      // an interrupted read is taking the bytes that had arrived
@@ -69,6 +74,10 @@
 		tracked.idle, tracked.requestBegunAt = true, time.Time{}
 	case http.StateActive:
 		tracked.requestBegunAt = time.Time{}
+		if !tracked.hasBegun {
+			tracked.hasBegun = true
+			c.begun()
+		}
 	}
 }
 
--- a/internal/adapter/gatewayhttp/connections_test.go
+++ b/internal/adapter/gatewayhttp/connections_test.go
@@ -87,7 +87,7 @@
 	serve := func(delay time.Duration) (address string, shutDown func(context.Context) error) {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		Expect(err).NotTo(HaveOccurred())
-		connections := gatewayhttp.NewConnTracker()
+		connections := gatewayhttp.NewConnTracker(func() {})
 		s := &http.Server{ConnState: connections.OnStateChange, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "whole") })}
 		go func() { _ = s.Serve(connections.Wrap(slowListener{l, delay})) }()
 		DeferCleanup(s.Close)
@@ -130,7 +130,7 @@
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		Expect(err).NotTo(HaveOccurred())
 		gated := gatedListener{l, make(chan struct{}, 10), make(chan struct{}), &atomic.Bool{}, make(chan struct{}), &sync.Once{}}
-		connections := gatewayhttp.NewConnTracker()
+		connections := gatewayhttp.NewConnTracker(func() {})
 		answer := make(chan struct{}, 2)
 		s := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { <-answer; fmt.Fprint(w, "whole") })}
 		s.ConnState = func(c net.Conn, state http.ConnState) {
--- /dev/null
+++ b/internal/adapter/gatewayhttp/overload_test.go
@@ -0,0 +1,64 @@
+package gatewayhttp_test
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/hemlockdyke/hemlockdyke/internal/adapter/gatewayhttp"
+)
+
+var _ = Describe("a router with more work than its processor can do", func() {
+	// Guards against accepting what can't be served: nothing is served then, neither new nor open connections.
+	It("closes new connections unread, serves open ones, and accepts all again later", func() {
+		var closed, handled atomic.Int64
+		var limited atomic.Bool
+		gate := gatewayhttp.NewLoadGate(func() int { return 8 }, func() { closed.Add(1) }, limited.Store)
+		tracker := gatewayhttp.NewConnTracker(gate.RecordBegun)
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		server := &httptest.Server{Listener: tracker.Wrap(gate.Wrap(l)), Config: &http.Server{
+			ConnState: tracker.OnStateChange,
+			Handler:   http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { handled.Add(1); _, _ = io.WriteString(w, "ok") }),
+		}}
+		server.Start()
+		defer server.Close()
+		kept := &http.Client{Transport: &http.Transport{}}
+		get := func(c *http.Client) error {
+			resp, err := c.Get(server.URL)
+			if err != nil {
+				return err
+			}
+			defer resp.Body.Close()
+			_, err = io.Copy(io.Discard, resp.Body)
+			return err
+		}
+		fresh := func() error { return get(&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}) }
+		Expect(get(kept)).To(Succeed())
+		Expect(fresh()).To(Succeed())
+
+		for range 4 {
+			gate.Observe(400 * time.Millisecond)
+		}
+		Expect(limited.Load()).To(BeTrue())
+		before := handled.Load()
+		Expect(fresh()).To(Succeed(), "one a period is left")
+		Expect(fresh()).NotTo(Succeed())
+		Expect(handled.Load()).To(Equal(before+1), "not read")
+		Expect(closed.Load()).To(BeEquivalentTo(1))
+		Expect(get(kept)).To(Succeed())
+
+		for range 12 {
+			gate.Observe(0)
+		}
+		Expect(limited.Load()).To(BeFalse())
+		Expect(fresh()).To(Succeed())
+		Expect(fresh()).To(Succeed())
+	})
+})
--- a/internal/adapter/metrics/gateway.go
+++ b/internal/adapter/metrics/gateway.go
@@ -96,6 +96,9 @@
 // CountRefusal counts a request that was refused before it had a route.
 func (g *Gateway) CountRefusal(c code.Code) { g.add("refused_total", "code", c.Lookup().Name, 1) }
 
+// CountClosedUnread counts a caller's connection that was closed unread, as this router has too much work.
+func (g *Gateway) CountClosedUnread() { g.add("closed_unread_total", "", "", 1) }
+
 // CountDial counts a new connection to a target.
 func (g *Gateway) CountDial() { g.add("dials_total", "", "", 1) }
 
--- a/internal/app/gateway/control.go
+++ b/internal/app/gateway/control.go
@@ -56,8 +56,9 @@
 	departures       departureQueue
 	cancelRead       [fleet.TableCount]context.CancelFunc
 	readCtx          [fleet.TableCount]context.Context
-	desiredVersion   uint64 // version of the applied desired state
-	maxAlive         int    // largest number of routers alive at once
+	desiredVersion   uint64       // version of the applied desired state
+	maxAlive         int          // largest number of routers alive at once
+	aliveRouters     atomic.Int64 // other routers that are alive; safe for concurrent use
 	startedAt        time.Time
 	routerListRead   atomic.Bool // the store's router list has been read at least once
 	otherRouters     []string    // other routers known to placement; nil if not known yet
@@ -132,6 +133,9 @@
 	}
 }
 
+// AliveRouters returns the number of other routers that are alive.
+func (c *Control) AliveRouters() int { return int(c.aliveRouters.Load()) }
+
 // tick runs the periodic work. It is called every fleet.TickInterval.
 func (c *Control) tick(ctx context.Context, now time.Time) {
 	c.tickPoisonGuard(now)
@@ -151,6 +155,7 @@
 	c.traffic.streams.setKeepers(addressStrings(near), addressStrings(far))
 	c.upstream.Prune(c.targetSet.HasLifetime)
 	c.updateSlackSharers(now)
+	c.aliveRouters.Store(int64(c.core.AliveCount(now)))
 }
 
 // targetRetention returns how long targets remain in use after their removal from the target list.
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -70,6 +70,7 @@
 	digestSocket      *peer.DigestSocket
 	servers           []*http.Server // the first one serves the callers
 	callerConnections *gatewayhttp.ConnTracker
+	loadGate          *gatewayhttp.LoadGate
 	failures          chan error
 	stop              context.CancelFunc
 }
@@ -92,7 +93,7 @@
 		debug.SetMemoryLimit(int64(memoryLimitShare * float64(s.MemoryBytes)))
 	}
 	ctx, stop := context.WithCancel(context.Background())
-	g := &Gateway{settings: s, log: log, callerConnections: gatewayhttp.NewConnTracker(), failures: make(chan error, 5), stop: stop}
+	g := &Gateway{settings: s, log: log, failures: make(chan error, 5), stop: stop}
 	digestSocket, err := peer.ListenDigests(s.Gateway.Address)
 	if err != nil {
 		stop()
@@ -107,6 +108,8 @@
 	g.control = gateway.NewControl(s.Gateway, p.Store, p.Decoder, peers, targets, log, time.Now)
 	proxy := gateway.NewProxy(g.control, p.HeaderCodec, targets, m, log, time.Now)
 	g.proxy = proxy
+	g.loadGate = gatewayhttp.NewLoadGate(g.control.AliveRouters, m.CountClosedUnread, func(limited bool) { log.Line(eventlog.Overload).Bool("limited", limited).Msg("") })
+	g.callerConnections = gatewayhttp.NewConnTracker(g.loadGate.RecordBegun)
 	callerServer := gatewayhttp.New(proxy, g.control, p.HeaderCodec, time.Now, m.CountRefusal)
 	if err := g.startServers(callerServer, m, reporter); err != nil {
 		stop()
@@ -114,6 +117,7 @@
 	}
 	reporter.status = g.control.Status
 	go reporter.run(ctx)
+	go g.loadGate.Run(ctx)
 	go g.receiveDigests(ctx)
 	go g.control.Run(ctx)
 	log.Line(eventlog.Started).Str("callers", s.CallerAddress).Str("peers", s.Gateway.Address).Msg("")
@@ -161,7 +165,7 @@
 		wrap    func(net.Listener) net.Listener
 	}{
 		{g.settings.CallerAddress, &http.Server{Handler: callerServer, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: g.callerConnections.OnStateChange},
-			g.callerConnections.Wrap},
+			func(l net.Listener) net.Listener { return g.callerConnections.Wrap(g.loadGate.Wrap(l)) }},
 		{g.settings.ReadinessAddress, &http.Server{Handler: callerServer.ReadinessHandler(g.settings.ReadinessPath)}, nil},
 		{g.settings.Gateway.Address, &http.Server{Handler: peerMux, Protocols: peer.Protocols()},
 			func(l net.Listener) net.Listener { return peer.CoalesceWrites(reporter.servedCopies.WrapListener(l)) }},
--- a/internal/eventlog/kinds.go
+++ b/internal/eventlog/kinds.go
@@ -69,6 +69,7 @@
 	TargetExited          = Kind{"target_ended", zerolog.WarnLevel, 50, "a target exited: its connections broke and its port refuses new ones; how many requests of this router it was executing"}
 	PoisonChanged         = Kind{"poison", zerolog.WarnLevel, 50, "requests that carry a suspect are refused from now on, one was let through and a target exited again or it was answered, or the suspicion is forgotten"}
 	PathChanged           = Kind{"path", zerolog.WarnLevel, 20, "this router's own path to the targets of a pool is cut, or works again: how many targets were tried, and how many accepted a connection"}
+	Overload              = Kind{"overload", zerolog.WarnLevel, 20, "this router has more work than its processor can do and closes a part of its new connections unread, or accepts all again"}
 	RoleChanged           = Kind{"role", zerolog.InfoLevel, 20, "this router began or stopped being a relay of its data centre, or another relay feeds it from now on"}
 	PeerCallFailed        = Kind{"peer_call_failed", zerolog.WarnLevel, 50, "a call to another router failed"}
 	ListenerFailed        = Kind{"listener_failed", zerolog.ErrorLevel, 10, "a listener failed; the process stops"}
@@ -86,7 +87,7 @@
 		TicketRefused, Placed, AttemptFailed, RetryDenied, NotAdmitted, PoisonRefused, Forwarded, NotForwarded, Forwarding, StreamRefused, Finished, Failed,
 		Started, Stopping, Stopped, Reloaded, ReloadRejected, RequestsCut, ReadyChanged, StaleChanged, DesiredState, Evacuation, TargetCold, TargetBrittle,
 		DesiredStateRejected, TargetsChanged, TargetRejected, TargetRestarted, TargetDeparted, StoreChanged, StoreReadFailed, TableCopyFailed, TableCopyRefused, TableCopied, LinkUse, RouterListFailed, SuspectStoreFailed,
-		PeerUp, PeerDown, PeerUnlisted, PathChanged, RoleChanged, TargetSuspended, TargetNotice, TargetExited, PoisonChanged, PeerCallFailed, ListenerFailed,
+		PeerUp, PeerDown, PeerUnlisted, PathChanged, Overload, RoleChanged, TargetSuspended, TargetNotice, TargetExited, PoisonChanged, PeerCallFailed, ListenerFailed,
 		ChangeAccepted, PlannedChangeProgress, PlannedChangeFailed, ClaimUnsettled, BurnIncomplete, LinesDropped,
 	}
 }
