A starting router reads the suspects from the store at once, not after its tables

Cause: it asked for them 0.1 s after its start, and only if it was a reader of the store; the others waited for digests. Why it works: like its tables, a router that restarts reads them itself, unless it hears of them before.

--- a/internal/app/gateway/control.go
+++ b/internal/app/gateway/control.go
@@ -248,6 +248,7 @@
 		c.traffic.forgetSources(a.Sources)
 	case fleet.SuspectsSynced:
 		c.traffic.poisonGuard.markSuspectsSynced()
+		c.updateReady(now)
 	case fleet.StreamsMissed:
 		c.traffic.streams.reportAgain()
 	case fleet.RoleChanged:
--- a/internal/app/gateway/suspect_storage.go
+++ b/internal/app/gateway/suspect_storage.go
@@ -33,6 +33,10 @@
 // maintainStoredSuspects reads and writes the suspects in the store until ctx ends.
 func (c *Control) maintainStoredSuspects(ctx context.Context) {
 	st := &suspectStorage{control: c, storedLevels: make(map[poison.Fingerprint]int), retryInterval: suspectSaveInterval}
+	if c.settings.ReadStoreAtStart && !c.traffic.poisonGuard.hasSyncedSuspects() {
+		// All routers may have been lost, and this one takes no requests before it knows.
+		st.retryLater(st.loadSuspects(ctx))
+	}
 	for st.awaitWork(ctx) {
 		st.update(ctx)
 	}
@@ -75,13 +79,18 @@
 	} else {
 		err = st.saveSuspects(ctx, now)
 	}
-	if err != nil {
-		c.log.Line(eventlog.SuspectStoreFailed).Err(err).Msg("")
-		st.retryAt = now.Add(st.retryInterval)
-		st.retryInterval = min(2*st.retryInterval, maxStoreRetryInterval)
+	st.retryLater(err)
+}
+
+// retryLater logs a failed call and delays the next one; after a call without an error it does not.
+func (st *suspectStorage) retryLater(err error) {
+	if err == nil {
+		st.retryInterval = suspectSaveInterval
 		return
 	}
-	st.retryInterval = suspectSaveInterval
+	st.control.log.Line(eventlog.SuspectStoreFailed).Err(err).Msg("")
+	st.retryAt = st.control.now().Add(st.retryInterval)
+	st.retryInterval = min(2*st.retryInterval, maxStoreRetryInterval)
 }
 
 // loadSuspects reads the suspects that earlier routers stored.
@@ -96,6 +105,7 @@
 		st.storedLevels[s.Fingerprint] = s.Level
 	}
 	st.control.traffic.poisonGuard.restore(st.control.now(), stored)
+	st.control.submit(func(now time.Time) { st.control.updateReady(now) })
 	return nil
 }
 
