--- a/internal/core/poison/detector.go
+++ b/internal/core/poison/detector.go
@@ -1,6 +1,7 @@
 package poison
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -22,6 +23,8 @@
 	// of fingerprints with evidence.
 	evidenceMaxAge = 10 * time.Minute
 	maxEvidence    = 4096
+	// evictedShare is the inverse of the share of the evidence that is dropped when there is too much.
+	evictedShare = 8
 	// maxExits bounds the exited targets that are stored for one suspect.
 	maxExits = 32
 )
@@ -196,21 +199,24 @@
 	return false
 }
 
-// evictEvidence drops the weakest evidence if there is too much: among the fingerprints with the fewest
-// exits the one whose last exit is the oldest. So a flood of new ones with one exit each can't evict
-// one with two.
+// evictEvidence drops the weakest evidence if there is too much: that of the fingerprints with the fewest
+// exits, those whose last exit is the oldest first. So a flood of new ones with one exit each can't evict
+// one with two. It drops a share at a time, as it looks at all.
 func (d *Detector) evictEvidence() {
 	if len(d.evidence) < maxEvidence {
 		return
 	}
-	var least Fingerprint
-	for f, e := range d.evidence {
-		current, ok := d.evidence[least]
-		if !ok || len(e.exits) < len(current.exits) || (len(e.exits) == len(current.exits) && e.lastExitAt.Before(current.lastExitAt)) {
-			least = f
-		}
+	all := make([]Fingerprint, 0, len(d.evidence))
+	for f := range d.evidence {
+		all = append(all, f)
+	}
+	slices.SortFunc(all, func(f, g Fingerprint) int {
+		a, b := d.evidence[f], d.evidence[g]
+		return cmp.Or(cmp.Compare(len(a.exits), len(b.exits)), a.lastExitAt.Compare(b.lastExitAt), cmp.Compare(f, g))
+	})
+	for _, f := range all[:maxEvidence/evictedShare] {
+		delete(d.evidence, f)
 	}
-	delete(d.evidence, least)
 }
 
 // Tick starts and expires suspicions that are due, and returns the changes since the last call.
--- a/internal/core/poison/parts_test.go
+++ b/internal/core/poison/parts_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"testing"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -220,3 +221,44 @@
 		})
 	})
 })
+
+// BenchmarkAdmit measures a request with four parts while another part is suspected.
+func BenchmarkAdmit(b *testing.B) {
+	d := poison.NewDetector()
+	now := time.Unix(1_000_000, 0)
+	for t := uint64(1); t <= 3; t++ {
+		d.RecordExit(now, t, []poison.Contents{withParts(crashing)})
+	}
+	d.Tick(now.Add(time.Second))
+	c := withParts(101, 102, 103, 104)
+	b.ReportAllocs()
+	for range b.N {
+		d.Admit(now, c, here)
+		d.Confine(c)
+	}
+}
+
+// BenchmarkFingerprintOfPart hashes the ID of a part.
+func BenchmarkFingerprintOfPart(b *testing.B) {
+	b.ReportAllocs()
+	for range b.N {
+		poison.FingerprintOfPart("assistant", "5c1e07a2")
+	}
+}
+
+// BenchmarkRecordExit measures the exit of a target with 64 requests, each with three parts that were never answered, while
+// there is as much evidence as is kept.
+func BenchmarkRecordExit(b *testing.B) {
+	d := poison.NewDetector()
+	now := time.Unix(1_000_000, 0)
+	f := poison.Fingerprint(1 << 40)
+	b.ReportAllocs()
+	for i := range b.N {
+		requests := make([]poison.Contents, 64)
+		for k := range requests {
+			requests[k] = poison.Contents{f, f + 1, f + 2, f + 3}
+			f += 4
+		}
+		d.RecordExit(now.Add(time.Duration(i)*time.Millisecond), uint64(i), requests)
+	}
+}
--- a/internal/core/poison/report.go
+++ b/internal/core/poison/report.go
@@ -36,7 +36,8 @@
 	maxExitsPerDigest    = 32
 	maxAnswersPerDigest  = 32
 	maxSuspectsPerDigest = 12
-	// maxWaitingEntries bounds the queue. The entries with the lowest priority are dropped.
+	// maxWaitingEntries bounds the queue. The entries with the lowest priority are dropped, once there are
+	// twice as many.
 	maxWaitingEntries = 1024
 )
 
@@ -77,12 +78,14 @@
 		entry.remainingDigests = digestsPerFirstExit
 	}
 	q.urgent = q.urgent || entry.kind == entrySuspect
-	if i := slices.IndexFunc(q.waiting, entry.hasSameKey); i >= 0 {
-		q.waiting[i] = entry
-		return
+	if entry.kind != entryExit { // an exit counts once, so it is new
+		if i := slices.IndexFunc(q.waiting, entry.hasSameKey); i >= 0 {
+			q.waiting[i] = entry
+			return
+		}
 	}
 	q.waiting = append(q.waiting, entry)
-	if len(q.waiting) > maxWaitingEntries {
+	if len(q.waiting) > 2*maxWaitingEntries {
 		q.sort()
 		q.waiting = q.waiting[:maxWaitingEntries]
 	}
