--- a/internal/core/poison/suspect.go
+++ b/internal/core/poison/suspect.go
@@ -11,8 +11,9 @@
 var refusalPeriods = []time.Duration{10 * time.Second, 5 * time.Minute, 12 * time.Hour}
 
 const (
-	// probationPeriod is how long after its refusal period a suspect is kept that nobody sends.
-	probationPeriod = 10 * time.Minute
+	// probationPeriod is how long after its refusal period a suspect is kept that nobody sends: a day, in which
+	// it may come back.
+	probationPeriod = 24 * time.Hour
 	// clearedRetention is how long a cleared suspect is kept: routers that were cut off may still
 	// report the suspicion.
 	clearedRetention = time.Minute
