--- a/internal/core/poison/detector_test.go
+++ b/internal/core/poison/detector_test.go
@@ -156,7 +156,7 @@
 	It("is forgotten when nobody sends it", func() {
 		r := newRouter()
 		r.exitTargets(poisonous, 1, 2, 3)
-		Expect(r.advance(24 * time.Hour)).NotTo(ContainElement(HaveField("Kind", poison.Forgotten)), "it may come back within a day")
+		Expect(r.advance(24*time.Hour)).NotTo(ContainElement(HaveField("Kind", poison.Forgotten)), "it may come back within a day")
 		Expect(r.Admit(r.now, carrying(poisonous), elsewhere).Refused).To(BeTrue())
 		Expect(r.advance(25 * time.Hour)).To(ContainElement(HaveField("Kind", poison.Forgotten)))
 		Expect(r.RefusedCount()).To(BeZero())
