A starting router asks the store for the suspects again every half second, and log lines keep the order of their fields

With a store that doesn't reply at first, a starting router's only early call waited two seconds and the next came two later: it took requests without the suspects, 0 of 3 routers refused one that they had stored (the test 'find it in the store ... after a while'). Calls at the start wait 0.4 s and are repeated while no requests are taken. The lines 'poison' and 'poison_refused' had their new fields between those that readers match; they come last now.

--- a/internal/app/gateway/poison.go
+++ b/internal/app/gateway/poison.go
@@ -149,8 +149,8 @@
 		if ch.Kind == poison.Suspected {
 			cancelled = c.traffic.openAttempts.cancelSuspected(ch.Fingerprint)
 		}
-		c.log.Line(eventlog.PoisonChanged).Stringer("fingerprint", ch.Fingerprint).Str("part", c.traffic.poisonGuard.partID(ch.Fingerprint)).
-			Str("change", string(ch.Kind)).Int("ends", ch.Exits).Int("level", ch.Level).Bool("joint", ch.Group != 0).Dur("wait", ch.RefusedFor).Int("attempts", cancelled).Msg("")
+		c.log.Line(eventlog.PoisonChanged).Stringer("fingerprint", ch.Fingerprint).Str("change", string(ch.Kind)).Int("ends", ch.Exits).
+			Int("level", ch.Level).Dur("wait", ch.RefusedFor).Int("attempts", cancelled).Str("part", c.traffic.poisonGuard.partID(ch.Fingerprint)).Bool("joint", ch.Group != 0).Msg("")
 		select {
 		case c.suspectsChanged <- struct{}{}:
 		default:
--- a/internal/app/gateway/run.go
+++ b/internal/app/gateway/run.go
@@ -205,7 +205,7 @@
 	if i := slices.Index(r.contents, d.Suspect); i > 0 {
 		part = r.match.call.PromptParts[i-1]
 	}
-	r.logLine(eventlog.PoisonRefused).Stringer("fingerprint", d.Suspect).Str("part", part).Int("ends", d.Exits).Dur("age", d.Age).Dur("wait", d.RetryAfter).Msg("")
+	r.logLine(eventlog.PoisonRefused).Stringer("fingerprint", d.Suspect).Dur("wait", d.RetryAfter).Str("part", part).Int("ends", d.Exits).Dur("age", d.Age).Msg("")
 }
 
 // logPlaced logs the target of an attempt and the reasons for the choice.
--- a/internal/app/gateway/suspect_storage.go
+++ b/internal/app/gateway/suspect_storage.go
@@ -25,6 +25,9 @@
 	// suspectLoadInterval is how often a starting router checks whether it has received the fleet's
 	// suspects, and otherwise reads them from the store if it is a store reader.
 	suspectLoadInterval = 100 * time.Millisecond
+	// startCallTimeout bounds the calls of a router that takes no requests yet: the store may be back before
+	// it replies to an earlier one.
+	startCallTimeout = 400 * time.Millisecond
 	// suspectSaveInterval is how often a router checks, while there are suspects, whether it must
 	// write any. A suspect gets a new home router when its home router stops.
 	suspectSaveInterval = 2 * time.Second
@@ -33,15 +36,29 @@
 // maintainStoredSuspects reads and writes the suspects in the store until ctx ends.
 func (c *Control) maintainStoredSuspects(ctx context.Context) {
 	st := &suspectStorage{control: c, storedLevels: make(map[poison.Fingerprint]int), retryInterval: suspectSaveInterval}
-	if c.settings.ReadStoreAtStart && !c.traffic.poisonGuard.hasSyncedSuspects() {
-		// All routers may have been lost, and this one takes no requests before it knows.
-		st.retryLater(st.loadSuspects(ctx))
+	if c.settings.ReadStoreAtStart {
+		st.loadAtStart(ctx)
 	}
 	for st.awaitWork(ctx) {
 		st.update(ctx)
 	}
 }
 
+// loadAtStart reads the suspects until this router has them, for maxSuspectsWait: all routers may have been
+// lost, and this one takes no requests before it knows.
+func (st *suspectStorage) loadAtStart(ctx context.Context) {
+	c := st.control
+	for !c.traffic.poisonGuard.hasSyncedSuspects() && c.now().Sub(c.startedAt) < maxSuspectsWait && ctx.Err() == nil {
+		if err := st.loadSuspects(ctx, startCallTimeout); err != nil {
+			c.log.Line(eventlog.SuspectStoreFailed).Err(err).Msg("")
+			select {
+			case <-time.After(suspectLoadInterval):
+			case <-ctx.Done():
+			}
+		}
+	}
+}
+
 // awaitWork waits until suspects may have to be read or written. It returns false if ctx ends
 // first.
 func (st *suspectStorage) awaitWork(ctx context.Context) bool {
@@ -75,27 +92,22 @@
 		if !isReader {
 			return // the store reader sends the suspects to the others
 		}
-		err = st.loadSuspects(ctx)
+		err = st.loadSuspects(ctx, storeCallTimeout)
 	} else {
 		err = st.saveSuspects(ctx, now)
 	}
-	st.retryLater(err)
-}
-
-// retryLater logs a failed call and delays the next one; after a call without an error it does not.
-func (st *suspectStorage) retryLater(err error) {
-	if err == nil {
-		st.retryInterval = suspectSaveInterval
+	if err != nil {
+		c.log.Line(eventlog.SuspectStoreFailed).Err(err).Msg("")
+		st.retryAt = now.Add(st.retryInterval)
+		st.retryInterval = min(2*st.retryInterval, maxStoreRetryInterval)
 		return
 	}
-	st.control.log.Line(eventlog.SuspectStoreFailed).Err(err).Msg("")
-	st.retryAt = st.control.now().Add(st.retryInterval)
-	st.retryInterval = min(2*st.retryInterval, maxStoreRetryInterval)
+	st.retryInterval = suspectSaveInterval
 }
 
 // loadSuspects reads the suspects that earlier routers stored.
-func (st *suspectStorage) loadSuspects(ctx context.Context) error {
-	callCtx, cancel := context.WithTimeout(ctx, storeCallTimeout)
+func (st *suspectStorage) loadSuspects(ctx context.Context, timeout time.Duration) error {
+	callCtx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	stored, err := st.control.store.LoadSuspects(callCtx)
 	if err != nil {
