--- a/Makefile
+++ b/Makefile
@@ -12,7 +12,7 @@
 # Many simulated routers run without the race detector. The separate processes come last and alone: they wait for
 # real time.
 test:
-	$(GO) test -race -count=1 ./cmd/... ./internal/... ./platform/...
+	$(GO) test -race -count=1 -timeout 20m ./cmd/... ./internal/... ./platform/...
 	$(GO) test -count=1 ./internal/core/fleet -ginkgo.focus "many routers"
 	$(GO) test -race -count=1 ./e2e
 
