--- a/gen/hemlockdyke/peer/v1/peerv1connect/peer.connect.go
+++ b/gen/hemlockdyke/peer/v1/peerv1connect/peer.connect.go
@@ -54,6 +54,8 @@
 	PeerServiceForwardProcedure = "/hemlockdyke.peer.v1.PeerService/Forward"
 	// PeerServiceFindStreamsProcedure is the fully-qualified name of the PeerService's FindStreams RPC.
 	PeerServiceFindStreamsProcedure = "/hemlockdyke.peer.v1.PeerService/FindStreams"
+	// PeerServiceClaimReadProcedure is the fully-qualified name of the PeerService's ClaimRead RPC.
+	PeerServiceClaimReadProcedure = "/hemlockdyke.peer.v1.PeerService/ClaimRead"
 )
 
 // PeerServiceClient is a client for the hemlockdyke.peer.v1.PeerService service.
@@ -77,6 +79,8 @@
 	Forward(context.Context, *connect.Request[v1.ForwardRequest]) (*connect.ServerStreamForClient[v1.ForwardResponse], error)
 	// FindStreams returns at which software versions streams began, as far as the router knows.
 	FindStreams(context.Context, *connect.Request[v1.FindStreamsRequest]) (*connect.Response[v1.FindStreamsResponse], error)
+	// ClaimRead claims the reading of a prompt prefix that no target holds, or names the target that reads it already.
+	ClaimRead(context.Context, *connect.Request[v1.ClaimReadRequest]) (*connect.Response[v1.ClaimReadResponse], error)
 }
 
 // NewPeerServiceClient constructs a client for the hemlockdyke.peer.v1.PeerService service. By
@@ -144,6 +148,12 @@
 			connect.WithSchema(peerServiceMethods.ByName("FindStreams")),
 			connect.WithClientOptions(opts...),
 		),
+		claimRead: connect.NewClient[v1.ClaimReadRequest, v1.ClaimReadResponse](
+			httpClient,
+			baseURL+PeerServiceClaimReadProcedure,
+			connect.WithSchema(peerServiceMethods.ByName("ClaimRead")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -158,6 +168,7 @@
 	copy        *connect.Client[v1.CopyRequest, v1.CopyResponse]
 	forward     *connect.Client[v1.ForwardRequest, v1.ForwardResponse]
 	findStreams *connect.Client[v1.FindStreamsRequest, v1.FindStreamsResponse]
+	claimRead   *connect.Client[v1.ClaimReadRequest, v1.ClaimReadResponse]
 }
 
 // Exchange calls hemlockdyke.peer.v1.PeerService.Exchange.
@@ -205,6 +216,11 @@
 	return c.findStreams.CallUnary(ctx, req)
 }
 
+// ClaimRead calls hemlockdyke.peer.v1.PeerService.ClaimRead.
+func (c *peerServiceClient) ClaimRead(ctx context.Context, req *connect.Request[v1.ClaimReadRequest]) (*connect.Response[v1.ClaimReadResponse], error) {
+	return c.claimRead.CallUnary(ctx, req)
+}
+
 // PeerServiceHandler is an implementation of the hemlockdyke.peer.v1.PeerService service.
 type PeerServiceHandler interface {
 	// Exchange asks the owner of a pool for tickets and releases finished ones.
@@ -226,6 +242,8 @@
 	Forward(context.Context, *connect.Request[v1.ForwardRequest], *connect.ServerStream[v1.ForwardResponse]) error
 	// FindStreams returns at which software versions streams began, as far as the router knows.
 	FindStreams(context.Context, *connect.Request[v1.FindStreamsRequest]) (*connect.Response[v1.FindStreamsResponse], error)
+	// ClaimRead claims the reading of a prompt prefix that no target holds, or names the target that reads it already.
+	ClaimRead(context.Context, *connect.Request[v1.ClaimReadRequest]) (*connect.Response[v1.ClaimReadResponse], error)
 }
 
 // NewPeerServiceHandler builds an HTTP handler from the service implementation. It returns the path
@@ -289,6 +307,12 @@
 		connect.WithSchema(peerServiceMethods.ByName("FindStreams")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerServiceClaimReadHandler := connect.NewUnaryHandler(
+		PeerServiceClaimReadProcedure,
+		svc.ClaimRead,
+		connect.WithSchema(peerServiceMethods.ByName("ClaimRead")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/hemlockdyke.peer.v1.PeerService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case PeerServiceExchangeProcedure:
@@ -309,6 +333,8 @@
 			peerServiceForwardHandler.ServeHTTP(w, r)
 		case PeerServiceFindStreamsProcedure:
 			peerServiceFindStreamsHandler.ServeHTTP(w, r)
+		case PeerServiceClaimReadProcedure:
+			peerServiceClaimReadHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -353,3 +379,7 @@
 func (UnimplementedPeerServiceHandler) FindStreams(context.Context, *connect.Request[v1.FindStreamsRequest]) (*connect.Response[v1.FindStreamsResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("hemlockdyke.peer.v1.PeerService.FindStreams is not implemented"))
 }
+
+func (UnimplementedPeerServiceHandler) ClaimRead(context.Context, *connect.Request[v1.ClaimReadRequest]) (*connect.Response[v1.ClaimReadResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("hemlockdyke.peer.v1.PeerService.ClaimRead is not implemented"))
+}
--- a/internal/adapter/peer/peer.go
+++ b/internal/adapter/peer/peer.go
@@ -115,6 +115,10 @@
 	return handle[peerv1.FindStreamsRequest, peerv1.FindStreamsResponse](ctx, s, req)
 }
 
+func (s *server) ClaimRead(ctx context.Context, req *connect.Request[peerv1.ClaimReadRequest]) (*connect.Response[peerv1.ClaimReadResponse], error) {
+	return handle[peerv1.ClaimReadRequest, peerv1.ClaimReadResponse](ctx, s, req)
+}
+
 // Forward passes an attempt of another router to the Handler if that is a Forwarder.
 func (s *server) Forward(ctx context.Context, req *connect.Request[peerv1.ForwardRequest], stream *connect.ServerStream[peerv1.ForwardResponse]) error {
 	f, ok := s.handler.(Forwarder)
--- a/internal/app/gateway/apply.go
+++ b/internal/app/gateway/apply.go
@@ -73,7 +73,7 @@
 func poolLimits(table *route.Table) map[string]placement.PoolLimits {
 	out := make(map[string]placement.PoolLimits)
 	for name, p := range table.Pools() {
-		out[name] = placement.PoolLimits{MaxConnections: p.MaxConnections, ColdPerSecond: p.ColdPerSecond, ColdDuration: p.ColdDuration}
+		out[name] = placement.PoolLimits{MaxConnections: p.MaxConnections, ColdPerSecond: p.ColdPerSecond, ColdDuration: p.ColdDuration, MemoryTokens: p.MemoryTokens}
 	}
 	return out
 }
--- a/internal/app/gateway/control.go
+++ b/internal/app/gateway/control.go
@@ -79,6 +79,7 @@
 	placementSettings := placement.DefaultSettings(s.DataCentre)
 	placementSettings.LoadMultiple, placementSettings.LoadSlack = s.LoadMultiple, s.LoadSlack
 	placementSettings.ColdMultiple, placementSettings.ColdSlack = s.ColdMultiple, s.ColdSlack
+	placementSettings.ScheduleByWork = s.ScheduleByWork
 	c := &Control{
 		startedAt: now(),
 		settings:  s, store: store, decoder: decoder, peers: peers, upstream: up, log: log, now: now,
--- a/internal/app/gateway/ports.go
+++ b/internal/app/gateway/ports.go
@@ -116,6 +116,9 @@
 	// PromptPrefixes are the prefixes of the prompt that other requests may share, shortest first.
 	PromptPrefixes []placement.Prefix
 	PromptTokens   int // tokens in the whole prompt; 0 if there is no prompt
+	// MaxOutputTokens is the largest number of tokens that the caller accepts, and OutputHint its
+	// estimate of how many there will be; 0 if unknown.
+	MaxOutputTokens, OutputHint int
 	// PromptParts are the IDs of the parts of the prompt that other requests may share, each once, in
 	// one spelling, whatever stands before them.
 	PromptParts []string
--- a/internal/app/gateway/settings.go
+++ b/internal/app/gateway/settings.go
@@ -32,6 +32,10 @@
 	// ColdMultiple and ColdSlack bound the requests to a cold target, see placement.Settings.
 	ColdMultiple float64
 	ColdSlack    float64
+	// ScheduleByWork is true if the deployment asks that its requests be scheduled by their work. Pools
+	// whose targets report their pace are scheduled by work in any case, see
+	// placement.Balancer.IsScheduledByWork.
+	ScheduleByWork bool
 	// LinkBytesPerSecond is the bandwidth of the VM's link in each direction; 0 if unknown.
 	LinkBytesPerSecond int64
 }
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -27,6 +27,9 @@
 	// routers: ColdMultiple * the rate that its pool declares + ColdSlack.
 	ColdMultiple float64
 	ColdSlack    float64
+	// ScheduleByWork is true if all pools with prompts are scheduled by work, see
+	// Balancer.IsScheduledByWork.
+	ScheduleByWork bool
 	// LoadReportTTL is how long the loads of a silent source count. A router's requests end if it
 	// exits, but a short silence may be due to lost datagrams.
 	LoadReportTTL time.Duration
--- a/internal/core/placement/pool.go
+++ b/internal/core/placement/pool.go
@@ -22,6 +22,15 @@
 	maxColdPerSecond int
 	// brittleLimit is how many requests a second a target bears to refuse; 0 if it is not brittle.
 	brittleLimit int
+	// reportsPace is true once a listed target of the pool has reported its pace.
+	reportsPace bool
+}
+
+// IsScheduledByWork reports whether requests with prompts for a pool are placed and admitted by their
+// work and by the room of targets: the settings ask for it, or the pool's targets report their pace.
+func (b *Balancer) IsScheduledByWork(pool string) bool {
+	p, ok := b.pools[pool]
+	return ok && (b.settings.ScheduleByWork || p.reportsPace)
 }
 
 // PoolLimits are the limits that operators configure for the targets of a pool.
@@ -34,6 +43,8 @@
 	// data centre has ended.
 	ColdPerSecond float64
 	ColdDuration  time.Duration
+	// MemoryTokens is how many tokens the memory of one target holds; 0 if unknown.
+	MemoryTokens int
 }
 
 // modelOf returns the latency model of a pool, which is kept across target lists.
--- a/internal/core/route/route.go
+++ b/internal/core/route/route.go
@@ -69,6 +69,10 @@
 	// ColdDuration is how long a target is cold after its start.
 	ColdPerSecond float64
 	ColdDuration  time.Duration
+	// MemoryTokens is how many tokens the memory of one target holds, and TokensPerEvent how many of
+	// them an event of a stream has; 0 if unknown.
+	MemoryTokens   int
+	TokensPerEvent int
 }
 
 // Team is the customer that a request is charged to.
