Balancer keeps the load that targets report

Scheduling by work needs the pace, unread tokens and memory of targets, and the requests that no router counts any more. FinishRequest becomes FinishPlacement, since it needs the estimated memory of the request. The figures are reported only for pools scheduled by work.

--- a/internal/app/gateway/run.go
+++ b/internal/app/gateway/run.go
@@ -125,7 +125,7 @@
 	a.recordFirstEvent(false)
 	a.suspectPath()
 	took := p.now().Sub(now)
-	if p.traffic.finishAttempt(p.now(), r.match.pool, r.match.teamName(), choice.Target.UID, a.placementOutcome(), took, a.admissionOutcome(took)) {
+	if p.traffic.finishAttempt(p.now(), r.match.pool, r.match.teamName(), choice, a.placementOutcome(), took, a.admissionOutcome(took)) {
 		r.logLine(eventlog.TargetSuspended).Str("target", choice.Target.ID).Str("why", a.failure).Msg("")
 	}
 	if a.failure != "" {
--- a/internal/app/gateway/view.go
+++ b/internal/app/gateway/view.go
@@ -70,7 +70,7 @@
 	decision = gate.Decide(now, admissionRequest, admission.Load{Open: c.Open, Slots: c.Target.Slots, ReportAge: age})
 	if decision.Code != code.OK && !mayHaveExecuted {
 		t.balancer.RecordFirstEvent(now, c, false)
-		t.balancer.FinishRequest(now, c.Target.UID, placement.Neutral)
+		t.balancer.FinishPlacement(now, c, placement.Neutral)
 		return c, decision, true
 	}
 	gate.RecordStart(admissionRequest.Team)
@@ -96,11 +96,11 @@
 
 // finishAttempt removes an attempt from the open requests of its target and records its outcome for
 // placement and for admission. It reports whether the target is suspended or ejected as a result.
-func (t *trafficState) finishAttempt(now time.Time, pool, team string, uid uint64, outcome placement.Outcome, took time.Duration, admissionOutcome admission.Outcome) (suspended bool) {
+func (t *trafficState) finishAttempt(now time.Time, pool, team string, c placement.Choice, outcome placement.Outcome, took time.Duration, admissionOutcome admission.Outcome) (suspended bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.poolGate(pool).RecordEnd(now, team, took, admissionOutcome)
-	return t.balancer.FinishRequest(now, uid, outcome)
+	return t.balancer.FinishPlacement(now, c, outcome)
 }
 
 // poolGate returns the admission gate of a pool, which it creates on first use.
--- a/internal/core/admission/short_test.go
+++ b/internal/core/admission/short_test.go
@@ -142,7 +142,7 @@
 				end = admission.Late
 			}
 			gates[a.router].RecordEnd(at, "", took, end)
-			balancers[a.router].FinishRequest(at, a.choice.Target.UID, o)
+			balancers[a.router].FinishPlacement(at, a.choice, o)
 			priority := a.priority
 			switch {
 			case a.sent < 2*time.Second:
@@ -169,7 +169,7 @@
 				}
 				decision := gates[r].Decide(at, admission.Request{Priority: 1, RoutePriority: priority, Remaining: time.Second, Objective: l.objective}, admission.Load{Open: c.Open, Slots: slots, ReportAge: age})
 				if decision.Code != code.OK {
-					balancers[r].FinishRequest(at, c.Target.UID, placement.Neutral)
+					balancers[r].FinishPlacement(at, c, placement.Neutral)
 					Expect(decision.RetryAfter).To(BeNumerically(">", 0))
 					if now >= 2*time.Second {
 						got[priority].refused++
--- a/internal/core/placement/loads.go
+++ b/internal/core/placement/loads.go
@@ -16,16 +16,16 @@
 		p = &sourceReport{}
 		b.reports[source] = p
 	}
-	for _, l := range p.loads {
-		b.addPeerLoad(l, -1)
+	for i := range p.loads {
+		b.addPeerLoad(source, p.receivedAt, &p.loads[i], -1)
 	}
 	if ablate.IsOff(ablate.FleetLoads) {
 		loads = nil
 	}
 	p.receivedAt, p.loads = now, loads
-	for _, l := range p.loads {
-		b.addPeerLoad(l, 1)
-		if t, ok := b.byUID[l.Target]; ok && l.Open > 0 {
+	for i := range p.loads {
+		l := &p.loads[i]
+		if t := b.addPeerLoad(source, p.receivedAt, l, 1); t != nil && l.Open > 0 {
 			t.recordServing(now)
 		}
 	}
@@ -35,10 +35,13 @@
 	return b.receiveOutcomes(now, p, outcomes)
 }
 
-func (b *Balancer) addPeerLoad(l Load, sign int) {
-	if t, ok := b.byUID[l.Target]; ok {
-		t.addPeerLoad(l, sign)
+// addPeerLoad adds or removes a load, see target.addPeerLoad, and returns its target; nil if that is unknown.
+func (b *Balancer) addPeerLoad(source uint32, receivedAt time.Time, l *Load, sign int) *target {
+	t := b.byUID[l.Target]
+	if t != nil {
+		t.addPeerLoad(source, receivedAt, l, sign)
 	}
+	return t
 }
 
 // ExpireReports drops the loads of sources that have been silent for too long, and the leaving
@@ -56,8 +59,8 @@
 // now. The outcomes that it reported stay and decay.
 func (b *Balancer) ForgetSource(source uint32) {
 	if p, ok := b.reports[source]; ok {
-		for _, l := range p.loads {
-			b.addPeerLoad(l, -1)
+		for i := range p.loads {
+			b.addPeerLoad(source, p.receivedAt, &p.loads[i], -1)
 		}
 		delete(b.reports, source)
 	}
@@ -73,10 +76,17 @@
 // OwnLoads returns this router's open requests by target, for its digest. It counts the silent ones
 // anew.
 func (b *Balancer) OwnLoads(now time.Time) []Load {
-	var out []Load
+	if len(b.open) == 0 {
+		return nil
+	}
+	out := make([]Load, 0, len(b.open))
 	for uid, t := range b.open {
 		b.countSilent(now, t)
-		out = append(out, Load{Target: uid, Open: t.ownOpen, Silent: t.ownSilent})
+		l := Load{Target: uid, Open: t.ownOpen, Silent: t.ownSilent}
+		if b.isScheduledByWork(t.pool) {
+			l.Unread, l.Memory, l.Pace = t.ownUnread, t.ownMemory, t.paceToReport(now)
+		}
+		out = append(out, l)
 	}
 	return out
 }
--- a/internal/core/placement/model.go
+++ b/internal/core/placement/model.go
@@ -167,7 +167,7 @@
 		return
 	}
 	t.pause.recordFirstEvent(now, answered)
-	r, ok := t.pending.remove(c.sequence)
+	r, ok := t.removePending(c.sequence)
 	if r.silent {
 		t.ownSilent--
 	}
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -69,7 +69,8 @@
 	leavingNotices   map[uint64]*leavingNotice
 	sequence         uint64 // of the latest placement
 	evacuationOrders evacuation.Orders
-	fleet            *warmup.Fleet // nil until the fleet is known
+	fleet            *warmup.Fleet   // nil until the fleet is known
+	pacePools        map[string]bool // pools with a target that has reported its pace
 }
 
 // New returns a Balancer without targets.
@@ -79,6 +80,7 @@
 		byUID: make(map[uint64]*target), unlisted: make(map[uint64]*target), open: make(map[uint64]*target),
 		counted: make(map[uint64]*target), exited: make(map[uint64]*target), reports: make(map[uint32]*sourceReport), inventory: newInventory(),
 		models: make(map[string]*latencyModel), leavingNotices: make(map[uint64]*leavingNotice),
+		pacePools: make(map[string]bool),
 	}
 }
 
@@ -102,9 +104,10 @@
 		return Choice{}, false
 	}
 	b.sequence++
-	c := Choice{Target: t.Target, Rule: rule, Open: t.totalOpen(), Bound: bound, CacheSource: b.cacheSource(now, p, r, t), sequence: b.sequence}
-	t.pending = append(t.pending, pendingRequest{sequence: c.sequence, placedAt: now, prefixes: r.PromptPrefixes, unreadTokens: b.unreadTokens(now, r, t)})
+	c := Choice{Target: t.Target, Rule: rule, Open: t.totalOpen(), Bound: bound, CacheSource: b.cacheSource(now, p, r, t), sequence: b.sequence, memoryTokens: max(r.MemoryTokens, 0)}
+	t.addPending(pendingRequest{sequence: c.sequence, placedAt: now, prefixes: r.PromptPrefixes, unreadTokens: b.unreadTokens(now, r, t)})
 	t.ownOpen++
+	t.ownMemory += c.memoryTokens
 	b.open[t.UID] = t
 	t.recordServing(now)
 	t.health.recordPlacement()
@@ -113,13 +116,15 @@
 	return c, true
 }
 
-// FinishRequest removes a request from the open ones of its target and records the outcome. It
+// FinishPlacement removes a placed request from the open ones of its target and records the outcome. It
 // reports whether the target is suspended or ejected as a result.
-func (b *Balancer) FinishRequest(now time.Time, uid uint64, o Outcome) (suspended bool) {
+func (b *Balancer) FinishPlacement(now time.Time, c Choice, o Outcome) (suspended bool) {
+	uid := c.Target.UID
 	t, ok := b.byUID[uid]
 	if !ok {
 		return false
 	}
+	t.ownMemory = max(t.ownMemory-c.memoryTokens, 0)
 	if t.ownOpen--; t.ownOpen <= 0 {
 		delete(b.open, uid)
 	}
--- a/internal/core/placement/pool.go
+++ b/internal/core/placement/pool.go
@@ -10,6 +10,7 @@
 
 // pool holds the listed targets of a pool.
 type pool struct {
+	name        string
 	targets     []*target // in no particular order
 	dataCentres []dataCentre
 	model       *latencyModel
@@ -22,7 +23,8 @@
 	maxColdPerSecond int
 	// brittleLimit is how many requests a second a target bears to refuse; 0 if it is not brittle.
 	brittleLimit int
-	// reportsPace is true once a listed target of the pool has reported its pace.
+	// reportsPace is true once a listed target of the pool has reported its pace, also if the pool had no
+	// targets since.
 	reportsPace bool
 }
 
@@ -30,7 +32,7 @@
 // work and by the room of targets: the settings ask for it, or the pool's targets report their pace.
 func (b *Balancer) IsScheduledByWork(pool string) bool {
 	p, ok := b.pools[pool]
-	return ok && (b.settings.ScheduleByWork || p.reportsPace)
+	return ok && b.isScheduledByWork(p)
 }
 
 // PoolLimits are the limits that operators configure for the targets of a pool.
@@ -82,7 +84,7 @@
 func (b *Balancer) poolNamed(name string) *pool {
 	p, ok := b.pools[name]
 	if !ok {
-		p = &pool{model: b.modelOf(name)}
+		p = &pool{name: name, model: b.modelOf(name), reportsPace: b.pacePools[name]}
 		b.applyLimits(name, p)
 		b.pools[name] = p
 	}
--- a/internal/core/placement/target.go
+++ b/internal/core/placement/target.go
@@ -5,6 +5,7 @@
 
 	"github.com/hemlockdyke/hemlockdyke/internal/core/lineage"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/rendezvous"
+	"github.com/hemlockdyke/hemlockdyke/internal/core/targetload"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/warmup"
 )
 
@@ -50,6 +51,9 @@
 	// PromptTokens is the number of tokens in the whole prompt, including those of this request
 	// alone; 0 if it has none.
 	PromptTokens int
+	// MemoryTokens is the estimated number of tokens that the request will hold in the target's memory; 0
+	// if unknown.
+	MemoryTokens int
 	// Objective is the route's objective for the time to the answer, or to the first event of a
 	// stream; 0 if it has none.
 	Objective time.Duration
@@ -70,6 +74,13 @@
 	// Silent is how many of them have waited so long for their first event that the target may no
 	// longer hold them: their answers may be lost.
 	Silent int
+	// The following are reported for pools that are scheduled by work only, see
+	// Balancer.IsScheduledByWork. Unread is how many prompt tokens the target has yet to read for the open
+	// requests without a first event, and Memory how many tokens the open ones are estimated to hold in its
+	// memory.
+	Unread, Memory int
+	// Pace is the target's newest pace, see targetload.Report; 0 if unknown.
+	Pace float64
 }
 
 // Rule names why a target was chosen, for the log.
@@ -97,7 +108,8 @@
 	// the chosen one lacks; empty if there is none.
 	CacheSource string
 
-	sequence uint64
+	sequence     uint64
+	memoryTokens int // counted in ownMemory of the target
 }
 
 type target struct {
@@ -112,9 +124,16 @@
 	// ownSilent and peerSilent are how many of these are silent, see Load.
 	ownSilent  int
 	peerSilent int
-	health     health
-	pause      pause
-	exitedAt   time.Time // when its process was last reported to have exited; zero if it was not
+	// ownUnread and peerUnread, ownMemory and peerMemory are the sums of Load.Unread and Load.Memory. They
+	// and the paces stand here, as a load report changes them together with the counts above: apart, each
+	// would cost a cache miss per target.
+	ownUnread, peerUnread int
+	ownMemory, peerMemory int
+	peerPaces             peerPaces
+	reported              targetload.State // by the target itself
+	health                health
+	pause                 pause
+	exitedAt              time.Time // when its process was last reported to have exited; zero if it was not
 	// probedAt is when its port was last probed, see TakeExitedTargetsToProbe.
 	probedAt  time.Time
 	witnessAt time.Time // when it was last a witness, see TakeWitnesses
@@ -146,9 +165,21 @@
 
 func (t *target) isListed() bool { return t.poolIndex != notListed }
 
-func (t *target) addPeerLoad(l Load, sign int) {
+// addPeerLoad adds a load that a source reported at a time, or removes it if sign is -1.
+func (t *target) addPeerLoad(source uint32, receivedAt time.Time, l *Load, sign int) {
 	t.peerOpen += sign * l.Open
 	t.peerSilent += sign * l.Silent
+	if l.Unread|l.Memory != 0 {
+		t.peerUnread += sign * l.Unread
+		t.peerMemory += sign * l.Memory
+	}
+	switch {
+	case l.Pace == 0:
+	case sign > 0:
+		t.peerPaces.add(source, l.Pace, receivedAt)
+	default:
+		t.peerPaces.remove(source)
+	}
 }
 
 func (t *target) totalOpen() int { return t.ownOpen + t.peerOpen }
--- a/internal/core/placement/update.go
+++ b/internal/core/placement/update.go
@@ -101,10 +101,11 @@
 	if len(added) == 0 {
 		return
 	}
-	for _, p := range b.reports {
-		for _, l := range p.loads {
+	for source, p := range b.reports {
+		for i := range p.loads {
+			l := &p.loads[i]
 			if t, ok := added[l.Target]; ok {
-				t.addPeerLoad(l, 1)
+				t.addPeerLoad(source, p.receivedAt, l, 1)
 			}
 		}
 	}
