Digests carry unread tokens, memory and pace of targets

Other routers need these figures for pools scheduled by work. They are encoded in units, summed by relays and dropped one by one if invalid. A pace is passed on only while its report is fresh, since digests carry no ages.

--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -359,7 +359,7 @@
 		byTarget[l.Target] = l
 	}
 	for _, l := range b {
-		if other := byTarget[l.Target]; other.Open != l.Open || other.Silent != l.Silent {
+		if other := byTarget[l.Target]; other.Open != l.Open || other.Silent != l.Silent || !equalSchedules(other, l) {
 			return false
 		}
 	}
--- a/internal/core/fleet/net_test.go
+++ b/internal/core/fleet/net_test.go
@@ -107,6 +107,8 @@
 	begun  uint64 // streams that began so far
 	// centres is the number of data centres, strong the number of strong VMs in each.
 	centres, strong int
+	// onDigest is called with each digest that a router sends, if it is not nil.
+	onDigest func(d *peerv1.Digest)
 }
 
 const (
@@ -348,6 +350,9 @@
 }
 
 func (n *net) sendDigest(from, to fleet.Address, d *peerv1.Digest) {
+	if n.onDigest != nil {
+		n.onDigest(d)
+	}
 	size := proto.Size(d) + datagramHeader
 	if l := n.nodes[from].link; l != nil {
 		l.bytesSent += size
--- a/internal/core/fleet/report.go
+++ b/internal/core/fleet/report.go
@@ -46,6 +46,8 @@
 
 func newTally() *tally { return &tally{loadPos: make(map[uint64]int), outPos: make(map[uint64]int)} }
 
+// addLoads adds loads, or subtracts them if sign is -1. The pace is the largest of the added ones: it is not
+// known which sources a pace is from, so it can't be subtracted.
 func (s *tally) addLoads(loads []placement.Load, sign int) {
 	for _, l := range loads {
 		i, ok := s.loadPos[l.Target]
@@ -56,6 +58,11 @@
 		}
 		s.loads[i].Open = max(s.loads[i].Open+sign*l.Open, 0)
 		s.loads[i].Silent = max(s.loads[i].Silent+sign*l.Silent, 0)
+		s.loads[i].Unread = max(s.loads[i].Unread+sign*l.Unread, 0)
+		s.loads[i].Memory = max(s.loads[i].Memory+sign*l.Memory, 0)
+		if sign > 0 {
+			s.loads[i].Pace = max(s.loads[i].Pace, l.Pace)
+		}
 	}
 }
 
@@ -74,7 +81,7 @@
 // add adds the parts of a report that still count. Outcomes are weighted by their age.
 func (s *tally) add(now time.Time, r *sourceReport) {
 	if r.fresh(now) {
-		s.addLoads(r.loads, 1)
+		s.addLoads(r.countedLoads(now), 1)
 	}
 	if !r.outcomesAt.IsZero() && now.Sub(r.outcomesAt) < reportTTL {
 		s.addOutcomes(r.outcomes, placement.DecayFactor(now.Sub(r.outcomesAt)))
@@ -100,8 +107,10 @@
 func encodeReport(loads []placement.Load, outcomes []placement.TargetOutcomes, includeOutcomes bool) *peerv1.Report {
 	r := &peerv1.Report{TellsOutcomes: includeOutcomes}
 	includeSilent := slices.ContainsFunc(loads, func(l placement.Load) bool { return l.Silent > 0 })
+	var schedule scheduleColumns
 	for _, l := range loads {
 		if l.Open > 0 {
+			schedule.add(l)
 			r.LoadTarget = append(r.LoadTarget, l.Target)
 			r.LoadOpen = append(r.LoadOpen, uint32(l.Open))
 			if includeSilent {
@@ -109,6 +118,7 @@
 			}
 		}
 	}
+	schedule.writeTo(r)
 	if !includeOutcomes {
 		return r
 	}
@@ -135,6 +145,7 @@
 		if i < len(r.GetLoadSilent()) { // absent if none is silent, and in digests of earlier releases
 			out[i].Silent = min(int(r.GetLoadSilent()[i]), out[i].Open)
 		}
+		decodeSchedule(r, i, &out[i])
 	}
 	return out
 }
