Router applies the load in targets' answers

Hemlockdyke-Instance-Load was stripped and not read. It is decoded and recorded; ignored reports are counted by reason and logged (target_load_ignored). Metrics show pace, running and waiting of targets that reported.

--- a/internal/adapter/metrics/gateway.go
+++ b/internal/adapter/metrics/gateway.go
@@ -16,6 +16,8 @@
 	"github.com/hemlockdyke/hemlockdyke/internal/app/gateway"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/burn"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/code"
+	"github.com/hemlockdyke/hemlockdyke/internal/core/placement"
+	"github.com/hemlockdyke/hemlockdyke/internal/core/targetload"
 )
 
 // prefix begins the names of all metrics.
@@ -93,6 +95,11 @@
 // CountResumption counts a stream that a caller takes up, by who knew it.
 func (g *Gateway) CountResumption(known string) { g.add("resumptions_total", "known", known, 1) }
 
+// CountIgnoredLoad counts a load report of a target that was ignored.
+func (g *Gateway) CountIgnoredLoad(reason targetload.Fault) {
+	g.add("target_loads_ignored_total", "why", string(reason), 1)
+}
+
 // CountRefusal counts a request that was refused before it had a route.
 func (g *Gateway) CountRefusal(c code.Code) { g.add("refused_total", "code", c.Lookup().Name, 1) }
 
@@ -166,6 +173,24 @@
 	for _, id := range slices.Sorted(maps.Keys(s.OpenRequests)) {
 		fmt.Fprintf(w, "%sopen_requests{target=%q} %d\n", prefix, id, s.OpenRequests[id])
 	}
+	writeTargetLoads(w, s.TargetLoads)
+}
+
+// writeTargetLoads writes what targets report of themselves. Lines of the same metric are adjacent.
+func writeTargetLoads(w io.Writer, loads map[string]placement.TargetLoad) {
+	ids := slices.Sorted(maps.Keys(loads))
+	for _, gauge := range []struct {
+		name  string
+		value func(placement.TargetLoad) float64
+	}{
+		{"target_pace", func(l placement.TargetLoad) float64 { return l.Pace }},
+		{"target_running", func(l placement.TargetLoad) float64 { return float64(l.Running) }},
+		{"target_waiting", func(l placement.TargetLoad) float64 { return float64(l.Waiting) }},
+	} {
+		for _, id := range ids {
+			fmt.Fprintf(w, "%s%s{target=%q} %g\n", prefix, gauge.name, id, gauge.value(loads[id]))
+		}
+	}
 }
 
 func toFloat(b bool) float64 {
--- a/internal/app/gateway/leaving_test.go
+++ b/internal/app/gateway/leaving_test.go
@@ -22,6 +22,7 @@
 	"github.com/hemlockdyke/hemlockdyke/internal/core/placement"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/poison"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/replica"
+	"github.com/hemlockdyke/hemlockdyke/internal/core/targetload"
 	"github.com/hemlockdyke/hemlockdyke/internal/eventlog"
 )
 
@@ -218,6 +219,7 @@
 func (discardResponder) RecordResult(gateway.Result)        {}
 func (discardResponder) CountSignal(string)                 {}
 func (discardResponder) CountResumption(string)             {}
+func (discardResponder) CountIgnoredLoad(targetload.Fault)  {}
 
 var _ = Describe("a router that can't copy the target list", func() {
 	const maxDelay = time.Second
--- a/internal/app/gateway/ports.go
+++ b/internal/app/gateway/ports.go
@@ -18,6 +18,7 @@
 	"github.com/hemlockdyke/hemlockdyke/internal/core/poison"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/replica"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/route"
+	"github.com/hemlockdyke/hemlockdyke/internal/core/targetload"
 )
 
 // ErrHistoryLost is returned when the store no longer has the changes after a position.
@@ -167,6 +168,12 @@
 	// InvalidPause is the announced pause as received if it is invalid or too long; empty
 	// otherwise. PauseDuration is limited if the pause is too long.
 	InvalidPause string
+	// Load is the load that the target reports of itself; nil if it reports none or an invalid one.
+	Load *targetload.Report
+	// InvalidLoad is the reported load as received if it is invalid, and LoadFault what is wrong with it;
+	// empty otherwise.
+	InvalidLoad string
+	LoadFault   targetload.Fault
 }
 
 // HeaderCodec translates between gateway values and the platform's HTTP headers.
--- a/internal/app/gateway/proxy.go
+++ b/internal/app/gateway/proxy.go
@@ -13,6 +13,7 @@
 	"github.com/hemlockdyke/hemlockdyke/internal/core/poison"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/rendezvous"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/route"
+	"github.com/hemlockdyke/hemlockdyke/internal/core/targetload"
 	"github.com/hemlockdyke/hemlockdyke/internal/eventlog"
 )
 
@@ -25,6 +26,8 @@
 	// CountResumption counts a stream that a caller takes up: one of ResumptionKnown, ResumptionAsked
 	// and ResumptionUnknown.
 	CountResumption(known string)
+	// CountIgnoredLoad counts a load report of a target that was ignored, by reason.
+	CountIgnoredLoad(reason targetload.Fault)
 }
 
 // Signals that targets send in their answers.
--- a/internal/app/gateway/signals.go
+++ b/internal/app/gateway/signals.go
@@ -12,6 +12,7 @@
 // header is read: the store may learn of them much later, and the next request is placed at once.
 func (p *Proxy) applySignals(target placement.Target, status int, h http.Header) {
 	info := p.codec.DecodeAnswer(status, h)
+	p.applyTargetLoad(target, info)
 	if info.WrongTarget {
 		return // the signals are those of another target
 	}
--- a/internal/app/gateway/status.go
+++ b/internal/app/gateway/status.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/hemlockdyke/hemlockdyke/internal/core/fleet"
+	"github.com/hemlockdyke/hemlockdyke/internal/core/placement"
 )
 
 // Status is the state that a router reports in its metrics.
@@ -25,6 +26,8 @@
 	Forwarding           int            // number of attempts that this router sends for others now
 	KnownStreams         int            // number of streams whose software version this router knows
 	OpenRequests         map[string]int // open requests of the fleet by target ID
+	// TargetLoads are the loads of the targets that reported theirs to this router, by target ID.
+	TargetLoads map[string]placement.TargetLoad
 }
 
 // Status returns the router's current status.
@@ -49,5 +52,6 @@
 	defer c.traffic.mu.Unlock()
 	s.ColdTargets = c.traffic.balancer.CountCold(c.now())
 	s.OpenRequests = c.traffic.balancer.OpenByTarget()
+	s.TargetLoads = c.traffic.balancer.TargetLoads(c.now())
 	return s
 }
--- a/internal/eventlog/kinds.go
+++ b/internal/eventlog/kinds.go
@@ -46,6 +46,7 @@
 	Evacuation            = Kind{"evacuation", zerolog.InfoLevel, 20, "an operator's order to evacuate a data centre was applied or withdrawn"}
 	TargetCold            = Kind{"target_cold", zerolog.InfoLevel, 50, "a target that was considered warm reports that it is cold"}
 	TargetBrittle         = Kind{"target_brittle", zerolog.WarnLevel, 20, "a target says that its pool crashes if it has to refuse more requests a second than `refusals`, or, with 0, that it does not any more"}
+	TargetLoadIgnored     = Kind{"target_load_ignored", zerolog.WarnLevel, 20, "the load that a target reported of itself was ignored, and why; `bad`: the report, if it is invalid"}
 	StaleChanged          = Kind{"stale", zerolog.WarnLevel, 20, "this router stopped serving, since others have had a newer desired state for too long, or it serves again"}
 	DesiredState          = Kind{"desired_state", zerolog.InfoLevel, 50, "a desired state was applied: its version, the version of its row, and its source"}
 	DesiredStateRejected  = Kind{"desired_state_rejected", zerolog.ErrorLevel, 20, "a desired state can't be decoded; the last good one stays applied"}
@@ -85,7 +86,7 @@
 func Kinds() []Kind {
 	return []Kind{
 		TicketRefused, Placed, AttemptFailed, RetryDenied, NotAdmitted, PoisonRefused, Forwarded, NotForwarded, Forwarding, StreamRefused, Finished, Failed,
-		Started, Stopping, Stopped, Reloaded, ReloadRejected, RequestsCut, ReadyChanged, StaleChanged, DesiredState, Evacuation, TargetCold, TargetBrittle,
+		Started, Stopping, Stopped, Reloaded, ReloadRejected, RequestsCut, ReadyChanged, StaleChanged, DesiredState, Evacuation, TargetCold, TargetBrittle, TargetLoadIgnored,
 		DesiredStateRejected, TargetsChanged, TargetRejected, TargetRestarted, TargetDeparted, StoreChanged, StoreReadFailed, TableCopyFailed, TableCopyRefused, TableCopied, LinkUse, RouterListFailed, SuspectStoreFailed,
 		PeerUp, PeerDown, PeerUnlisted, PathChanged, Overload, RoleChanged, TargetSuspended, TargetNotice, TargetExited, PoisonChanged, PeerCallFailed, ListenerFailed,
 		ChangeAccepted, PlannedChangeProgress, PlannedChangeFailed, ClaimUnsettled, BurnIncomplete, LinesDropped,
