Work of requests: recorded from complete streams, shown in the metrics

Load shedding and placement need the estimated work of a request, and operators must see how far the estimates are off. trafficState keeps an estimator per pool and offers estimateWork; an attempt records the outcome of a stream that it sent completely and alone. The metrics show actual / estimated slot time and output tokens by pool and route. Pools that are not scheduled by work and requests without a prompt take none of these paths.

--- a/internal/adapter/metrics/gateway.go
+++ b/internal/adapter/metrics/gateway.go
@@ -166,6 +166,7 @@
 	for _, id := range slices.Sorted(maps.Keys(s.OpenRequests)) {
 		fmt.Fprintf(w, "%sopen_requests{target=%q} %d\n", prefix, id, s.OpenRequests[id])
 	}
+	writeWorkAccuracies(w, s.WorkAccuracies)
 }
 
 func toFloat(b bool) float64 {
--- a/internal/app/gateway/answer.go
+++ b/internal/app/gateway/answer.go
@@ -199,6 +199,7 @@
 		// the middle of an event.
 		t.outcome = placement.Answered
 		t.recordAnswer(answer, true)
+		t.recordWork()
 		if r.firstByteAt.IsZero() {
 			r.sendAnswer(answer.Status, answer.Header, pending)
 		} else if len(pending) > 0 {
--- a/internal/app/gateway/run.go
+++ b/internal/app/gateway/run.go
@@ -15,6 +15,7 @@
 	"github.com/hemlockdyke/hemlockdyke/internal/core/lineage"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/placement"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/poison"
+	"github.com/hemlockdyke/hemlockdyke/internal/core/route"
 	"github.com/hemlockdyke/hemlockdyke/internal/eventlog"
 )
 
@@ -114,6 +115,9 @@
 	}
 	action := r.machine.Step(attempt.TicketGranted{Target: choice.Target.UID})
 	a := &targetAttempt{request: r, choice: choice, number: action.Attempt, startedAt: now, outcome: placement.Neutral}
+	if r.match.call.PromptTokens > 0 && r.match.route.Kind == route.Stream {
+		a.work, _ = p.traffic.estimateWork(now, r.match.pool, r.match.route.Name, r.match.workRequest())
+	}
 	r.logPlaced(a, p.traffic.loadReportAge(now))
 	action = a.make()
 	if a.failure == failureNotExecuted {
--- a/internal/app/gateway/status.go
+++ b/internal/app/gateway/status.go
@@ -25,6 +25,7 @@
 	Forwarding           int            // number of attempts that this router sends for others now
 	KnownStreams         int            // number of streams whose software version this router knows
 	OpenRequests         map[string]int // open requests of the fleet by target ID
+	WorkAccuracies       []WorkAccuracy // by pool and route
 }
 
 // Status returns the router's current status.
@@ -49,5 +50,6 @@
 	defer c.traffic.mu.Unlock()
 	s.ColdTargets = c.traffic.balancer.CountCold(c.now())
 	s.OpenRequests = c.traffic.balancer.OpenByTarget()
+	s.WorkAccuracies = c.traffic.workAccuracies()
 	return s
 }
--- a/internal/app/gateway/target_attempt.go
+++ b/internal/app/gateway/target_attempt.go
@@ -13,6 +13,7 @@
 	"github.com/hemlockdyke/hemlockdyke/internal/core/attempt"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/placement"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/route"
+	"github.com/hemlockdyke/hemlockdyke/internal/core/workload"
 )
 
 // targetAttempt is one attempt to send a request to a target.
@@ -29,6 +30,8 @@
 	events             int       // events of a stream sent to the caller
 	firstEventAt       time.Time // when the first event arrived; zero if none
 	cleared            bool      // what the request carries was cleared of suspicion
+	// work is the estimated work of the request; zero if it is not scheduled by work.
+	work workload.Estimate
 	// answering is true once the first complete event of a stream has arrived.
 	answering atomic.Bool
 	// forwarder is the router that was last asked to send the request; nil if this one sends it.
--- a/internal/app/gateway/view.go
+++ b/internal/app/gateway/view.go
@@ -14,6 +14,7 @@
 	"github.com/hemlockdyke/hemlockdyke/internal/core/retry"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/route"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/warmup"
+	"github.com/hemlockdyke/hemlockdyke/internal/core/workload"
 )
 
 // trafficState is the state that request goroutines share with the control goroutine: the routing
@@ -49,6 +50,7 @@
 	mu              sync.Mutex
 	balancer        *placement.Balancer
 	gates           map[string]*admission.Gate
+	workEstimators  map[string]*workload.Estimator // of pools that are scheduled by work
 	retryBudgets    map[string]*retry.Window
 	retryLimits     retry.Limits
 	retrySpan       time.Duration
--- /dev/null
+++ b/internal/app/gateway/work.go
@@ -0,0 +1,91 @@
+package gateway
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/hemlockdyke/hemlockdyke/internal/core/workload"
+)
+
+// estimateWork returns the estimated work of a request and its work percentile within its route. If
+// the request is not scheduled by work, the estimate is zero and the percentile a half. It changes
+// nothing that was learned. Unread tokens that are not known yet are passed as PromptTokens.
+func (t *trafficState) estimateWork(now time.Time, pool, route string, r workload.Request) (workload.Estimate, float64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.estimateWorkLocked(now, pool, route, r)
+}
+
+// estimateWorkLocked is estimateWork for callers that hold t.mu.
+func (t *trafficState) estimateWorkLocked(_ time.Time, pool, route string, r workload.Request) (workload.Estimate, float64) {
+	if r.PromptTokens <= 0 || !t.balancer.IsScheduledByWork(pool) {
+		return workload.Estimate{}, 0.5
+	}
+	e := t.workEstimator(pool)
+	estimate := e.Estimate(route, r)
+	return estimate, e.Percentile(route, estimate)
+}
+
+// recordWork records the outcome of a complete answer.
+func (t *trafficState) recordWork(now time.Time, pool, route string, estimate workload.Estimate, o workload.Outcome) {
+	if table := t.table.Load(); table != nil {
+		o.TokensPerEvent = table.Pools()[pool].TokensPerEvent
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.workEstimator(pool).Record(now, route, estimate, o)
+}
+
+// workEstimator returns the work estimator of a pool, which it creates on first use.
+func (t *trafficState) workEstimator(pool string) *workload.Estimator {
+	e, ok := t.workEstimators[pool]
+	if !ok {
+		if t.workEstimators == nil {
+			t.workEstimators = make(map[string]*workload.Estimator)
+		}
+		e = workload.NewEstimator()
+		t.workEstimators[pool] = e
+	}
+	return e
+}
+
+// workRequest returns the work that the request announces. No prompt token counts as cached.
+func (m *MatchedRequest) workRequest() workload.Request {
+	return workload.Request{
+		PromptTokens: m.call.PromptTokens, UnreadTokens: m.call.PromptTokens,
+		MaxOutputTokens: m.call.MaxOutputTokens, HintTokens: m.call.OutputHint,
+	}
+}
+
+// recordWork records the work of a stream that has ended with a complete answer. An answer of which
+// other attempts sent a part, or the caller had one already, does not show the work of a request.
+func (t *targetAttempt) recordWork() {
+	r := t.request
+	if t.work == (workload.Estimate{}) || t.events == 0 || t.events != r.stream.events || r.match.call.LastEventID != "" {
+		return
+	}
+	now := r.proxy.now()
+	r.proxy.traffic.recordWork(now, r.match.pool, r.match.route.Name, t.work, workload.Outcome{
+		Events: t.events, FirstEvent: t.firstEventAt.Sub(t.startedAt), Total: now.Sub(t.startedAt),
+	})
+}
+
+// WorkAccuracy shows how far the estimated work of a route's requests in a pool was off.
+type WorkAccuracy struct {
+	Pool  string
+	Route string // workload.OtherRoutes for the routes without estimates of their own
+	workload.Accuracy
+}
+
+// workAccuracies returns the accuracies of all pools and routes in order. It requires t.mu.
+func (t *trafficState) workAccuracies() []WorkAccuracy {
+	var out []WorkAccuracy
+	for _, pool := range slices.Sorted(maps.Keys(t.workEstimators)) {
+		byRoute := t.workEstimators[pool].Accuracies()
+		for _, name := range slices.Sorted(maps.Keys(byRoute)) {
+			out = append(out, WorkAccuracy{Pool: pool, Route: name, Accuracy: byRoute[name]})
+		}
+	}
+	return out
+}
