--- a/internal/adapter/metrics/gateway.go
+++ b/internal/adapter/metrics/gateway.go
@@ -174,6 +174,7 @@
 		fmt.Fprintf(w, "%sopen_requests{target=%q} %d\n", prefix, id, s.OpenRequests[id])
 	}
 	writeTargetLoads(w, s.TargetLoads)
+	writeWorkAccuracies(w, s.WorkAccuracies)
 }
 
 // writeTargetLoads writes what targets report of themselves. Lines of the same metric are adjacent.
--- a/internal/app/gateway/status.go
+++ b/internal/app/gateway/status.go
@@ -27,7 +27,8 @@
 	KnownStreams         int            // number of streams whose software version this router knows
 	OpenRequests         map[string]int // open requests of the fleet by target ID
 	// TargetLoads are the loads of the targets that reported theirs to this router, by target ID.
-	TargetLoads map[string]placement.TargetLoad
+	TargetLoads    map[string]placement.TargetLoad
+	WorkAccuracies []WorkAccuracy // by pool and route
 }
 
 // Status returns the router's current status.
@@ -53,5 +54,6 @@
 	s.ColdTargets = c.traffic.balancer.CountCold(c.now())
 	s.OpenRequests = c.traffic.balancer.OpenByTarget()
 	s.TargetLoads = c.traffic.balancer.TargetLoads(c.now())
+	s.WorkAccuracies = c.traffic.workAccuracies()
 	return s
 }
