Single flight of prefill: claims, registrars, and the wait before the first attempt

The same long prefix is prefilled twice when a second request arrives before the target of the first has read it. Before the first attempt of a request in a pool that is scheduled by work, the router now asks the registrar of the prefix (rendezvous over the alive routers) and waits if a target reads it already.

--- a/internal/adapter/metrics/gateway.go
+++ b/internal/adapter/metrics/gateway.go
@@ -93,6 +93,14 @@
 // CountResumption counts a stream that a caller takes up, by who knew it.
 func (g *Gateway) CountResumption(known string) { g.add("resumptions_total", "known", known, 1) }
 
+// CountPrefillClaim counts a claim for the reading of a prompt prefix, by its result.
+func (g *Gateway) CountPrefillClaim(result string) {
+	g.add("prefill_claims_total", "result", result, 1)
+}
+
+// CountPrefillWait counts a request that waited for the reading of a prompt prefix, by what ended the wait.
+func (g *Gateway) CountPrefillWait(ended string) { g.add("prefill_waits_total", "ended", ended, 1) }
+
 // CountRefusal counts a request that was refused before it had a route.
 func (g *Gateway) CountRefusal(c code.Code) { g.add("refused_total", "code", c.Lookup().Name, 1) }
 
@@ -160,6 +168,7 @@
 		{"peers_alive", float64(s.AlivePeers)}, {"peers_heard", float64(s.DirectPeers)}, {"relay", toFloat(s.IsRelay)},
 		{"feed_age_seconds", s.FeedAge.Seconds()}, {"suspects", float64(s.Suspects)}, {"evacuated_data_centres", float64(s.EvacuatedDataCentres)},
 		{"cold_targets", float64(s.ColdTargets)}, {"cut_pools", float64(s.CutPools)}, {"forwarding", float64(s.Forwarding)}, {"known_streams", float64(s.KnownStreams)},
+		{"prefill_claims", float64(s.PrefillClaims)}, {"prefill_waiting", float64(s.PrefillWaiting)},
 	} {
 		fmt.Fprintf(w, "%s%s %g\n", prefix, gauge.name, gauge.value)
 	}
--- a/internal/adapter/peer/forwarding.go
+++ b/internal/adapter/peer/forwarding.go
@@ -22,8 +22,8 @@
 	forwardIdleTimeout = 3 * time.Second
 )
 
-// ForwardClient asks other routers to send attempts to targets, and which streams they know. It is safe
-// for concurrent use.
+// ForwardClient asks other routers to send attempts to targets, which streams they know, and which target
+// reads a prompt prefix. It is safe for concurrent use.
 type ForwardClient struct{ client *http.Client }
 
 // NewForwardClient returns a ForwardClient.
@@ -52,6 +52,16 @@
 	return resp.Msg, nil
 }
 
+// ClaimRead asks the router at an address to have a target read a prompt prefix.
+func (c *ForwardClient) ClaimRead(ctx context.Context, address string, req *peerv1.ClaimReadRequest) (*peerv1.ClaimReadResponse, error) {
+	client := peerv1connect.NewPeerServiceClient(c.client, "http://"+address, connect.WithReadMaxBytes(maxMessageBytes))
+	resp, err := client.ClaimRead(ctx, connect.NewRequest(req))
+	if err != nil {
+		return nil, err
+	}
+	return resp.Msg, nil
+}
+
 type forwardStream struct {
 	*connect.ServerStreamForClient[peerv1.ForwardResponse]
 }
--- a/internal/app/gateway/bench_test.go
+++ b/internal/app/gateway/bench_test.go
@@ -57,6 +57,9 @@
 func (unreachablePeers) FindStreams(context.Context, string, *peerv1.FindStreamsRequest) (*peerv1.FindStreamsResponse, error) {
 	return nil, ErrNotForwarded
 }
+func (unreachablePeers) ClaimRead(context.Context, string, *peerv1.ClaimReadRequest) (*peerv1.ClaimReadResponse, error) {
+	return nil, context.Canceled
+}
 func (unreachablePeers) Forward(context.Context, string, *peerv1.ForwardRequest) (ForwardStream, error) {
 	return nil, ErrNotForwarded
 }
--- a/internal/app/gateway/control.go
+++ b/internal/app/gateway/control.go
@@ -89,7 +89,7 @@
 			retryBudgets: make(map[string]*retry.Window), retrySpan: s.RetrySpan,
 			retryLimits:  retry.Limits{Ratio: s.RetryRatio, Slack: s.RetrySlack, Routers: initialSlackSharers(s.FirstStart)},
 			openAttempts: newAttemptRegistry(), path: newPathState(rand.New(rand.NewPCG(incarnation, 2))), poisonGuard: newPoisonGuard(s.Address, s.FirstStart),
-			streams: newStreamRegistry(peers, now),
+			streams: newStreamRegistry(peers, now), prefill: newPrefillState(s.Address),
 		},
 		suspectsChanged: make(chan struct{}, 1),
 		inbox:           make(chan func(time.Time), inboxSize), stopped: make(chan struct{}),
@@ -154,6 +154,7 @@
 	c.updateOtherRouters(now)
 	near, far := c.core.StreamKeepers(now)
 	c.traffic.streams.setKeepers(addressStrings(near), addressStrings(far))
+	c.traffic.prefill.setOthers(now, c.core.AliveRouters(now))
 	c.upstream.Prune(c.targetSet.HasLifetime)
 	c.updateSlackSharers(now)
 	c.aliveRouters.Store(int64(c.core.AliveCount(now)))
@@ -275,6 +276,7 @@
 	}
 	c.traffic.balancer.ReceivePrefixReads(now, a.PrefixReads)
 	c.traffic.mu.Unlock()
+	c.traffic.prefill.recordReports(a.PrefixReads)
 	c.traffic.streams.receive(a.Streams)
 	c.applyDepartures(now, a.Departures)
 	if !a.Poison.Empty() {
--- a/internal/app/gateway/leaving_test.go
+++ b/internal/app/gateway/leaving_test.go
@@ -164,6 +164,10 @@
 	return nil, errors.New("unreachable")
 }
 
+func (noForwarding) ClaimRead(context.Context, string, *peerv1.ClaimReadRequest) (*peerv1.ClaimReadResponse, error) {
+	return nil, errors.New("unreachable")
+}
+
 func (noForwarding) Forward(context.Context, string, *peerv1.ForwardRequest) (gateway.ForwardStream, error) {
 	return nil, gateway.ErrNotForwarded
 }
@@ -218,6 +222,8 @@
 func (discardResponder) RecordResult(gateway.Result)        {}
 func (discardResponder) CountSignal(string)                 {}
 func (discardResponder) CountResumption(string)             {}
+func (discardResponder) CountPrefillClaim(string)           {}
+func (discardResponder) CountPrefillWait(string)            {}
 
 var _ = Describe("a router that can't copy the target list", func() {
 	const maxDelay = time.Second
--- a/internal/app/gateway/ports.go
+++ b/internal/app/gateway/ports.go
@@ -80,6 +80,8 @@
 	Forward(ctx context.Context, address string, req *peerv1.ForwardRequest) (ForwardStream, error)
 	// FindStreams asks the router at address at which software versions streams began.
 	FindStreams(ctx context.Context, address string, req *peerv1.FindStreamsRequest) (*peerv1.FindStreamsResponse, error)
+	// ClaimRead asks the router at address to have a target read a prompt prefix.
+	ClaimRead(ctx context.Context, address string, req *peerv1.ClaimReadRequest) (*peerv1.ClaimReadResponse, error)
 }
 
 // ErrNotForwarded means that no router sent the request, and none will.
--- a/internal/app/gateway/proxy.go
+++ b/internal/app/gateway/proxy.go
@@ -25,6 +25,12 @@
 	// CountResumption counts a stream that a caller takes up: one of ResumptionKnown, ResumptionAsked
 	// and ResumptionUnknown.
 	CountResumption(known string)
+	// CountPrefillClaim counts a claim for the reading of a prompt prefix by its result: one of
+	// ClaimGranted, ClaimHeld, ClaimUnanswered and ClaimInvalid.
+	CountPrefillClaim(result string)
+	// CountPrefillWait counts a request that waited for another one's prefix by what ended the wait: one
+	// of WaitRead, WaitTime and WaitCaller.
+	CountPrefillWait(ended string)
 }
 
 // Signals that targets send in their answers.
--- a/internal/app/gateway/run.go
+++ b/internal/app/gateway/run.go
@@ -78,6 +78,13 @@
 	if r.ctx.Err() != nil || !now.Before(r.deadline) {
 		return r.endEarly()
 	}
+	preferred := uint64(0)
+	if r.machine.Attempts() == 0 {
+		if preferred = r.awaitPrefixRead(now); r.ctx.Err() != nil {
+			return r.endEarly()
+		}
+		now = p.now()
+	}
 	if r.stream.events > 0 && p.traffic.streams.known(r.streamID()) == lineage.Conflicting {
 		r.unbindStream()
 	}
@@ -93,11 +100,11 @@
 	}
 	chatHash := r.match.call.ChatHash
 	if confine != 0 {
-		chatHash = uint64(confine)
+		chatHash, preferred = uint64(confine), 0
 	}
 	choice, decision, ok := p.traffic.placeRequest(now, placement.Request{
 		Pool: r.match.pool, ChatHash: chatHash, PromptPrefixes: r.match.call.PromptPrefixes, PromptTokens: r.match.call.PromptTokens,
-		Objective: r.match.route.Objective, Excluded: r.machine.Excluded(), Software: r.stream.software,
+		Objective: r.match.route.Objective, Excluded: r.machine.Excluded(), Software: r.stream.software, PreferredTarget: preferred,
 	}, admission.Request{Team: r.match.teamName(), Priority: r.match.priority(), RoutePriority: r.match.route.Priority, Remaining: r.deadline.Sub(now), Objective: r.match.route.Objective}, r.machine.MayHaveExecuted() || r.stream.software != 0)
 	switch {
 	case !ok:
--- a/internal/app/gateway/status.go
+++ b/internal/app/gateway/status.go
@@ -24,6 +24,8 @@
 	CutPools             int            // number of pools to whose targets this router's own path is cut
 	Forwarding           int            // number of attempts that this router sends for others now
 	KnownStreams         int            // number of streams whose software version this router knows
+	PrefillClaims        int            // number of prefixes that targets read, as this router has registered
+	PrefillWaiting       int            // number of requests that wait for a target to read their prefix
 	OpenRequests         map[string]int // open requests of the fleet by target ID
 }
 
@@ -45,6 +47,7 @@
 	s.Suspects = int(c.traffic.poisonGuard.refusedCount.Load())
 	s.CutPools, s.Forwarding = len(c.traffic.path.cutPools()), int(c.traffic.path.forwarding.Load())
 	s.KnownStreams = c.traffic.streams.count()
+	s.PrefillClaims, s.PrefillWaiting = c.traffic.prefill.count(c.now())
 	c.traffic.mu.Lock()
 	defer c.traffic.mu.Unlock()
 	s.ColdTargets = c.traffic.balancer.CountCold(c.now())
--- a/internal/app/gateway/target_attempt.go
+++ b/internal/app/gateway/target_attempt.go
@@ -73,6 +73,9 @@
 	if !t.firstEventRecorded {
 		t.firstEventRecorded = true
 		t.request.proxy.traffic.recordFirstEvent(t.request.proxy.now(), t.choice, answered)
+		if answered {
+			t.request.proxy.traffic.prefill.recordAnswer(t.request.match.call.PromptPrefixes)
+		}
 	}
 }
 
--- a/internal/app/gateway/view.go
+++ b/internal/app/gateway/view.go
@@ -45,6 +45,7 @@
 	path         *pathState
 	poisonGuard  *poisonGuard
 	streams      *streamRegistry
+	prefill      *prefillState
 
 	mu              sync.Mutex
 	balancer        *placement.Balancer
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -97,7 +97,7 @@
 		return Choice{}, false
 	}
 	bound := b.loadBound(p)
-	t, rule := b.chooseByVersion(now, p, r, bound)
+	t, rule := b.chooseTarget(now, p, r, bound)
 	if t == nil {
 		return Choice{}, false
 	}
--- a/internal/core/placement/target.go
+++ b/internal/core/placement/target.go
@@ -54,6 +54,8 @@
 	// stream; 0 if it has none.
 	Objective time.Duration
 	Excluded  []uint64 // UIDs of targets that must not be chosen
+	// PreferredTarget is chosen if it is usable and within the load bound; 0 if there is none.
+	PreferredTarget uint64
 	// Software is the only version whose targets may be chosen; 0 if all may.
 	Software lineage.Software
 	// limited is set if targets above the load bound must not be chosen, see Balancer.chooseByVersion.
@@ -83,6 +85,7 @@
 	RuleRandom             Rule = "random"       // like least_loaded, but the reported loads are outdated
 	RuleCold               Rule = "cold"         // a cold one: the others have no free slot
 	RuleSuspendedOrEjected Rule = "suspect"      // only suspended or ejected ones are left; or an ejected one, as the others are at the load bound
+	RuleReader             Rule = "reader"       // the request waited for it to read the prompt's beginning
 	// RuleTicket marks requests placed by a ticket from the pool's owner, not by a Balancer.
 	RuleTicket Rule = "ticket"
 )
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -146,6 +146,8 @@
 		return g.control.ServeCopy(ctx, m)
 	case *peerv1.FindStreamsRequest:
 		return g.control.ServeStreams(m)
+	case *peerv1.ClaimReadRequest:
+		return g.control.ServeClaim(m)
 	}
 	return nil, code.New(code.BadProtocol, "unexpected message")
 }
--- a/internal/eventlog/kinds.go
+++ b/internal/eventlog/kinds.go
@@ -30,6 +30,7 @@
 	Forwarding    = Kind{"forwarding", zerolog.InfoLevel, 400, "this router sends an attempt of another router to its target"}
 	StreamRefused = Kind{"stream_refused", zerolog.WarnLevel, 400, "a stream can't go on, and why: no router knows the software version that began it, or no target of that version takes it"}
 	Finished      = Kind{"finished", zerolog.InfoLevel, 400, "the caller has a target's answer"}
+	PrefillWait   = Kind{"prefill_wait", zerolog.InfoLevel, 200, "a request waited while a target read the beginning of its prompt for another request: how long, for which target, and what ended the wait"}
 	PoisonRefused = Kind{"poison_refused", zerolog.WarnLevel, 200, "a request was refused before it was sent: targets have exited while they executed requests with the same content or the same part of their prompts"}
 	Failed        = Kind{"failed", zerolog.WarnLevel, 400, "the caller got a result code of the router or a truncated answer, or disconnected"}
 )
@@ -84,7 +85,7 @@
 // Kinds returns all kinds.
 func Kinds() []Kind {
 	return []Kind{
-		TicketRefused, Placed, AttemptFailed, RetryDenied, NotAdmitted, PoisonRefused, Forwarded, NotForwarded, Forwarding, StreamRefused, Finished, Failed,
+		TicketRefused, Placed, AttemptFailed, RetryDenied, NotAdmitted, PrefillWait, PoisonRefused, Forwarded, NotForwarded, Forwarding, StreamRefused, Finished, Failed,
 		Started, Stopping, Stopped, Reloaded, ReloadRejected, RequestsCut, ReadyChanged, StaleChanged, DesiredState, Evacuation, TargetCold, TargetBrittle,
 		DesiredStateRejected, TargetsChanged, TargetRejected, TargetRestarted, TargetDeparted, StoreChanged, StoreReadFailed, TableCopyFailed, TableCopyRefused, TableCopied, LinkUse, RouterListFailed, SuspectStoreFailed,
 		PeerUp, PeerDown, PeerUnlisted, PathChanged, Overload, RoleChanged, TargetSuspended, TargetNotice, TargetExited, PoisonChanged, PeerCallFailed, ListenerFailed,
