--- a/internal/core/prefill/wait.go
+++ b/internal/core/prefill/wait.go
@@ -6,6 +6,10 @@
 // another target to read its prefix.
 const maxWaitShare = 4
 
+// readyTolerance is how far beyond the limit of a wait a read may be expected to end, as a multiple. The
+// routers' estimates of the same read differ, and the report of a read ends a wait early.
+const readyTolerance = 1.25
+
 // IsWorthClaiming reports whether a prefix is worth a claim: at least MinTokens of it would have to be
 // read at any target. heldTokens is the longest part of it that a target holds.
 func IsWorthClaiming(tokens, heldTokens int) bool { return tokens-heldTokens >= MinTokens }
@@ -30,11 +34,12 @@
 }
 
 // Wait returns how long a request waits for the target that reads its prefix; 0 if it is sent at once.
-// It does not wait if the read will not end within its limit: it would wait and then read the prefix a
+// It does not wait if the read will end long after its limit: it would wait and then read the prefix a
 // second time nevertheless.
 func (a Answer) Wait(p Patience) time.Duration {
-	if a.Granted || a.Target == 0 || a.Ready <= 0 || a.Ready > p.limit() {
+	limit := p.limit()
+	if a.Granted || a.Target == 0 || a.Ready <= 0 || float64(a.Ready) > readyTolerance*float64(limit) {
 		return 0
 	}
-	return a.Ready
+	return min(a.Ready, limit)
 }
