--- a/internal/core/prefill/claims.go
+++ b/internal/core/prefill/claims.go
@@ -17,6 +17,10 @@
 	// MaxClaims bounds the claims of a registrar, at about 100 bytes each. Further prefixes are granted
 	// without a record, so they may be read twice.
 	MaxClaims = 4096
+	// MaxWaiters bounds the requests of all routers that wait for one read. They are sent within a moment of
+	// each other when it ends, before the routers see each other's requests, and would exceed the load
+	// bound of the target. Further claims are granted, as without a registrar.
+	MaxWaiters = 8
 	// maxClaimTTL bounds a claim whose read takes long or whose router is gone.
 	maxClaimTTL = 3 * time.Second
 	// minReadTime is the shortest time that a read is expected to take, and the shortest wait that an
@@ -50,6 +54,7 @@
 type claim struct {
 	key       Key
 	target    uint64
+	waiters   int // answers that named the target
 	readyAt   time.Time
 	expiresAt time.Time
 }
@@ -58,10 +63,12 @@
 // readTime is how long the read is expected to take.
 func (c *Claims) Claim(now time.Time, k Key, target uint64, readTime time.Duration) Answer {
 	c.expire(now)
-	if held, ok := c.byKey[k]; ok {
+	held, ok := c.byKey[k]
+	if ok && held.waiters < MaxWaiters {
+		held.waiters++
 		return Answer{Target: held.target, Ready: held.remaining(now)}
 	}
-	if len(c.byKey) < MaxClaims {
+	if !ok && len(c.byKey) < MaxClaims {
 		readTime = min(max(readTime, minReadTime), maxClaimTTL)
 		added := &claim{key: k, target: target, readyAt: now.Add(readTime), expiresAt: now.Add(min(2*readTime, maxClaimTTL))}
 		if c.byKey == nil {
