--- a/internal/core/placement/bench_test.go
+++ b/internal/core/placement/bench_test.go
@@ -23,3 +23,25 @@
 		})
 	}
 }
+
+// BenchmarkFindUnreadPrefix measures the search for a prefix that no target holds, by the number of
+// targets, if one holds it and if none does.
+func BenchmarkFindUnreadPrefix(b *testing.B) {
+	for _, n := range []int{12, 120, 3000} {
+		for _, held := range []bool{true, false} {
+			b.Run(fmt.Sprint(n, " targets, held ", held), func(b *testing.B) {
+				balancer := newWorkBalancer(targets(n)...)
+				if held {
+					serve(balancer, start, longRequest(4))
+				}
+				b.ReportAllocs()
+				b.ResetTimer()
+				for range b.N {
+					if _, ok := balancer.FindUnreadPrefix(start, longRequest(4)); ok == held {
+						b.Fatal("wrong answer")
+					}
+				}
+			})
+		}
+	}
+}
