--- a/internal/core/placement/bench_test.go
+++ b/internal/core/placement/bench_test.go
@@ -31,8 +31,9 @@
 		for _, held := range []bool{true, false} {
 			b.Run(fmt.Sprint(n, " targets, held ", held), func(b *testing.B) {
 				balancer := newWorkBalancer(targets(n)...)
-				if held {
-					serve(balancer, start, longRequest(4))
+				if c, ok := balancer.Place(start, longRequest(4)); ok {
+					balancer.RecordFirstEvent(start, c, held)
+					balancer.FinishRequest(start, c.Target.UID, placement.Answered)
 				}
 				b.ReportAllocs()
 				b.ResetTimer()
