A request waits for a read at its own target for longer than expected

A second read at the same target ends after the first one, so waiting costs nothing as long as the first one has not failed.

--- a/internal/app/gateway/prefill.go
+++ b/internal/app/gateway/prefill.go
@@ -178,7 +178,7 @@
 	if !ok {
 		return 0
 	}
-	patience := prefill.Patience{ReadTime: unread.ReadTime, Objective: r.match.route.Objective, Remaining: r.deadline.Sub(p.now())}
+	patience := prefill.Patience{Target: unread.Target, ReadTime: unread.ReadTime, Objective: r.match.route.Objective, Remaining: r.deadline.Sub(p.now())}
 	wait := answer.Wait(patience)
 	if wait == 0 {
 		return 0
