--- a/internal/app/gateway/proxy.go
+++ b/internal/app/gateway/proxy.go
@@ -28,6 +28,12 @@
 	CountResumption(known string)
 	// CountIgnoredLoad counts a load report of a target that was ignored, by reason.
 	CountIgnoredLoad(reason targetload.Fault)
+	// CountPrefillClaim counts a claim for the reading of a prompt prefix by its result: one of
+	// ClaimGranted, ClaimHeld, ClaimUnanswered and ClaimInvalid.
+	CountPrefillClaim(result string)
+	// CountPrefillWait counts a request that waited for another one's prefix by what ended the wait: one
+	// of WaitRead, WaitTime and WaitCaller.
+	CountPrefillWait(ended string)
 }
 
 // Signals that targets send in their answers.
