Shed load by urgency, deadline and work in pools scheduled by work

Admission refuses a request when its home target is full, so the least urgent kind of requests is served best. Package shedding cuts the ranks of a pool by the utilization that all routers know from reports, and marks the part of a team's work beyond its share as excess. The gateway uses it for prompts of pools that are scheduled by work; other pools decide as before. Digests carry the work of the eight largest teams.

--- a/internal/app/gateway/apply.go
+++ b/internal/app/gateway/apply.go
@@ -59,6 +59,7 @@
 	c.traffic.streams.setLongestStream(table.LongestStream(defaultTimeout))
 	c.traffic.mu.Lock()
 	c.traffic.balancer.SetLimits(poolLimits(table))
+	c.traffic.shedding.rankings = rankings(state)
 	c.traffic.mu.Unlock()
 	c.desiredAppliedAt = now
 	if c.changesKnownPools(before, table) {
--- a/internal/app/gateway/control.go
+++ b/internal/app/gateway/control.go
@@ -89,7 +89,7 @@
 			retryBudgets: make(map[string]*retry.Window), retrySpan: s.RetrySpan,
 			retryLimits:  retry.Limits{Ratio: s.RetryRatio, Slack: s.RetrySlack, Routers: initialSlackSharers(s.FirstStart)},
 			openAttempts: newAttemptRegistry(), path: newPathState(rand.New(rand.NewPCG(incarnation, 2))), poisonGuard: newPoisonGuard(s.Address, s.FirstStart),
-			streams: newStreamRegistry(peers, now),
+			streams: newStreamRegistry(peers, now), shedding: newSheddingState(),
 		},
 		suspectsChanged: make(chan struct{}, 1),
 		inbox:           make(chan func(time.Time), inboxSize), stopped: make(chan struct{}),
@@ -145,6 +145,8 @@
 	c.handleEvent(ctx, now, content)
 	c.traffic.mu.Lock()
 	c.traffic.balancer.ExpireReports(now)
+	c.traffic.shedding.expire(now)
+	c.traffic.shedding.routers = c.core.AliveCount(now) + 1
 	c.traffic.mu.Unlock()
 	if c.targetSet.RemoveExpired(now, c.targetRetention(now)) {
 		c.publishTargets(now)
@@ -271,6 +273,7 @@
 	c.traffic.mu.Lock()
 	if !a.Partial {
 		ejected = c.traffic.balancer.ReceiveReport(now, a.Source, a.Loads, a.Outcomes)
+		c.traffic.shedding.receive(now, a.Source, a.Teams)
 		c.traffic.loadsReportedAt = now
 	}
 	c.traffic.balancer.ReceivePrefixReads(now, a.PrefixReads)
--- a/internal/app/gateway/run.go
+++ b/internal/app/gateway/run.go
@@ -35,6 +35,9 @@
 	// retryAfter is when the caller should retry according to admission, before jitter; 0 if the
 	// result code alone decides.
 	retryAfter time.Duration
+	// retryAfterSpread is true if retryAfter is already spread over the callers, so that it gets no
+	// jitter.
+	retryAfterSpread bool
 	// minRetryAfter replaces retryAfter if a retry before that time is useless: while the request
 	// is refused as a suspect, or all targets are paused or cold. It is 0 otherwise.
 	minRetryAfter time.Duration
@@ -95,10 +98,11 @@
 	if confine != 0 {
 		chatHash = uint64(confine)
 	}
-	choice, decision, ok := p.traffic.placeRequest(now, placement.Request{
+	choice, decision, shed, ok := p.traffic.placeRequest(now, placement.Request{
 		Pool: r.match.pool, ChatHash: chatHash, PromptPrefixes: r.match.call.PromptPrefixes, PromptTokens: r.match.call.PromptTokens,
 		Objective: r.match.route.Objective, Excluded: r.machine.Excluded(), Software: r.stream.software,
-	}, admission.Request{Team: r.match.teamName(), Priority: r.match.priority(), RoutePriority: r.match.route.Priority, Remaining: r.deadline.Sub(now), Objective: r.match.route.Objective}, r.machine.MayHaveExecuted() || r.stream.software != 0)
+	}, admission.Request{Team: r.match.teamName(), Priority: r.match.priority(), RoutePriority: r.match.route.Priority, Remaining: r.deadline.Sub(now), Objective: r.match.route.Objective},
+		sheddingRequest{route: r.match.route.Name, retry: r.machine.Attempts() > 0}, r.machine.MayHaveExecuted() || r.stream.software != 0)
 	switch {
 	case !ok:
 		c := p.traffic.noTargetCode(now, r.match.pool, r.stream.software)
@@ -107,17 +111,23 @@
 		}
 		return r.machine.Step(attempt.TicketRefused{Code: c})
 	case decision.Code != code.OK:
-		r.logLine(eventlog.NotAdmitted).Str("target", choice.Target.ID).Int("open", choice.Open).
-			Dur("wait", decision.Wait).Dur("left", r.deadline.Sub(now)).Int("rank", r.match.priority()).Msg("")
-		r.retryAfter = decision.RetryAfter
+		line := r.logLine(eventlog.NotAdmitted).Str("target", choice.Target.ID).Int("open", choice.Open).
+			Dur("wait", decision.Wait).Dur("left", r.deadline.Sub(now))
+		if shed != nil {
+			shed.logTo(line)
+		} else {
+			line.Int("rank", r.match.priority())
+		}
+		line.Msg("")
+		r.retryAfter, r.retryAfterSpread = decision.RetryAfter, shed != nil
 		return r.machine.Step(attempt.TicketRefused{Code: decision.Code})
 	}
 	action := r.machine.Step(attempt.TicketGranted{Target: choice.Target.UID})
-	a := &targetAttempt{request: r, choice: choice, number: action.Attempt, startedAt: now, outcome: placement.Neutral}
+	a := &targetAttempt{request: r, choice: choice, number: action.Attempt, startedAt: now, outcome: placement.Neutral, shed: shed}
 	r.logPlaced(a, p.traffic.loadReportAge(now))
 	action = a.make()
 	if a.failure == failureNotExecuted {
-		r.retryAfter = decision.RetryAfter
+		r.retryAfter, r.retryAfterSpread = decision.RetryAfter, shed != nil
 	}
 	if errors.Is(context.Cause(a.ctx), errVersionChanged) && a.events > 0 {
 		r.unbindStream()
@@ -125,7 +135,7 @@
 	a.recordFirstEvent(false)
 	a.suspectPath()
 	took := p.now().Sub(now)
-	if p.traffic.finishAttempt(p.now(), r.match.pool, r.match.teamName(), choice.Target.UID, a.placementOutcome(), took, a.admissionOutcome(took)) {
+	if p.traffic.finishAttempt(p.now(), r.match.pool, r.match.teamName(), choice.Target.UID, a.placementOutcome(), took, a.admissionOutcome(took), shed) {
 		r.logLine(eventlog.TargetSuspended).Str("target", choice.Target.ID).Str("why", a.failure).Msg("")
 	}
 	if a.failure != "" {
@@ -160,9 +170,12 @@
 		if retryAfter == 0 {
 			retryAfter = admission.RetryAfter(c, r.deadline.Sub(p.now()))
 		}
-		if r.minRetryAfter > 0 {
+		switch {
+		case r.minRetryAfter > 0:
 			r.responder.SendError(c, addPositiveJitter(r.minRetryAfter))
-		} else {
+		case r.retryAfter > 0 && r.retryAfterSpread:
+			r.responder.SendError(c, retryAfter)
+		default:
 			r.responder.SendError(c, addJitter(retryAfter))
 		}
 	default:
--- a/internal/app/gateway/target_attempt.go
+++ b/internal/app/gateway/target_attempt.go
@@ -21,6 +21,7 @@
 	choice             placement.Choice
 	number             int
 	startedAt          time.Time
+	shed               *shedDecision // nil unless the pool is scheduled by work
 	outcome            placement.Outcome
 	failure            string // reason for the log; empty if the attempt succeeded
 	err                error
@@ -76,6 +77,14 @@
 	}
 }
 
+// priority returns the priority to send to the target.
+func (t *targetAttempt) priority() int {
+	if t.shed != nil {
+		return t.shed.TargetPriority
+	}
+	return t.request.match.priority()
+}
+
 // make makes the attempt: it sends the request and forwards the answer.
 func (t *targetAttempt) make() attempt.Action {
 	r := t.request
@@ -123,7 +132,7 @@
 	r := t.request
 	return r.proxy.codec.PrepareHeader(r.match.call, Attempt{
 		Remaining: r.deadline.Sub(r.proxy.now()), TargetID: t.choice.Target.ID, LastEventID: r.stream.lastEventID,
-		CacheSource: t.choice.CacheSource, Team: r.match.teamName(), Priority: r.match.priority(),
+		CacheSource: t.choice.CacheSource, Team: r.match.teamName(), Priority: t.priority(),
 	})
 }
 
--- a/internal/app/gateway/view.go
+++ b/internal/app/gateway/view.go
@@ -53,29 +53,39 @@
 	retryLimits     retry.Limits
 	retrySpan       time.Duration
 	loadsReportedAt time.Time // when another router last reported its loads
+	shedding        *sheddingState
 }
 
 // placeRequest chooses a target and decides whether to send the request there. A request that a
 // target may have executed in part is always admitted, since refusing it would waste that work. ok
-// is false if the pool has no target.
-func (t *trafficState) placeRequest(now time.Time, request placement.Request, admissionRequest admission.Request, mayHaveExecuted bool) (c placement.Choice, decision admission.Decision, ok bool) {
+// is false if the pool has no target. shed is nil unless the pool is scheduled by work.
+func (t *trafficState) placeRequest(now time.Time, request placement.Request, admissionRequest admission.Request, sheddingRequest sheddingRequest, mayHaveExecuted bool) (c placement.Choice, decision admission.Decision, shed *shedDecision, ok bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	gate, age := t.poolGate(request.Pool), t.maxLoadReportAge(now)
 	request.LoadsOutdated = gate.HasShortWork(age)
 	c, ok = t.balancer.Place(now, request)
 	if !ok {
-		return c, decision, false
+		return c, decision, nil, false
+	}
+	load := admission.Load{Open: c.Open, Slots: c.Target.Slots, ReportAge: age}
+	if t.isScheduledByWork(request) {
+		shed = t.decideByShare(now, c, request, admissionRequest, sheddingRequest, load)
+		decision = admission.Decision{Code: shed.Code, Wait: shed.Wait, RetryAfter: shed.RetryAfter}
+	} else {
+		decision = gate.Decide(now, admissionRequest, load)
 	}
-	decision = gate.Decide(now, admissionRequest, admission.Load{Open: c.Open, Slots: c.Target.Slots, ReportAge: age})
 	if decision.Code != code.OK && !mayHaveExecuted {
 		t.balancer.RecordFirstEvent(now, c, false)
 		t.balancer.FinishRequest(now, c.Target.UID, placement.Neutral)
-		return c, decision, true
+		return c, decision, shed, true
 	}
 	gate.RecordStart(admissionRequest.Team)
+	if shed != nil {
+		t.shedding.cut(request.Pool).RecordStart(now, admissionRequest.Team, shed.Work)
+	}
 	decision.Code = code.OK
-	return c, decision, true
+	return c, decision, shed, true
 }
 
 // recordFirstEvent records that an attempt has received its first event, or will not receive one.
@@ -96,9 +106,12 @@
 
 // finishAttempt removes an attempt from the open requests of its target and records its outcome for
 // placement and for admission. It reports whether the target is suspended or ejected as a result.
-func (t *trafficState) finishAttempt(now time.Time, pool, team string, uid uint64, outcome placement.Outcome, took time.Duration, admissionOutcome admission.Outcome) (suspended bool) {
+func (t *trafficState) finishAttempt(now time.Time, pool, team string, uid uint64, outcome placement.Outcome, took time.Duration, admissionOutcome admission.Outcome, shed *shedDecision) (suspended bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if shed != nil {
+		t.shedding.cut(pool).RecordEnd(team, shed.Work, took)
+	}
 	t.poolGate(pool).RecordEnd(now, team, took, admissionOutcome)
 	return t.balancer.FinishRequest(now, uid, outcome)
 }
@@ -256,6 +269,7 @@
 	if len(sources) == 0 {
 		t.balancer.ForgetAllSources()
 	}
+	t.shedding.forget(sources)
 	for _, s := range sources {
 		t.balancer.ForgetSource(s)
 	}
@@ -282,6 +296,7 @@
 	defer t.mu.Unlock()
 	return fleet.Tick{
 		Loads: t.balancer.OwnLoads(now), Outcomes: t.balancer.OutcomesToReport(now),
+		Teams:       t.shedding.largestTeams(),
 		PrefixReads: t.balancer.TakePrefixReads(maxOwnPrefixReadsPerDigest), Streams: t.streams.takeUnreported(),
 	}
 }
--- a/internal/core/fleet/digest.go
+++ b/internal/core/fleet/digest.go
@@ -102,6 +102,7 @@
 	d := c.newDigest(now)
 	d.Seeks = c.needsRelays(now)
 	d.Report = encodeReport(c.lastLoads, c.outcomes, due(now, &c.outcomesSentAt, outcomesInterval))
+	encodeTeams(d.Report, c.teams)
 	setPrefixReads(d, c.prefixReads)
 	if len(keepers) > 0 {
 		c.moveStreamsTo(d, keepers)
@@ -147,6 +148,7 @@
 		sum := newTally()
 		c.addOwnCentre(now, sum)
 		d.Report = encodeReport(sum.loads, sum.outcomes, due(now, &c.centreOutbox.outcomesSentAt, relayOutcomesInterval))
+		encodeTeams(d.Report, sum.teams.list)
 		d.Counted = uint32(c.countedRouters(now))
 	}
 	setPrefixReads(d, c.centreOutbox.takePrefixReads())
@@ -171,6 +173,7 @@
 	c.addOtherCentres(now, sum)
 	includeOutcomes := due(now, &c.followerOutbox.outcomesSentAt, relayOutcomesInterval)
 	report, prefixReads := encodeReport(sum.loads, sum.outcomes, includeOutcomes), c.followerOutbox.takePrefixReads()
+	encodeTeams(report, sum.teams.list)
 	listed, others := c.splitByListDue(now, to)
 	for _, part := range []struct {
 		to          []Address
@@ -236,6 +239,7 @@
 		own := newTally()
 		own.add(now, &c.peers[a].report)
 		out[i] = encodeReport(own.loads, own.outcomes, includeOutcomes)
+		encodeTeams(out[i], own.teams.list)
 	}
 	return out
 }
@@ -244,6 +248,7 @@
 func (c *Core) addOwnCentre(now time.Time, sum *tally) {
 	sum.addLoads(c.lastLoads, 1)
 	sum.addOutcomes(c.outcomes, 1)
+	sum.teams.add(c.teams, 1)
 	for _, p := range c.sortedPeers() {
 		if p.dataCentre == c.settings.DataCentre {
 			sum.add(now, &p.report)
--- a/internal/core/fleet/events.go
+++ b/internal/core/fleet/events.go
@@ -12,6 +12,7 @@
 	"github.com/hemlockdyke/hemlockdyke/internal/core/placement"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/poison"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/replica"
+	"github.com/hemlockdyke/hemlockdyke/internal/core/shedding"
 )
 
 // Address is the IP:PORT at which a router receives digests and copy requests. It identifies the
@@ -85,6 +86,8 @@
 	Tick struct {
 		Loads    []placement.Load
 		Outcomes []placement.TargetOutcomes
+		// Teams are the teams with the most work at this router, in pools that are scheduled by work.
+		Teams []shedding.TeamWork
 		// PrefixReads are sent in the next digest only.
 		PrefixReads []placement.PrefixRead
 		// Streams are the records of this router's streams that other routers have to learn.
@@ -174,6 +177,7 @@
 		Source      uint32
 		Loads       []placement.Load
 		Outcomes    []placement.TargetOutcomes
+		Teams       []shedding.TeamWork
 		PrefixReads []placement.PrefixRead
 		Departures  []placement.Departure
 		Poison      poison.Report
--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -7,6 +7,7 @@
 	"github.com/hemlockdyke/hemlockdyke/internal/core/placement"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/poison"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/replica"
+	"github.com/hemlockdyke/hemlockdyke/internal/core/shedding"
 )
 
 // Protocol is the version of digests and copy messages. Messages of other versions are ignored,
@@ -142,6 +143,7 @@
 	lastSentAt  time.Time
 	lastLoads   []placement.Load
 	outcomes    []placement.TargetOutcomes
+	teams       []shedding.TeamWork
 	prefixReads []placement.PrefixRead // not yet sent
 	departures  []placement.Departure
 	poison      poison.Report
@@ -319,6 +321,7 @@
 	c.cancelLostCall(now)
 	c.outages.tick(now, c.hasReader(now))
 	c.updateVersionLag(now)
+	c.teams = ev.Teams
 	c.outcomes, c.prefixReads = ev.Outcomes, append(c.prefixReads, ev.PrefixReads...)
 	c.streams.add(ev.Streams...)
 	c.passStreamsOn(ev.Streams)
--- a/internal/core/fleet/report.go
+++ b/internal/core/fleet/report.go
@@ -7,6 +7,7 @@
 
 	peerv1 "github.com/hemlockdyke/hemlockdyke/gen/hemlockdyke/peer/v1"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/placement"
+	"github.com/hemlockdyke/hemlockdyke/internal/core/shedding"
 )
 
 // sourceReport is the last report of a source.
@@ -15,7 +16,8 @@
 	loads          []placement.Load
 	outcomes       []placement.TargetOutcomes
 	outcomesAt     time.Time // when outcomes were reported
-	countedRouters int       // number of routers that a data centre's sum covers
+	teams          []shedding.TeamWork
+	countedRouters int // number of routers that a data centre's sum covers
 }
 
 // reportTTL is how long a report counts. It equals LoadReportTTL in placement.DefaultSettings,
@@ -42,6 +44,7 @@
 	loads    []placement.Load
 	outcomes []placement.TargetOutcomes
 	outPos   map[uint64]int // index of each target in outcomes
+	teams    teamTally
 }
 
 func newTally() *tally { return &tally{loadPos: make(map[uint64]int), outPos: make(map[uint64]int)} }
@@ -75,6 +78,7 @@
 func (s *tally) add(now time.Time, r *sourceReport) {
 	if r.fresh(now) {
 		s.addLoads(r.loads, 1)
+		s.teams.add(r.teams, 1)
 	}
 	if !r.outcomesAt.IsZero() && now.Sub(r.outcomesAt) < reportTTL {
 		s.addOutcomes(r.outcomes, placement.DecayFactor(now.Sub(r.outcomesAt)))
--- a/internal/core/fleet/sums.go
+++ b/internal/core/fleet/sums.go
@@ -12,7 +12,7 @@
 // separately, and each other data centre by its sum or, if it sends none, by its routers. All other
 // routers count the fleet's sum from their feeder, without their own part.
 func (c *Core) handleReport(now time.Time, from Address, p *peer, d *peerv1.Digest) {
-	loads, outcomes := decodeLoads(d.GetReport()), decodeOutcomes(d.GetReport())
+	loads, outcomes, teams := decodeLoads(d.GetReport()), decodeOutcomes(d.GetReport()), decodeTeams(d.GetReport())
 	report := ReportReceived{PrefixReads: decodePrefixReads(d), Departures: decodeDepartures(d), Poison: decodePoison(d), Streams: decodeStreams(d), Partial: true}
 	sameCentre := p.dataCentre == c.settings.DataCentre
 	if sameCentre {
@@ -31,17 +31,20 @@
 			c.fedAt = now
 		}
 		loads, outcomes = subtract(loads, decodeLoads(d.GetYours()), outcomes, decodeOutcomes(d.GetYours()))
+		teams = subtractTeams(teams, decodeTeams(d.GetYours()))
 		report.Source, report.Partial = fleetSourceID, false
 	case scope == peerv1.Scope_SCOPE_DATA_CENTRE && !sameCentre && c.relay:
 		if c.updateCentreSum(now, p.dataCentre, int(d.GetCounted()), loads, outcomes) {
+			c.centreSums[p.dataCentre].teams = teams
 			report.Source, report.Partial = centreSourceID(p.dataCentre), false
 		}
 	case scope == peerv1.Scope_SCOPE_ROUTER && c.relay && !c.hasCentreSum(now, p.dataCentre):
 		c.reportsChanged = p.report.update(now, loads, outcomes) || c.reportsChanged
+		p.report.teams = teams
 		report.Source, report.Partial = RouterSourceID(from), false
 	}
 	if !report.Partial {
-		report.Loads, report.Outcomes = loads, outcomes
+		report.Loads, report.Outcomes, report.Teams = loads, outcomes, teams
 	}
 	if !report.Partial || len(report.PrefixReads) > 0 || len(report.Departures) > 0 || len(report.Streams) > 0 || !report.Poison.Empty() {
 		c.emit(report)
--- a/internal/core/placement/pool.go
+++ b/internal/core/placement/pool.go
@@ -24,6 +24,10 @@
 	brittleLimit int
 	// reportsPace is true once a listed target of the pool has reported its pace.
 	reportsPace bool
+	// utilization is the last result of Balancer.Utilization, computed at utilizationAt; zero if the
+	// targets have changed since.
+	utilization   float64
+	utilizationAt time.Time
 }
 
 // IsScheduledByWork reports whether requests with prompts for a pool are placed and admitted by their
@@ -153,6 +157,7 @@
 // share by at most a factor of the square root of two; spilling evens out the rest. A data centre
 // without active targets has the size zero and does not change the sizes of the others.
 func (p *pool) updateSizes() {
+	p.utilizationAt = time.Time{}
 	active, used := 0.0, 0
 	for _, c := range p.dataCentres {
 		active += c.activeCount
--- /dev/null
+++ b/internal/core/placement/utilization.go
@@ -0,0 +1,74 @@
+package placement
+
+import (
+	"time"
+
+	"github.com/hemlockdyke/hemlockdyke/internal/core/ablate"
+)
+
+// utilizationInterval is how long a pool's utilization is used before it is computed anew, which visits
+// all targets. Reports change it every 100 ms.
+const utilizationInterval = 5 * time.Millisecond
+
+// roomSum is the room of some targets of a pool.
+type roomSum struct{ open, slots int }
+
+func (s *roomSum) add(t *target) {
+	s.open += t.totalOpen()
+	s.slots += t.Slots
+}
+
+func (s *roomSum) addSum(o roomSum) {
+	s.open += o.open
+	s.slots += o.slots
+}
+
+// Utilization returns the open requests of the fleet divided by the slots, over the targets of a pool
+// that may get requests; 0 if no slots are known. It counts the targets that skipFilter does not skip,
+// and full ones, which are skipped only because they are used.
+func (b *Balancer) Utilization(now time.Time, pool string) float64 {
+	p, ok := b.pools[pool]
+	if !ok {
+		return 0
+	}
+	if elapsed := now.Sub(p.utilizationAt); p.utilizationAt.IsZero() || elapsed < 0 || elapsed >= utilizationInterval {
+		p.utilization, p.utilizationAt = p.computeUtilization(now), now
+	}
+	return p.utilization
+}
+
+// computeUtilization follows newSkipFilter and skipFilter.skips in one pass.
+func (p *pool) computeUtilization(now time.Time) float64 {
+	eligible, suspended, ejected := 0, 0, 0
+	var usable, ofSuspended, ofEjected roomSum
+	for _, t := range p.targets {
+		isSuspended := t.health.isSuspended(now)
+		if t.isClosed(now) || (t.health.unreachable && isSuspended) {
+			continue
+		}
+		eligible++
+		sum := &usable
+		switch {
+		case isSuspended:
+			suspended++
+			sum = &ofSuspended
+		case t.isEjected(now):
+			ejected++
+			sum = &ofEjected
+		}
+		if t.Slots > 0 && !t.isCold(now) {
+			sum.add(t)
+		}
+	}
+	ignoreThresholds := ablate.IsOff(ablate.PanicThreshold)
+	if !ignoreThresholds && float64(suspended) > suspensionPanicThreshold*float64(eligible) {
+		usable.addSum(ofSuspended)
+	}
+	if !ignoreThresholds && float64(suspended+ejected) > ejectionPanicThreshold*float64(eligible) {
+		usable.addSum(ofEjected)
+	}
+	if usable.slots == 0 {
+		return 0
+	}
+	return float64(max(usable.open, 0)) / float64(usable.slots)
+}
--- /dev/null
+++ b/internal/core/shedding/shedding.go
@@ -0,0 +1,387 @@
+// Package shedding decides which requests of a pool are refused when its targets are short of
+// capacity. Requests are ordered by urgency, and within an urgency by the work that they need and by
+// the time that is left to them. All routers know the load of the fleet from the same reports, so
+// they shed the same requests without further messages.
+package shedding
+
+import (
+	"math"
+	"time"
+
+	"github.com/hemlockdyke/hemlockdyke/internal/core/code"
+)
+
+const (
+	// rankWindow is how long a rank is active after its last request.
+	rankWindow = 5 * time.Second
+	// firstStart is the utilization up to which the ranks after the first are admitted in full, less
+	// startSpread times the position of the rank among the active ones. Over the next shareSpan, a
+	// rank's share falls to the floor. Targets preempt running requests for more urgent ones when
+	// their slots are full, so the last ranks are cut before that.
+	firstStart  = 1.05
+	startSpread = 0.2
+	shareSpan   = 0.1
+	// urgentStart and urgentSpan are the same for rank 0. Targets admit it first, so it waits for one
+	// slot only.
+	urgentStart = 1.6
+	urgentSpan  = 1.0
+	// floor is the share of a rank that is always admitted, so that none is starved.
+	floor = 0.1
+	// hopelessFactor is the part of the rank's share that requests get if they will miss their
+	// objective but not their deadline.
+	hopelessFactor = 0.5
+	// smallestFactor and percentileSlope make the share of a request depend on its work.
+	smallestFactor  = 1.4
+	percentileSlope = 0.8
+	// returningPart is the part of the usual time budget of a route below which a request counts as
+	// one of a caller that returns after a refusal.
+	returningPart = 0.9
+	// returningAllowance is by how much lower the utilization counts for a returning caller. It bounds
+	// the advantage of callers that send short time budgets.
+	returningAllowance = 0.2
+	// maxDebt bounds how many requests returning callers may take ahead of others of their rank.
+	maxDebt = 4.0
+	// budgetHalfLife is the half-life of a route's usual time budget. A caller counts as returning by
+	// mistake if no request with the full budget came for 9 s.
+	budgetHalfLife = 60 * time.Second
+	// maxRoutes bounds the routes whose usual time budget is known.
+	maxRoutes = 256
+	// slotTimeWeight is the weight of one request in the mean slot time: about the last thirty count.
+	slotTimeWeight = 0.033
+	// initialSlotTime is the mean slot time before any request has ended.
+	initialSlotTime = time.Second
+)
+
+// Request is a request that has a target.
+type Request struct {
+	Team    string // empty if the request has none
+	Route   string
+	Urgency Urgency
+	// Remaining is the time until the request's deadline.
+	Remaining time.Duration
+	// Objective is the desired time to the answer, or to the first event of a stream; 0 if none.
+	Objective time.Duration
+	// ExpectedWait is the time until the request gets a slot of its target if it waits for all that are
+	// open there, and SlotWait the time until one slot is free. FirstEvent is the time from the slot to
+	// the first event, SlotTime the time that it holds the slot. Each is 0 if unknown.
+	ExpectedWait, SlotWait, FirstEvent, SlotTime time.Duration
+	// WorkPercentile is the part of the route's requests with less work; 0.5 if unknown.
+	WorkPercentile float64
+	// Retry is true if this router has admitted the same request before.
+	Retry bool
+}
+
+// Load is the load of a pool as the whole fleet knows it.
+type Load struct {
+	Utilization float64 // open requests divided by slots; 0 if unknown
+	// TeamWork is the work of the teams at the other routers, see TeamHash. Other teams are unknown.
+	TeamWork map[uint64]time.Duration
+	Routers  int // routers that are alive, including this one
+}
+
+// Reason says why a request was refused.
+type Reason string
+
+// The reasons. The zero value is for requests that are admitted.
+const (
+	ReasonShare    Reason = "share"    // the request is not in the share of its rank
+	ReasonExcess   Reason = "excess"   // and its team is over its share
+	ReasonHopeless Reason = "hopeless" // and it would miss its objective
+	ReasonWait     Reason = "wait"     // it would wait for longer than its caller stays away
+	ReasonDeadline Reason = "deadline" // it can't be answered before its deadline
+)
+
+// Decision is the result for one request.
+type Decision struct {
+	Code code.Code // OK if the request is sent
+	// RetryAfter is when a refused caller should retry, spread over the callers, so that no jitter is to
+	// be added. For a request that is sent it applies if the target refuses it; 0 if the code decides.
+	RetryAfter time.Duration
+	Reason     Reason
+	Rank       int     // among the ranks with recent requests
+	Share      float64 // of the rank's requests that is admitted
+	// Urgency is that of the request, or the one that takes its place if Excess is true.
+	Urgency Urgency
+	// Excess is true if the request is beyond its team's share, and Returning if its caller was refused
+	// before.
+	Excess, Returning bool
+	// Work is the expected slot time, for RecordStart and RecordEnd.
+	Work time.Duration
+}
+
+// rankKey orders the requests of a pool: excess ones come after others of the same urgency.
+type rankKey struct {
+	urgency Urgency
+	excess  bool
+}
+
+func (k rankKey) isBefore(o rankKey) bool {
+	if c := k.urgency.Compare(o.urgency); c != 0 {
+		return c < 0
+	}
+	return !k.excess && o.excess
+}
+
+// rank is what is known of the requests of one rank. Each request adds its share to credit, and takes
+// one if it is admitted, so that the admitted ones are spread evenly.
+type rank struct {
+	key             rankKey
+	lastRequestAt   time.Time
+	credit          float64
+	returningCredit float64
+}
+
+type budget struct {
+	usual time.Duration
+	at    time.Time
+}
+
+// Cut sheds the load of one pool. It is not safe for concurrent use.
+type Cut struct {
+	ranks      map[rankKey]*rank
+	teams      teams
+	budgets    map[string]*budget
+	priorities [maxPriority + 1]float64 // recent requests by priority, decaying
+	countedAt  time.Time
+	meanSlot   time.Duration
+	spread     float64 // position of the next Retry-After in its range, 0 to 1
+}
+
+// NewCut returns a Cut without measurements. The seed makes the Retry-After of different routers
+// differ.
+func NewCut(pool string, seed uint64) *Cut {
+	return &Cut{
+		ranks: make(map[rankKey]*rank), teams: teams{pool: pool, byName: make(map[string]*team)}, budgets: make(map[string]*budget),
+		meanSlot: initialSlotTime, spread: float64(seed>>11) / (1 << 53),
+	}
+}
+
+// Decide admits or refuses a request. RecordStart and RecordEnd must follow if it is sent.
+func (c *Cut) Decide(now time.Time, r Request, l Load) Decision {
+	r.clean()
+	if !(l.Utilization > 0) { // also if it is not a number
+		l.Utilization = 0
+	}
+	d := Decision{Code: code.OK, Urgency: r.Urgency, Work: r.SlotTime}
+	if d.Work == 0 {
+		d.Work = c.meanSlot
+	}
+	d.Returning = c.recordBudget(now, r) || r.Retry
+	c.countPriority(now, r.Urgency.Priority)
+	t := c.teams.team(now, r.Team)
+	if t != nil {
+		t.lastRequestAt = now
+		if c.teams.isExcess(now, t, &l, l.Utilization > firstStart-startSpread) {
+			d.Excess = true
+			d.Urgency.Priority = max(d.Urgency.Priority, c.commonPriority())
+		}
+	}
+	k := c.rank(rankKey{d.Urgency, d.Excess})
+	k.lastRequestAt = now
+	position, active := c.position(now, k.key)
+	d.Rank, d.Share = position, share(position, active, l.Utilization)
+	d.RetryAfter = c.retryAfter(&r, d.Share)
+	c.admit(&d, &r, k, share(position, active, l.Utilization-returningAllowance))
+	if t != nil && d.Excess && d.Code != code.OK {
+		t.excessRefused++
+	}
+	return d
+}
+
+// admit sets the code and the reason of a decision.
+func (c *Cut) admit(d *Decision, r *Request, k *rank, returningShare float64) {
+	wait := r.ExpectedWait
+	if d.Rank == 0 {
+		wait = min(wait, r.SlotWait)
+	}
+	switch {
+	case r.SlotTime > r.Remaining, r.FirstEvent > r.Remaining:
+		d.Code, d.Reason, d.RetryAfter = code.DeadlineTooShort, ReasonDeadline, 0
+		return
+	case wait > 0 && wait+max(r.SlotTime, r.FirstEvent) > r.Remaining:
+		d.Code, d.Reason = code.QueueFull, ReasonDeadline
+		return
+	case wait > d.RetryAfter:
+		d.Code, d.Reason = code.QueueFull, ReasonWait
+		return
+	}
+	hopeless := r.Objective > 0 && wait+r.FirstEvent > r.Objective
+	if k.take(d.Share, returningShare, r, d.Returning, hopeless) {
+		return
+	}
+	switch d.Code, d.Reason = code.QueueFull, ReasonShare; {
+	case d.Excess:
+		d.Code, d.Reason = code.TeamLimit, ReasonExcess
+	case hopeless:
+		d.Reason = ReasonHopeless
+	}
+}
+
+// take reports whether a request is in the share of its rank. A returning caller takes from the credit
+// of the others, so that it goes first and the rank gets about its share.
+func (k *rank) take(share, returningShare float64, r *Request, returning, hopeless bool) bool {
+	factor := smallestFactor - percentileSlope*r.WorkPercentile
+	if hopeless {
+		factor *= hopelessFactor
+	}
+	effective := share
+	if share < 1 || hopeless {
+		effective = min(share*factor, 1)
+	}
+	if returning {
+		k.credit = min(k.credit+effective, 1)
+		if returningShare < 1 {
+			returningShare = min(returningShare*max(factor, 1), 1)
+		}
+		if k.returningCredit += returningShare; k.returningCredit < 1 {
+			return false
+		}
+		k.returningCredit--
+		k.credit = max(k.credit-1, -maxDebt)
+		return true
+	}
+	if effective >= 1 {
+		k.credit = min(k.credit+(1-k.credit)*0.1, 1) // a debt does not outlast the shortage
+		return true
+	}
+	if k.credit += effective; k.credit < 1 {
+		return false
+	}
+	k.credit--
+	return true
+}
+
+// share returns the share of a rank's requests that is admitted.
+func share(position, active int, utilization float64) float64 {
+	start, span := urgentStart, urgentSpan
+	if position > 0 {
+		start, span = firstStart-startSpread*float64(position)/float64(max(active-1, 1)), shareSpan
+	}
+	return min(max(1-(1-floor)*(utilization-start)/span, floor), 1)
+}
+
+// retryAfter returns when a caller that is refused should retry. If its rank's share is half or more, it
+// will probably be admitted then, and may still be answered within its objective.
+func (c *Cut) retryAfter(r *Request, share float64) time.Duration {
+	// The multiples of the golden ratio are spread evenly over the range, whatever their number.
+	c.spread = math.Mod(c.spread+math.Phi, 1)
+	late := float64(r.Remaining) * (1.0/4 + c.spread*(1.0/3-1.0/4))
+	if share >= 0.5 && r.Objective > 0 {
+		late = min(float64(r.Objective)*(1.0/4+c.spread*(1.0/2-1.0/4)), late)
+	}
+	return time.Duration(late)
+}
+
+func (c *Cut) rank(key rankKey) *rank {
+	k, ok := c.ranks[key]
+	if !ok {
+		k = &rank{key: key, credit: 0.5, returningCredit: 0.5}
+		c.ranks[key] = k
+	}
+	return k
+}
+
+// position returns the position of a rank among the active ones, and how many these are.
+func (c *Cut) position(now time.Time, key rankKey) (position, active int) {
+	for _, k := range c.ranks {
+		if now.Sub(k.lastRequestAt) > rankWindow {
+			delete(c.ranks, k.key)
+			continue
+		}
+		active++
+		if k.key.isBefore(key) {
+			position++
+		}
+	}
+	return position, active
+}
+
+// recordBudget learns the usual time budget of the request's route, and reports whether the request has
+// so much less that its caller was probably refused before.
+func (c *Cut) recordBudget(now time.Time, r Request) (returning bool) {
+	if r.Retry {
+		return false
+	}
+	b, ok := c.budgets[r.Route]
+	if !ok {
+		if len(c.budgets) >= maxRoutes {
+			clear(c.budgets)
+		}
+		b = &budget{}
+		c.budgets[r.Route] = b
+	}
+	if elapsed := now.Sub(b.at); elapsed > 0 {
+		b.usual = time.Duration(float64(b.usual) * math.Exp2(-elapsed.Seconds()/budgetHalfLife.Seconds()))
+	}
+	b.usual, b.at = max(b.usual, r.Remaining), now
+	return float64(r.Remaining) < returningPart*float64(b.usual)
+}
+
+// countPriority counts a request for commonPriority.
+func (c *Cut) countPriority(now time.Time, priority int) {
+	if elapsed := now.Sub(c.countedAt); elapsed > 0 {
+		factor := math.Exp(-elapsed.Seconds() / rankWindow.Seconds())
+		for i := range c.priorities {
+			c.priorities[i] *= factor
+		}
+		c.countedAt = now
+	}
+	c.priorities[priority]++
+}
+
+// commonPriority returns the most common priority of the recent requests.
+func (c *Cut) commonPriority() int {
+	best := 0
+	for i, n := range c.priorities {
+		if n > c.priorities[best] {
+			best = i
+		}
+	}
+	return best
+}
+
+// RecordStart records that a request was sent. work is that of its Decision.
+func (c *Cut) RecordStart(now time.Time, teamName string, work time.Duration) {
+	if t := c.teams.team(now, teamName); t != nil {
+		t.lastRequestAt = now
+		t.open++
+		t.work += work.Seconds()
+	}
+}
+
+// RecordEnd records that a request has ended, and how long it held its slot.
+func (c *Cut) RecordEnd(teamName string, work, elapsed time.Duration) {
+	if t, ok := c.teams.byName[teamName]; ok {
+		if t.open = max(t.open-1, 0); t.open == 0 {
+			t.work = 0
+		} else {
+			t.work = max(t.work-work.Seconds(), 0)
+		}
+	}
+	elapsed = min(max(elapsed, 0), maxDuration)
+	c.meanSlot += time.Duration(slotTimeWeight * float64(elapsed-c.meanSlot))
+}
+
+// AppendOwnWork appends the work of the teams at this router.
+func (c *Cut) AppendOwnWork(out []TeamWork) []TeamWork {
+	for _, t := range c.teams.byName {
+		if t.open > 0 {
+			out = append(out, TeamWork{Team: t.hash, Work: time.Duration(t.work * float64(time.Second))})
+		}
+	}
+	return out
+}
+
+// clean brings all figures into their ranges.
+func (r *Request) clean() {
+	r.Urgency = r.Urgency.limited()
+	for _, d := range []*time.Duration{&r.Remaining, &r.Objective, &r.ExpectedWait, &r.SlotWait, &r.FirstEvent, &r.SlotTime} {
+		*d = min(max(*d, 0), maxDuration)
+	}
+	if !(r.WorkPercentile >= 0 && r.WorkPercentile <= 1) {
+		r.WorkPercentile = 0.5
+	}
+}
+
+// maxDuration bounds the durations of a request, so that sums can't overflow.
+const maxDuration = 24 * time.Hour
--- /dev/null
+++ b/internal/core/shedding/shedding_test.go
@@ -0,0 +1,260 @@
+package shedding_test
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/hemlockdyke/hemlockdyke/internal/core/code"
+	"github.com/hemlockdyke/hemlockdyke/internal/core/shedding"
+	"github.com/hemlockdyke/hemlockdyke/internal/testkit"
+)
+
+// shares returns the share of each rank at a utilization, with n routes of different priority.
+func shares(n int, utilization float64) []float64 {
+	c := shedding.NewCut("p", 1)
+	out := make([]float64, n)
+	for range 2 { // the first round makes all ranks active
+		for i := range n {
+			d := c.Decide(start, shedding.Request{Urgency: shedding.Urgency{Priority: i}, Remaining: 8 * time.Second, WorkPercentile: 0.5}, shedding.Load{Utilization: utilization, Routers: 1})
+			Expect(d.Rank).To(BeNumerically("<=", i))
+			out[i] = d.Share
+		}
+	}
+	return out
+}
+
+// admitted returns how many of n equal requests are admitted.
+func admitted(c *shedding.Cut, n int, r shedding.Request, l shedding.Load) (count int, last shedding.Decision) {
+	for range n {
+		if last = c.Decide(start, r, l); last.Code == code.OK {
+			count++
+		}
+	}
+	return count, last
+}
+
+var _ = Describe("the cut of a pool", func() {
+	// Guards against ranks that are cut in another order or at another utilization than specified.
+	DescribeTable("admits each rank up to its utilization", func(n int, utilization float64, want ...float64) {
+		got := shares(n, utilization)
+		for i := range want {
+			Expect(got[i]).To(BeNumerically("~", want[i], 1e-9), "rank %d of %v", i, got)
+		}
+	},
+		Entry("no load", 3, 0.0, 1.0, 1.0, 1.0), Entry("the last rank begins to fall", 3, 0.9, 1.0, 1.0, 0.55),
+		Entry("the last rank is at the floor", 3, 0.95, 1.0, 1.0, 0.1), Entry("the middle rank falls", 3, 1.0, 1.0, 0.55, 0.1),
+		Entry("only the first rank is whole", 3, 1.6, 1.0, 0.1, 0.1), Entry("the first rank falls", 3, 2.1, 0.55, 0.1, 0.1),
+		Entry("all are at the floor", 3, 5.0, 0.1, 0.1, 0.1), Entry("a single rank is the first", 1, 1.5, 1.0),
+		Entry("two ranks", 2, 0.9, 1.0, 0.55), Entry("garbage", 3, math.NaN(), 1.0, 1.0, 1.0), Entry("infinite", 3, math.Inf(1), 0.1, 0.1, 0.1),
+	)
+
+	second := shedding.Urgency{Priority: 1}
+	newCut := func() *shedding.Cut {
+		c := shedding.NewCut("p", 1)
+		c.Decide(start, shedding.Request{Remaining: 8 * time.Second}, shedding.Load{})
+		return c
+	}
+
+	// Guards against random draws, which at one router would refuse many requests in a row.
+	It("applies a share evenly", func() {
+		n, _ := admitted(newCut(), 100, shedding.Request{Urgency: second, Remaining: 8 * time.Second, WorkPercentile: 0.5}, shedding.Load{Utilization: 0.9})
+		Expect(n).To(BeNumerically("~", 55, 1))
+	})
+
+	// Guards against large requests that are starved, or served as often as small ones.
+	It("admits requests with much work less often, but more than half as often", func() {
+		l := shedding.Load{Utilization: 0.9}
+		of := func(percentile float64) int {
+			n, _ := admitted(newCut(), 200, shedding.Request{Urgency: second, Remaining: 8 * time.Second, WorkPercentile: percentile}, l)
+			return n
+		}
+		Expect(of(1)).To(BeNumerically("~", 0.6*110, 1))
+		Expect(of(0)).To(BeNumerically("~", 1.4*110, 1))
+	})
+
+	// Guards against callers that are refused twice in a row.
+	It("lets a returning caller go first, within a bound", func() {
+		c := newCut()
+		l := shedding.Load{Utilization: 0.95}
+		first := shedding.Request{Route: "a", Urgency: second, Remaining: 8 * time.Second, WorkPercentile: 0.5}
+		admitted(c, 20, first, l)
+		back := first
+		back.Remaining = 6 * time.Second
+		n, d := admitted(c, 10, back, l)
+		Expect(d.Returning).To(BeTrue())
+		Expect(n).To(Equal(10))
+		n, _ = admitted(c, 20, first, l)
+		Expect(n).To(BeZero(), "the rank's share was used")
+		l.Utilization = 3
+		n, _ = admitted(c, 100, back, l)
+		Expect(n).To(BeNumerically("<=", 12))
+	})
+
+	// Guards against work for answers that nobody waits for any more.
+	It("refuses at once what can't be answered before its deadline", func() {
+		c := newCut()
+		d := c.Decide(start, shedding.Request{Remaining: time.Second, SlotTime: 2 * time.Second}, shedding.Load{})
+		Expect(d.Code).To(Equal(code.DeadlineTooShort))
+		Expect(d.RetryAfter).To(BeZero())
+		d = c.Decide(start, shedding.Request{Urgency: second, Remaining: 3 * time.Second, ExpectedWait: 2 * time.Second, SlotTime: 2 * time.Second}, shedding.Load{})
+		Expect(d.Code).To(Equal(code.QueueFull))
+		Expect(d.Reason).To(Equal(shedding.ReasonDeadline))
+	})
+
+	// Guards against callers sent away for longer than they would have waited.
+	It("refuses for the expected wait only if it is longer than the caller would stay away", func() {
+		c := newCut()
+		r := shedding.Request{Urgency: second, Remaining: 8 * time.Second, Objective: 2 * time.Second}
+		r.ExpectedWait = 400 * time.Millisecond
+		Expect(c.Decide(start, r, shedding.Load{}).Code).To(Equal(code.OK))
+		r.ExpectedWait = 1100 * time.Millisecond
+		d := c.Decide(start, r, shedding.Load{})
+		Expect(d.Reason).To(Equal(shedding.ReasonWait))
+		Expect(d.RetryAfter).To(BeNumerically("<", r.ExpectedWait))
+		r.Urgency, r.SlotWait = shedding.Urgency{}, 50*time.Millisecond
+		Expect(c.Decide(start, r, shedding.Load{}).Code).To(Equal(code.OK), "the first rank waits for one slot only")
+	})
+
+	It("gives requests that will miss their objective half of the share", func() {
+		r := shedding.Request{Urgency: second, Remaining: 8 * time.Second, Objective: time.Second, FirstEvent: 1100 * time.Millisecond, WorkPercentile: 0.5}
+		n, d := admitted(newCut(), 200, r, shedding.Load{Utilization: 0.9})
+		Expect(n).To(BeNumerically("~", 55, 1))
+		Expect(d.Code).To(BeElementOf(code.OK, code.QueueFull))
+	})
+
+	// Guards against callers refused together that return together.
+	It("spreads the time after which refused callers return over the specified range", func() {
+		c := newCut()
+		spread := func(u float64, objective time.Duration) (low, high time.Duration) {
+			low = time.Hour
+			for range 100 {
+				d := c.Decide(start, shedding.Request{Urgency: second, Remaining: 12 * time.Second, Objective: objective, WorkPercentile: 0.5}, shedding.Load{Utilization: u})
+				low, high = min(low, d.RetryAfter), max(high, d.RetryAfter)
+			}
+			return low, high
+		}
+		low, high := spread(0.9, 2*time.Second)
+		Expect(low).To(BeNumerically("~", 500*time.Millisecond, 10*time.Millisecond))
+		Expect(high).To(BeNumerically("~", time.Second, 10*time.Millisecond))
+		low, high = spread(1.2, 2*time.Second)
+		Expect(low).To(BeNumerically("~", 3*time.Second, 20*time.Millisecond))
+		Expect(high).To(BeNumerically("~", 4*time.Second, 20*time.Millisecond))
+	})
+})
+
+var _ = Describe("the ranking of a pool", func() {
+	// Guards against routers that send targets different priorities for the same request.
+	It("is sorted by team priority, then by route priority", func() {
+		r := shedding.NewRanking([]shedding.Urgency{{2, 2}, {0, 1}, {1, 1}, {0, 0}, {0, 1}})
+		for want, u := range []shedding.Urgency{{0, 0}, {0, 1}, {1, 1}, {2, 2}} {
+			Expect(r.Rank(u)).To(Equal(want))
+			Expect(r.TargetPriority(u)).To(Equal(want))
+		}
+		Expect(r.Rank(shedding.Urgency{9, 9})).To(Equal(3), "an urgency that the state lacks")
+		Expect(r.Rank(shedding.Urgency{0, 2})).To(Equal(2))
+		Expect(shedding.NewRanking(nil).TargetPriority(shedding.Urgency{3, 3})).To(BeZero())
+	})
+
+	It("sends ten priorities at most", func() {
+		var all []shedding.Urgency
+		for p := range 5 {
+			for route := range 5 {
+				all = append(all, shedding.Urgency{p, route})
+			}
+		}
+		r := shedding.NewRanking(all)
+		last := 0
+		for _, u := range all {
+			Expect(r.TargetPriority(u)).To(BeNumerically(">=", last))
+			last = r.TargetPriority(u)
+		}
+		Expect(last).To(Equal(9))
+	})
+})
+
+var _ = Describe("decisions on any requests", func() {
+	// Guards against panics, unbounded shares and codes that promise something else, for any figures
+	// that other routers report or callers send.
+	It("have a share within 0 and 1 and a known code", func() {
+		testkit.Check("200", func(t *rapid.T) {
+			c := shedding.NewCut("p", rapid.Uint64().Draw(t, "seed"))
+			now := start
+			type sent struct {
+				team string
+				work time.Duration
+			}
+			var open []sent
+			duration := rapid.OneOf(rapid.Int64Range(-1e9, 2e10), rapid.Int64())
+			draw := func(label string) time.Duration { return time.Duration(duration.Draw(t, label)) }
+			for range rapid.IntRange(1, 60).Draw(t, "requests") {
+				now = now.Add(time.Duration(rapid.Int64Range(-1e9, 6e9).Draw(t, "elapsed")))
+				r := shedding.Request{
+					Team: fmt.Sprint(rapid.IntRange(0, 99).Draw(t, "team")), Route: fmt.Sprint(rapid.IntRange(0, 3).Draw(t, "route")),
+					Urgency:   shedding.Urgency{Priority: rapid.IntRange(-2, 12).Draw(t, "priority"), RoutePriority: rapid.IntRange(-2, 12).Draw(t, "route priority")},
+					Remaining: draw("remaining"), Objective: draw("objective"), ExpectedWait: draw("wait"), SlotWait: draw("slot wait"), FirstEvent: draw("first"),
+					SlotTime: draw("slot time"), WorkPercentile: rapid.Float64().Draw(t, "percentile"), Retry: rapid.Bool().Draw(t, "retry"),
+				}
+				l := shedding.Load{Utilization: rapid.OneOf(rapid.Float64Range(0, 3), rapid.Float64()).Draw(t, "utilization"), Routers: rapid.IntRange(-1, 100).Draw(t, "routers"),
+					TeamWork: map[uint64]time.Duration{shedding.TeamHash("p", "1"): draw("work"), shedding.TeamHash("p", "2"): draw("work")}}
+				d := c.Decide(now, r, l)
+				switch {
+				case !(d.Share >= 0 && d.Share <= 1), d.RetryAfter < 0, d.Rank < 0, d.Work < 0:
+					t.Fatalf("%+v", d)
+				case d.Code == code.OK:
+					if d.Reason != "" {
+						t.Fatalf("admitted for a reason: %+v", d)
+					}
+					c.RecordStart(now, r.Team, d.Work)
+					open = append(open, sent{r.Team, d.Work})
+				case d.Code != code.QueueFull && d.Code != code.TeamLimit && d.Code != code.DeadlineTooShort, d.Reason == "":
+					t.Fatalf("%+v", d)
+				case d.Code == code.TeamLimit && !d.Excess:
+					t.Fatalf("limit without excess: %+v", d)
+				case d.Code != code.DeadlineTooShort && d.RetryAfter > max(r.Remaining, 0):
+					t.Fatalf("retry after the deadline: %+v", d)
+				}
+				if len(open) > 0 && rapid.Bool().Draw(t, "end") {
+					c.RecordEnd(open[0].team, open[0].work, draw("took"))
+					open = open[1:]
+				}
+			}
+			for _, o := range open {
+				c.RecordEnd(o.team, o.work, time.Second)
+			}
+			if left := c.AppendOwnWork(nil); len(left) > 0 {
+				t.Fatalf("work without requests: %v", left)
+			}
+		})
+	})
+})
+
+// BenchmarkDecide measures a decision with 64 teams.
+func BenchmarkDecide(b *testing.B) {
+	c := shedding.NewCut("p", 1)
+	l := shedding.Load{Utilization: 0.92, Routers: 72, TeamWork: make(map[uint64]time.Duration)}
+	requests := make([]shedding.Request, 64)
+	for i := range requests {
+		requests[i] = shedding.Request{Team: fmt.Sprint("team-", i), Route: fmt.Sprint(i % 3), Urgency: shedding.Urgency{Priority: i % 4, RoutePriority: i % 3}, Remaining: 8 * time.Second, Objective: time.Second, WorkPercentile: 0.5}
+		if i < 8 {
+			l.TeamWork[shedding.TeamHash("p", requests[i].Team)] = time.Duration(9-i) * 100 * time.Second
+		}
+	}
+	now := start
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		now = now.Add(time.Millisecond)
+		r := requests[i%len(requests)]
+		if d := c.Decide(now, r, l); d.Code == code.OK {
+			c.RecordStart(now, r.Team, d.Work)
+			if i%2 == 0 {
+				c.RecordEnd(r.Team, d.Work, time.Second)
+			}
+		}
+	}
+}
