--- a/internal/core/shedding/shedding.go
+++ b/internal/core/shedding/shedding.go
@@ -14,22 +14,25 @@
 const (
 	// rankWindow is how long a rank is active after its last request.
 	rankWindow = 5 * time.Second
-	// firstStart is the utilization up to which the ranks after the first are admitted in full, less
-	// startSpread times the position of the rank among the active ones. Over the next shareSpan, a
-	// rank's share falls to the floor. Targets preempt running requests for more urgent ones when
-	// their slots are full, so the last ranks are cut before that.
-	firstStart  = 1.05
-	startSpread = 0.2
-	shareSpan   = 0.1
-	// urgentStart and urgentSpan are the same for rank 0. Targets admit it first, so it waits for one
-	// slot only.
-	urgentStart = 1.6
-	urgentSpan  = 1.0
+	// shedStart is the utilization up to which all work is admitted. Targets preempt running requests for
+	// more urgent ones when their slots are full, so shedding starts before that. Over the next shedSpan,
+	// the part of the offered work that is shed rises to 1. With a shorter span, the utilization would
+	// oscillate: reports are some 200 ms old.
+	shedStart = 0.9
+	shedSpan  = 0.4
+	// mixHalfLife is the half-life of the offered work of the ranks, from which their parts of it are
+	// computed. A router sees some tens of requests in that time.
+	mixHalfLife = 2 * time.Second
 	// floor is the share of a rank that is always admitted, so that none is starved.
 	floor = 0.1
-	// hopelessFactor is the part of the rank's share that requests get if they will miss their
-	// objective but not their deadline.
-	hopelessFactor = 0.5
+	// maxQueuedPart is how long requests of the ranks that are cut, or will be if the utilization rises by
+	// queueMargin, may wait at a target, as a part of their objective. Behind more urgent ones they would
+	// wait there until their deadlines or until their callers leave.
+	maxQueuedPart = 0.1
+	queueMargin   = 0.1
+	// unknownFirstEvent is the time from the slot to the first event that is assumed if it is unknown, as a
+	// part of the objective.
+	unknownFirstEvent = 0.5
 	// smallestFactor and percentileSlope make the share of a request depend on its work.
 	smallestFactor  = 1.4
 	percentileSlope = 0.8
@@ -38,7 +41,7 @@
 	returningPart = 0.9
 	// returningAllowance is by how much lower the utilization counts for a returning caller. It bounds
 	// the advantage of callers that send short time budgets.
-	returningAllowance = 0.2
+	returningAllowance = 0.1
 	// maxDebt bounds how many requests returning callers may take ahead of others of their rank.
 	maxDebt = 4.0
 	// budgetHalfLife is the half-life of a route's usual time budget. A caller counts as returning by
@@ -127,6 +130,7 @@
 type rank struct {
 	key             rankKey
 	lastRequestAt   time.Time
+	offered         float64 // slot time of its recent requests in seconds, decaying
 	credit          float64
 	returningCredit float64
 }
@@ -143,6 +147,7 @@
 	budgets    map[string]*budget
 	priorities [maxPriority + 1]float64 // recent requests by priority, decaying
 	countedAt  time.Time
+	decayedAt  time.Time // time up to which the offered work of the ranks has decayed
 	meanSlot   time.Duration
 	spread     float64 // position of the next Retry-After in its range, 0 to 1
 }
@@ -171,17 +176,19 @@
 	t := c.teams.team(now, r.Team)
 	if t != nil {
 		t.lastRequestAt = now
-		if c.teams.isExcess(now, t, &l, l.Utilization > firstStart-startSpread) {
+		if c.teams.isExcess(now, t, &l, l.Utilization > shedStart) {
 			d.Excess = true
 			d.Urgency.Priority = max(d.Urgency.Priority, c.commonPriority())
 		}
 	}
 	k := c.rank(rankKey{d.Urgency, d.Excess})
 	k.lastRequestAt = now
-	position, active := c.position(now, k.key)
-	d.Rank, d.Share = position, share(position, active, l.Utilization)
+	k.offered += d.Work.Seconds()
+	o := c.order(now, k)
+	d.Rank, d.Share = o.position, o.share(l.Utilization)
 	d.RetryAfter = c.retryAfter(&r, d.Share)
-	c.admit(&d, &r, k, share(position, active, l.Utilization-returningAllowance))
+	r.ExpectedWait = time.Duration(float64(r.ExpectedWait) * o.before / o.total)
+	c.admit(&d, &r, k, &o, l.Utilization)
 	if t != nil && d.Excess && d.Code != code.OK {
 		t.excessRefused++
 	}
@@ -189,11 +196,8 @@
 }
 
 // admit sets the code and the reason of a decision.
-func (c *Cut) admit(d *Decision, r *Request, k *rank, returningShare float64) {
+func (c *Cut) admit(d *Decision, r *Request, k *rank, o *order, utilization float64) {
 	wait := r.ExpectedWait
-	if d.Rank == 0 {
-		wait = min(wait, r.SlotWait)
-	}
 	switch {
 	case r.SlotTime > r.Remaining, r.FirstEvent > r.Remaining:
 		d.Code, d.Reason, d.RetryAfter = code.DeadlineTooShort, ReasonDeadline, 0
@@ -205,8 +209,8 @@
 		d.Code, d.Reason = code.QueueFull, ReasonWait
 		return
 	}
-	hopeless := r.Objective > 0 && wait+r.FirstEvent > r.Objective
-	if k.take(d.Share, returningShare, r, d.Returning, hopeless) {
+	hopeless := utilization > shedStart && r.willMissObjective(wait, o.share(utilization+queueMargin) < 1)
+	if !hopeless && k.take(d.Share, o.share(utilization-returningAllowance), r, d.Returning) {
 		return
 	}
 	switch d.Code, d.Reason = code.QueueFull, ReasonShare; {
@@ -217,15 +221,29 @@
 	}
 }
 
+// willMissObjective reports whether a request that waits for a slot will be late. mayBeCut is true if its
+// rank is cut or will be soon.
+func (r *Request) willMissObjective(wait time.Duration, mayBeCut bool) bool {
+	if r.Objective == 0 || wait == 0 {
+		return false
+	}
+	return wait+r.firstEvent() > r.Objective || (mayBeCut && float64(wait) > maxQueuedPart*float64(r.Objective))
+}
+
+// firstEvent returns the expected time from the slot to the first event.
+func (r *Request) firstEvent() time.Duration {
+	if r.FirstEvent > 0 {
+		return r.FirstEvent
+	}
+	return time.Duration(unknownFirstEvent * float64(r.Objective))
+}
+
 // take reports whether a request is in the share of its rank. A returning caller takes from the credit
 // of the others, so that it goes first and the rank gets about its share.
-func (k *rank) take(share, returningShare float64, r *Request, returning, hopeless bool) bool {
+func (k *rank) take(share, returningShare float64, r *Request, returning bool) bool {
 	factor := smallestFactor - percentileSlope*r.WorkPercentile
-	if hopeless {
-		factor *= hopelessFactor
-	}
 	effective := share
-	if share < 1 || hopeless {
+	if share < 1 {
 		effective = min(share*factor, 1)
 	}
 	if returning {
@@ -251,13 +269,11 @@
 	return true
 }
 
-// share returns the share of a rank's requests that is admitted.
-func share(position, active int, utilization float64) float64 {
-	start, span := urgentStart, urgentSpan
-	if position > 0 {
-		start, span = firstStart-startSpread*float64(position)/float64(max(active-1, 1)), shareSpan
-	}
-	return min(max(1-(1-floor)*(utilization-start)/span, floor), 1)
+// share returns the share of the rank's requests that is admitted. The part of the offered work that
+// is shed is taken from the last ranks first.
+func (o *order) share(utilization float64) float64 {
+	shed := min(max((utilization-shedStart)/shedSpan, 0), 1) * o.total
+	return min(max(1-(shed-o.after)/o.own, floor), 1)
 }
 
 // retryAfter returns when a caller that is refused should retry. If its rank's share is half or more, it
@@ -281,21 +297,45 @@
 	return k
 }
 
-// position returns the position of a rank among the active ones, and how many these are.
-func (c *Cut) position(now time.Time, key rankKey) (position, active int) {
+// order is where a rank stands among the active ones, by the work that they offer, in seconds of one
+// slot.
+type order struct {
+	position int     // number of more urgent ranks
+	own      float64 // work of the rank
+	before   float64 // work of the rank and of the more urgent ones
+	after    float64 // work of the less urgent ranks
+	total    float64
+}
+
+// order returns where a rank with a recent request stands.
+func (c *Cut) order(now time.Time, own *rank) order {
+	factor := math.Exp2(-max(now.Sub(c.decayedAt).Seconds(), 0) / mixHalfLife.Seconds())
+	c.decayedAt = now
+	var o order
 	for _, k := range c.ranks {
 		if now.Sub(k.lastRequestAt) > rankWindow {
 			delete(c.ranks, k.key)
 			continue
 		}
-		active++
-		if k.key.isBefore(key) {
-			position++
+		k.offered *= factor
+		o.total += k.offered
+		switch {
+		case k.key.isBefore(own.key):
+			o.position++
+			o.before += k.offered
+		case k != own:
+			o.after += k.offered
 		}
 	}
-	return position, active
+	o.own = max(own.offered, minOffered)
+	o.before += o.own
+	o.total = max(o.total, o.before)
+	return o
 }
 
+// minOffered keeps the work of a rank above zero, in seconds of one slot.
+const minOffered = 1e-6
+
 // recordBudget learns the usual time budget of the request's route, and reports whether the request has
 // so much less that its caller was probably refused before.
 func (c *Cut) recordBudget(now time.Time, r Request) (returning bool) {
