--- a/internal/core/shedding/shedding.go
+++ b/internal/core/shedding/shedding.go
@@ -37,11 +37,19 @@
 	smallestFactor  = 1.4
 	percentileSlope = 0.8
 	// returningPart is the part of the usual time budget of a route below which a request counts as
-	// one of a caller that returns after a refusal.
-	returningPart = 0.9
+	// one of a caller that returns after a refusal. If the route has an objective, returningObjective of
+	// it less than usual is enough: callers may be told to return after a quarter of the objective, and
+	// with an objective of 1 s and a budget of 8 s none of them would be recognized otherwise.
+	returningPart      = 0.9
+	returningObjective = 0.2
 	// returningAllowance is by how much lower the utilization counts for a returning caller. It bounds
-	// the advantage of callers that send short time budgets.
+	// the advantage of callers that send short time budgets. Excess has none: the repeats of a
+	// team's surge would be admitted nearly in full.
 	returningAllowance = 0.1
+	// deadlineMargin is by how much the estimated work must exceed the remaining time for a refusal.
+	// Estimates are often wrong by half, and a caller with a request of that size has nothing to gain
+	// from a retry.
+	deadlineMargin = 1.5
 	// maxDebt bounds how many requests returning callers may take ahead of others of their rank.
 	maxDebt = 4.0
 	// budgetHalfLife is the half-life of a route's usual time budget. A caller counts as returning by
@@ -198,11 +206,12 @@
 // admit sets the code and the reason of a decision.
 func (c *Cut) admit(d *Decision, r *Request, k *rank, o *order, utilization float64) {
 	wait := r.ExpectedWait
+	work := time.Duration(float64(max(r.SlotTime, r.FirstEvent)) / deadlineMargin)
 	switch {
-	case r.SlotTime > r.Remaining, r.FirstEvent > r.Remaining:
+	case work > r.Remaining:
 		d.Code, d.Reason, d.RetryAfter = code.DeadlineTooShort, ReasonDeadline, 0
 		return
-	case wait > 0 && wait+max(r.SlotTime, r.FirstEvent) > r.Remaining:
+	case wait > 0 && wait+work > r.Remaining:
 		d.Code, d.Reason = code.QueueFull, ReasonDeadline
 		return
 	case wait > d.RetryAfter:
@@ -210,7 +219,11 @@
 		return
 	}
 	hopeless := utilization > shedStart && r.willMissObjective(wait, o.share(utilization+queueMargin) < 1)
-	if !hopeless && k.take(d.Share, o.share(utilization-returningAllowance), r, d.Returning) {
+	returningShare := d.Share
+	if !d.Excess {
+		returningShare = o.share(utilization - returningAllowance)
+	}
+	if !hopeless && k.take(d.Share, returningShare, r, d.Returning) {
 		return
 	}
 	switch d.Code, d.Reason = code.QueueFull, ReasonShare; {
@@ -354,7 +367,11 @@
 		b.usual = time.Duration(float64(b.usual) * math.Exp2(-elapsed.Seconds()/budgetHalfLife.Seconds()))
 	}
 	b.usual, b.at = max(b.usual, r.Remaining), now
-	return float64(r.Remaining) < returningPart*float64(b.usual)
+	missing := (1 - returningPart) * float64(b.usual)
+	if r.Objective > 0 {
+		missing = min(missing, returningObjective*float64(r.Objective))
+	}
+	return float64(r.Remaining) < float64(b.usual)-missing
 }
 
 // countPriority counts a request for commonPriority.
