--- a/internal/core/shedding/shedding.go
+++ b/internal/core/shedding/shedding.go
@@ -23,8 +23,10 @@
 	// mixHalfLife is the half-life of the offered work of the ranks, from which their parts of it are
 	// computed. A router sees some tens of requests in that time.
 	mixHalfLife = 2 * time.Second
-	// floor is the share of a rank that is always admitted, so that none is starved.
-	floor = 0.1
+	// floorFactor times the square of the part of the work that is admitted is the least share of a rank, so
+	// that none is starved: a seventh of its requests at twice the capacity. A constant floor would take what
+	// the most urgent rank needs when the load is several times the capacity.
+	floorFactor = 0.4
 	// maxQueuedPart is how long requests of the ranks that are cut, or will be if the utilization rises by
 	// queueMargin, may wait at a target, as a part of their objective. Behind more urgent ones they would
 	// wait there until their deadlines or until their callers leave.
@@ -141,6 +143,7 @@
 	offered         float64 // slot time of its recent requests in seconds, decaying
 	credit          float64
 	returningCredit float64
+	floorCredit     float64
 }
 
 type budget struct {
@@ -218,12 +221,12 @@
 		d.Code, d.Reason = code.QueueFull, ReasonWait
 		return
 	}
-	hopeless := utilization > shedStart && r.willMissObjective(wait, o.share(utilization+queueMargin) < 1)
+	hopeless := !d.Returning && utilization > shedStart && r.willMissObjective(wait, o.share(utilization+queueMargin) < 1)
 	returningShare := d.Share
 	if !d.Excess {
 		returningShare = o.share(utilization - returningAllowance)
 	}
-	if !hopeless && k.take(d.Share, returningShare, r, d.Returning) {
+	if k.takeFloor(floor(utilization), utilization) || (!hopeless && k.take(d.Share, returningShare, r, d.Returning)) {
 		return
 	}
 	switch d.Code, d.Reason = code.QueueFull, ReasonShare; {
@@ -251,6 +254,20 @@
 	return time.Duration(unknownFirstEvent * float64(r.Objective))
 }
 
+// takeFloor reports whether a request is admitted as one of the least share of its rank, also if it will
+// be late.
+func (k *rank) takeFloor(floor, utilization float64) bool {
+	if utilization <= shedStart {
+		return false
+	}
+	if k.floorCredit += floor; k.floorCredit < 1 {
+		return false
+	}
+	k.floorCredit--
+	k.credit = max(k.credit-1, -maxDebt)
+	return true
+}
+
 // take reports whether a request is in the share of its rank. A returning caller takes from the credit
 // of the others, so that it goes first and the rank gets about its share.
 func (k *rank) take(share, returningShare float64, r *Request, returning bool) bool {
@@ -285,10 +302,19 @@
 // share returns the share of the rank's requests that is admitted. The part of the offered work that
 // is shed is taken from the last ranks first.
 func (o *order) share(utilization float64) float64 {
-	shed := min(max((utilization-shedStart)/shedSpan, 0), 1) * o.total
-	return min(max(1-(shed-o.after)/o.own, floor), 1)
+	shed := min(max((utilization-shedStart)/shedSpan, 0), 1)
+	return min(max(1-(shed*o.total-o.after)/o.own, floor(utilization)), 1)
 }
 
+// floor returns the least share of a rank.
+func floor(utilization float64) float64 {
+	shed := min(max((utilization-shedStart)/shedSpan, 0), maxShed)
+	return floorFactor * (1 - shed) * (1 - shed)
+}
+
+// maxShed bounds the part of the work for which the floor is computed, so that it stays above zero.
+const maxShed = 0.95
+
 // retryAfter returns when a caller that is refused should retry. If its rank's share is half or more, it
 // will probably be admitted then, and may still be answered within its objective.
 func (c *Cut) retryAfter(r *Request, share float64) time.Duration {
