--- a/internal/core/shedding/shedding.go
+++ b/internal/core/shedding/shedding.go
@@ -20,13 +20,16 @@
 	// oscillate: reports are some 200 ms old.
 	shedStart = 0.9
 	shedSpan  = 0.4
+	// maxShedPart bounds the part of the work that is shed. A peak of the utilization, which is known some
+	// 200 ms late, would cut the most urgent rank otherwise.
+	maxShedPart = 0.75
 	// mixHalfLife is the half-life of the offered work of the ranks, from which their parts of it are
 	// computed. A router sees some tens of requests in that time.
 	mixHalfLife = 2 * time.Second
 	// floorFactor times the square of the part of the work that is admitted is the least share of a rank, so
 	// that none is starved: a seventh of its requests at twice the capacity. A constant floor would take what
 	// the most urgent rank needs when the load is several times the capacity.
-	floorFactor = 0.4
+	floorFactor = 0.45
 	// maxQueuedPart is how long requests of the ranks that are cut, or will be if the utilization rises by
 	// queueMargin, may wait at a target, as a part of their objective. Behind more urgent ones they would
 	// wait there until their deadlines or until their callers leave.
@@ -302,19 +305,20 @@
 // share returns the share of the rank's requests that is admitted. The part of the offered work that
 // is shed is taken from the last ranks first.
 func (o *order) share(utilization float64) float64 {
-	shed := min(max((utilization-shedStart)/shedSpan, 0), 1)
-	return min(max(1-(shed*o.total-o.after)/o.own, floor(utilization)), 1)
+	return min(max(1-(shedPart(utilization)*o.total-o.after)/o.own, floor(utilization)), 1)
+}
+
+// shedPart returns the part of the offered work that is shed.
+func shedPart(utilization float64) float64 {
+	return min(max((utilization-shedStart)/shedSpan, 0), maxShedPart)
 }
 
 // floor returns the least share of a rank.
 func floor(utilization float64) float64 {
-	shed := min(max((utilization-shedStart)/shedSpan, 0), maxShed)
-	return floorFactor * (1 - shed) * (1 - shed)
+	admitted := 1 - shedPart(utilization)
+	return floorFactor * admitted * admitted
 }
 
-// maxShed bounds the part of the work for which the floor is computed, so that it stays above zero.
-const maxShed = 0.95
-
 // retryAfter returns when a caller that is refused should retry. If its rank's share is half or more, it
 // will probably be admitted then, and may still be answered within its objective.
 func (c *Cut) retryAfter(r *Request, share float64) time.Duration {
