--- a/internal/app/gateway/work.go
+++ b/internal/app/gateway/work.go
@@ -8,6 +8,9 @@
 	"github.com/hemlockdyke/hemlockdyke/internal/core/workload"
 )
 
+// unknownPercentile is the work percentile of a request whose work is unknown.
+const unknownPercentile = 0.5
+
 // estimateWork returns the estimated work of a request and its work percentile within its route. If
 // the request is not scheduled by work, the estimate is zero and the percentile a half. It changes
 // nothing that was learned. Unread tokens that are not known yet are passed as PromptTokens.
@@ -20,7 +23,7 @@
 // estimateWorkLocked is estimateWork for callers that hold t.mu.
 func (t *trafficState) estimateWorkLocked(_ time.Time, pool, route string, r workload.Request) (workload.Estimate, float64) {
 	if r.PromptTokens <= 0 || !t.balancer.IsScheduledByWork(pool) {
-		return workload.Estimate{}, 0.5
+		return workload.Estimate{}, unknownPercentile
 	}
 	e := t.workEstimator(pool)
 	estimate := e.Estimate(route, r)
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -108,6 +108,7 @@
 	t.addPending(pendingRequest{sequence: c.sequence, placedAt: now, prefixes: r.PromptPrefixes, unreadTokens: b.unreadTokens(now, r, t)})
 	t.ownOpen++
 	t.ownMemory += c.memoryTokens
+	p.room.open++
 	b.open[t.UID] = t
 	t.recordServing(now)
 	t.health.recordPlacement()
@@ -125,6 +126,7 @@
 		return false
 	}
 	t.ownMemory = max(t.ownMemory-c.memoryTokens, 0)
+	t.pool.room.open--
 	if t.ownOpen--; t.ownOpen <= 0 {
 		delete(b.open, uid)
 	}
--- a/internal/core/placement/pool.go
+++ b/internal/core/placement/pool.go
@@ -26,6 +26,10 @@
 	// reportsPace is true once a listed target of the pool has reported its pace, also if the pool had no
 	// targets since.
 	reportsPace bool
+	// room is the room of the targets that may get requests. It was computed at utilizationAt, which is
+	// zero if the targets have changed since, and follows this router's own requests.
+	room          roomSum
+	utilizationAt time.Time
 }
 
 // IsScheduledByWork reports whether requests with prompts for a pool are placed and admitted by their
@@ -155,6 +159,7 @@
 // share by at most a factor of the square root of two; spilling evens out the rest. A data centre
 // without active targets has the size zero and does not change the sizes of the others.
 func (p *pool) updateSizes() {
+	p.utilizationAt = time.Time{}
 	active, used := 0.0, 0
 	for _, c := range p.dataCentres {
 		active += c.activeCount
--- a/internal/core/prefill/prefill_test.go
+++ b/internal/core/prefill/prefill_test.go
@@ -227,12 +227,12 @@
 	// Guards against a prefix that one target reads twice since the first read takes longer than expected.
 	It("lasts for half of the objective if the request's own target reads the prefix", func() {
 		p := prefill.Patience{Target: 1, ReadTime: 100 * ms, Objective: time.Second, Remaining: 10 * time.Second}
-		Expect(held(150 * ms).Wait(p)).To(Equal(350*ms), "twice its time longer than expected")
+		Expect(held(150*ms).Wait(p)).To(Equal(350*ms), "twice its time longer than expected")
 		p.ReadTime = 300 * ms
-		Expect(held(150 * ms).Wait(p)).To(Equal(500*ms), "half of the objective")
+		Expect(held(150*ms).Wait(p)).To(Equal(500*ms), "half of the objective")
 		p.ReadTime = 100 * ms
 		p.Target = 2
-		Expect(held(110 * ms).Wait(p)).To(Equal(100*ms), "its own target reads it sooner")
+		Expect(held(110*ms).Wait(p)).To(Equal(100*ms), "its own target reads it sooner")
 	})
 
 	DescribeTable("is not begun if it is useless", func(a prefill.Answer, p prefill.Patience) {
