--- a/internal/app/gateway/shedding.go
+++ b/internal/app/gateway/shedding.go
@@ -131,11 +131,11 @@
 
 // decideByShare decides on a placed request of a pool that is scheduled by work.
 func (t *trafficState) decideByShare(now time.Time, c placement.Choice, request placement.Request, a admission.Request, s sheddingRequest, load admission.Load) *shedDecision {
-	wait, slotWait := t.poolGate(request.Pool).ExpectedWaits(load)
+	wait := t.poolGate(request.Pool).ExpectedWait(load)
 	utilization := t.balancer.Utilization(now, request.Pool)
 	d := t.shedding.cut(request.Pool).Decide(now, shedding.Request{
 		Team: a.Team, Route: s.route, Urgency: shedding.Urgency{Priority: a.Priority, RoutePriority: a.RoutePriority},
-		Remaining: a.Remaining, Objective: a.Objective, ExpectedWait: wait, SlotWait: slotWait, SlotTime: s.slotTime, WorkPercentile: s.workPercentile, Retry: s.retry,
+		Remaining: a.Remaining, Objective: a.Objective, ExpectedWait: wait, SlotTime: s.slotTime, WorkPercentile: s.workPercentile, Retry: s.retry,
 	}, shedding.Load{Utilization: utilization, TeamWork: t.shedding.teamWork, Routers: t.shedding.routers})
 	out := &shedDecision{Decision: d, Wait: wait, Utilization: utilization, TargetPriority: a.Priority}
 	if ranking, ok := t.shedding.rankings[request.Pool]; ok {
--- a/internal/core/admission/admission.go
+++ b/internal/core/admission/admission.go
@@ -248,14 +248,8 @@
 	return time.Duration(float64(ahead) / float64(l.Slots) * float64(g.meanDuration))
 }
 
-// ExpectedWaits returns the time until a slot is free for a request that waits for all others, and the
-// time until any slot is free; both are 0 if a slot is free now.
-func (g *Gate) ExpectedWaits(l Load) (all, one time.Duration) {
-	if all = g.estimatedWait(l); all > 0 {
-		one = g.meanDuration / time.Duration(l.Slots)
-	}
-	return all, one
-}
+// ExpectedWait returns the time until a slot is free for a request that waits for all others.
+func (g *Gate) ExpectedWait(l Load) time.Duration { return g.estimatedWait(l) }
 
 // isOverShare reports whether a team has more than its share of the open requests.
 func (g *Gate) isOverShare(now time.Time, t *team) bool {
--- a/internal/core/shedding/shedding.go
+++ b/internal/core/shedding/shedding.go
@@ -78,9 +78,9 @@
 	// Objective is the desired time to the answer, or to the first event of a stream; 0 if none.
 	Objective time.Duration
 	// ExpectedWait is the time until the request gets a slot of its target if it waits for all that are
-	// open there, and SlotWait the time until one slot is free. FirstEvent is the time from the slot to
-	// the first event, SlotTime the time that it holds the slot. Each is 0 if unknown.
-	ExpectedWait, SlotWait, FirstEvent, SlotTime time.Duration
+	// open there. FirstEvent is the time from the slot to the first event, SlotTime the time that it holds
+	// the slot. Each is 0 if unknown.
+	ExpectedWait, FirstEvent, SlotTime time.Duration
 	// WorkPercentile is the part of the route's requests with less work; 0.5 if unknown.
 	WorkPercentile float64
 	// Retry is true if this router has admitted the same request before.
@@ -102,7 +102,7 @@
 const (
 	ReasonShare    Reason = "share"    // the request is not in the share of its rank
 	ReasonExcess   Reason = "excess"   // and its team is over its share
-	ReasonHopeless Reason = "hopeless" // and it would miss its objective
+	ReasonHopeless Reason = "hopeless" // it would wait at its target, probably beyond its objective
 	ReasonWait     Reason = "wait"     // it would wait for longer than its caller stays away
 	ReasonDeadline Reason = "deadline" // it can't be answered before its deadline
 )
@@ -224,31 +224,24 @@
 		d.Code, d.Reason = code.QueueFull, ReasonWait
 		return
 	}
-	hopeless := !d.Returning && utilization > shedStart && r.willMissObjective(wait, o.share(utilization+queueMargin) < 1)
+	shortage := utilization > shedStart && r.Objective > 0 && wait > 0
+	late := shortage && wait+r.firstEvent() > r.Objective
+	mayNotQueue := shortage && float64(wait) > maxQueuedPart*float64(r.Objective) && o.share(utilization+queueMargin) < 1
 	returningShare := d.Share
 	if !d.Excess {
 		returningShare = o.share(utilization - returningAllowance)
 	}
-	if k.takeFloor(floor(utilization), utilization) || (!hopeless && k.take(d.Share, returningShare, r, d.Returning)) {
+	if !late && (k.takeFloor(d.Share, utilization) || (!mayNotQueue && k.take(d.Share, returningShare, r, d.Returning))) {
 		return
 	}
 	switch d.Code, d.Reason = code.QueueFull, ReasonShare; {
 	case d.Excess:
 		d.Code, d.Reason = code.TeamLimit, ReasonExcess
-	case hopeless:
+	case late || mayNotQueue:
 		d.Reason = ReasonHopeless
 	}
 }
 
-// willMissObjective reports whether a request that waits for a slot will be late. mayBeCut is true if its
-// rank is cut or will be soon.
-func (r *Request) willMissObjective(wait time.Duration, mayBeCut bool) bool {
-	if r.Objective == 0 || wait == 0 {
-		return false
-	}
-	return wait+r.firstEvent() > r.Objective || (mayBeCut && float64(wait) > maxQueuedPart*float64(r.Objective))
-}
-
 // firstEvent returns the expected time from the slot to the first event.
 func (r *Request) firstEvent() time.Duration {
 	if r.FirstEvent > 0 {
@@ -257,17 +250,17 @@
 	return time.Duration(unknownFirstEvent * float64(r.Objective))
 }
 
-// takeFloor reports whether a request is admitted as one of the least share of its rank, also if it will
-// be late.
-func (k *rank) takeFloor(floor, utilization float64) bool {
+// takeFloor reports whether a request is admitted as one of the least share of its rank, also if it has to
+// wait.
+func (k *rank) takeFloor(share, utilization float64) bool {
 	if utilization <= shedStart {
 		return false
 	}
-	if k.floorCredit += floor; k.floorCredit < 1 {
+	if k.floorCredit += floor(utilization); k.floorCredit < 1 {
 		return false
 	}
 	k.floorCredit--
-	k.credit = max(k.credit-1, -maxDebt)
+	k.credit = max(k.credit+share-1, -maxDebt) // it is one of the rank's share
 	return true
 }
 
@@ -462,7 +455,7 @@
 // clean brings all figures into their ranges.
 func (r *Request) clean() {
 	r.Urgency = r.Urgency.limited()
-	for _, d := range []*time.Duration{&r.Remaining, &r.Objective, &r.ExpectedWait, &r.SlotWait, &r.FirstEvent, &r.SlotTime} {
+	for _, d := range []*time.Duration{&r.Remaining, &r.Objective, &r.ExpectedWait, &r.FirstEvent, &r.SlotTime} {
 		*d = min(max(*d, 0), maxDuration)
 	}
 	if !(r.WorkPercentile >= 0 && r.WorkPercentile <= 1) {
