--- a/internal/core/shedding/shedding.go
+++ b/internal/core/shedding/shedding.go
@@ -20,6 +20,9 @@
 	// oscillate: reports are some 200 ms old.
 	shedStart = 0.9
 	shedSpan  = 0.4
+	// excessMargin is by how much the utilization counts as higher for excess, so that it is cut well before
+	// other requests of its urgency.
+	excessMargin = 0.1
 	// maxShedPart bounds the part of the work that is shed. A peak of the utilization, which is known some
 	// 200 ms late, would cut the most urgent rank otherwise.
 	maxShedPart = 0.75
@@ -199,6 +202,9 @@
 	k.lastRequestAt = now
 	k.offered += d.Work.Seconds()
 	o := c.order(now, k)
+	if d.Excess {
+		l.Utilization += excessMargin
+	}
 	d.Rank, d.Share = o.position, o.share(l.Utilization)
 	d.RetryAfter = c.retryAfter(&r, d.Share)
 	r.ExpectedWait = time.Duration(float64(r.ExpectedWait) * o.before / o.total)
