--- a/internal/core/placement/prefill.go
+++ b/internal/core/placement/prefill.go
@@ -47,13 +47,15 @@
 }
 
 // expectedReadTime returns the expected time to the first event of a request at a target, also while the
-// latency model is not fitted.
+// latency model is not fitted. The target first reads what the fleet has sent to it before, at the pace
+// that it reports.
 func (b *Balancer) expectedReadTime(now time.Time, r Request, t *target) time.Duration {
-	if t.pool.model.isFitted() {
-		return b.expectedFirstEvent(now, r, t)
+	base, perToken, slowdown := unknownFirstEventSeconds, assumedSecondsPerToken, 1.0
+	if m := t.pool.model; m.isFitted() {
+		base, perToken, slowdown = m.base, m.perToken, b.answeredSlowdown(now, t)
 	}
-	seconds := unknownFirstEventSeconds + assumedSecondsPerToken*b.unreadTokens(now, r, t)
-	return time.Duration(seconds * float64(time.Second))
+	tokens := b.unreadTokens(now, r, t) + float64(t.unreadBacklog())
+	return time.Duration((base + perToken*tokens) * max(slowdown, t.pace(now)) * float64(time.Second))
 }
 
 // PrefixHolder returns a target of a pool that holds a prefix and gets requests.
--- a/internal/core/placement/prefill_test.go
+++ b/internal/core/placement/prefill_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/hemlockdyke/hemlockdyke/internal/core/lineage"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/placement"
+	"github.com/hemlockdyke/hemlockdyke/internal/core/targetload"
 )
 
 // newWorkBalancer returns a Balancer whose pools are scheduled by work.
@@ -39,6 +40,20 @@
 		Expect(c.Target.UID).To(Equal(unread.Target))
 	})
 
+	// Guards against waits that end before a read does, since its target reads other prompts first or is
+	// slow, and against the prefix being read twice then.
+	It("is expected to be read after the prompts that its target has yet to read, at the pace that the target reports", func() {
+		b := newWorkBalancer(targets(12)...)
+		unread, _ := b.FindUnreadPrefix(start, longRequest(4))
+		b.ReceiveReport(start, 1, []placement.Load{{Target: unread.Target, Open: 1, Unread: 10_000}}, nil)
+		busy, _ := b.FindUnreadPrefix(start, longRequest(4))
+		Expect(busy.Target).To(Equal(unread.Target))
+		Expect(busy.ReadTime - unread.ReadTime).To(BeNumerically("~", 300*time.Millisecond, time.Millisecond))
+		Expect(b.RecordTargetLoad(start, unread.Target, targetload.Report{Running: 1, Slots: 64, Pace: 2})).To(BeEmpty())
+		slow, _ := b.FindUnreadPrefix(start, longRequest(4))
+		Expect(slow.ReadTime).To(BeNumerically("~", 2*busy.ReadTime, time.Millisecond))
+	})
+
 	// Guards against questions, and waits, for prefixes that a target has already read.
 	It("is not found once a target is known to have read it, here or elsewhere", func() {
 		b, other := newWorkBalancer(targets(12)...), newWorkBalancer(targets(12)...)
--- a/internal/core/placement/utilization.go
+++ b/internal/core/placement/utilization.go
@@ -12,20 +12,42 @@
 const utilizationInterval = 50 * time.Millisecond
 
 // roomSum is the room of some targets of a pool.
-type roomSum struct{ open, slots int }
+type roomSum struct {
+	open, slots int
+	// memory is how many tokens the open requests are estimated to hold, and memoryLimit how many the
+	// targets' memory holds; 0 if unknown.
+	memory, memoryLimit int
+}
 
 func (s *roomSum) add(t *target) {
 	s.open += t.totalOpen()
 	s.slots += t.Slots
+	s.memory += t.memoryOpen()
+	s.memoryLimit += t.pool.limits.MemoryTokens
 }
 
 func (s *roomSum) addSum(o roomSum) {
 	s.open += o.open
 	s.slots += o.slots
+	s.memory += o.memory
+	s.memoryLimit += o.memoryLimit
+}
+
+// utilization returns the used part of the slots or of the memory, whichever is more: targets preempt
+// requests when either is full.
+func (s *roomSum) utilization() float64 {
+	if s.slots == 0 {
+		return 0
+	}
+	used := float64(max(s.open, 0)) / float64(s.slots)
+	if s.memoryLimit > 0 {
+		used = max(used, float64(s.memory)/float64(s.memoryLimit))
+	}
+	return used
 }
 
-// Utilization returns the open requests of the fleet divided by the slots, over the targets of a pool
-// that may get requests; 0 if no slots are known. It counts the targets that skipFilter does not skip,
+// Utilization returns the part of the slots, or of the memory if that is more, that the fleet's open
+// requests use, over the targets of a pool that may get requests; 0 if no slots are known. It counts the targets that skipFilter does not skip,
 // and full ones, which are skipped only because they are used.
 func (b *Balancer) Utilization(now time.Time, pool string) float64 {
 	p, ok := b.pools[pool]
@@ -35,10 +57,7 @@
 	if elapsed := now.Sub(p.utilizationAt); p.utilizationAt.IsZero() || elapsed < 0 || elapsed >= utilizationInterval {
 		p.room, p.utilizationAt = p.computeRoom(now), now
 	}
-	if p.room.slots == 0 {
-		return 0
-	}
-	return float64(max(p.room.open, 0)) / float64(p.room.slots)
+	return p.room.utilization()
 }
 
 // computeRoom sums up the targets that may get requests. It follows newSkipFilter and skipFilter.skips in one pass.
--- a/internal/core/placement/utilization_test.go
+++ b/internal/core/placement/utilization_test.go
@@ -38,6 +38,17 @@
 		Expect(b.Utilization(now.Add(60*time.Millisecond), "p")).To(Equal(0.9))
 	})
 
+	// Guards against targets that preempt requests with long prompts since their memory is full while slots
+	// are free.
+	It("is that of the memory if more of it is used than of the slots", func() {
+		b := newBalancer(target(1, 10), target(2, 10))
+		b.SetLimits(map[string]placement.PoolLimits{"p": {MemoryTokens: 100_000}})
+		b.ReceiveReport(start, 1, []placement.Load{{Target: 1, Open: 4, Memory: 90_000}, {Target: 2, Open: 6, Memory: 80_000}}, nil)
+		Expect(b.Utilization(start, "p")).To(Equal(0.85))
+		b.ReceiveReport(start, 1, []placement.Load{{Target: 1, Open: 4, Memory: 20_000}, {Target: 2, Open: 6, Memory: 30_000}}, nil)
+		Expect(b.Utilization(start.Add(60*time.Millisecond), "p")).To(Equal(0.5))
+	})
+
 	It("is 0 if the pool or its slots are unknown", func() {
 		b := newBalancer(target(1, 0))
 		b.ReceiveReport(start, 1, []placement.Load{{Target: 1, Open: 9}}, nil)
