Faults found in review: assumed work, time spent waiting, false figures, Retry-After

- A route without answers was refused for ever if half of its maximum output did not fit its time: an estimate that no answer has confirmed decides nothing now.
- The time that a request waited for a prefix made it count as one of a returning caller, and as in time.
- One false figure of a router raised the utilization of the whole pool; a target counts as used twice over at most.
- Retry-After of an earlier decision was sent with codes that promise nothing, and could lie beyond the deadline.
- Requests without a team lost their counts when a 65th team came.
- Claims are not asked for in a shortage, as the request may be refused; shared prefixes are not counted as a request's memory; sums of teams are computed when they are needed.

Found by reading, each with a test but the codes of Retry-After and the 65th team.

--- a/internal/app/gateway/prefill.go
+++ b/internal/app/gateway/prefill.go
@@ -11,6 +11,7 @@
 	"github.com/hemlockdyke/hemlockdyke/internal/core/placement"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/prefill"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/reach"
+	"github.com/hemlockdyke/hemlockdyke/internal/core/shedding"
 	"github.com/hemlockdyke/hemlockdyke/internal/eventlog"
 )
 
@@ -144,7 +145,8 @@
 func (t *trafficState) findUnreadPrefix(now time.Time, request placement.Request) (placement.UnreadPrefix, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if !t.balancer.IsScheduledByWork(request.Pool) {
+	// In a shortage, a request with a claim may be refused, and others would wait for a read that never starts.
+	if !t.balancer.IsScheduledByWork(request.Pool) || shedding.IsShortage(t.balancer.Utilization(now, request.Pool)) {
 		return placement.UnreadPrefix{}, false
 	}
 	request.LoadsOutdated = t.poolGate(request.Pool).HasShortWork(t.maxLoadReportAge(now))
--- a/internal/app/gateway/run.go
+++ b/internal/app/gateway/run.go
@@ -111,12 +111,13 @@
 	if r.match.call.PromptTokens > 0 && r.match.route.Kind == route.Stream {
 		work, percentile = p.traffic.estimateWork(now, r.match.pool, r.match.route.Name, r.match.workRequest())
 	}
+	demand := r.match.demandOf(work)
 	choice, decision, shed, ok := p.traffic.placeRequest(now, placement.Request{
 		Pool: r.match.pool, ChatHash: chatHash, PromptPrefixes: r.match.call.PromptPrefixes, PromptTokens: r.match.call.PromptTokens,
 		Objective: r.match.route.Objective, Excluded: r.machine.Excluded(), Software: r.stream.software, PreferredTarget: preferred,
-		MemoryTokens: work.MemoryTokens,
+		MemoryTokens: demand.memoryTokens,
 	}, admission.Request{Team: r.match.teamName(), Priority: r.match.priority(), RoutePriority: r.match.route.Priority, Remaining: r.deadline.Sub(now), Objective: r.match.route.Objective},
-		sheddingRequest{route: r.match.route.Name, retry: r.machine.Attempts() > 0, slotTime: work.SlotTime, workPercentile: percentile}, r.machine.MayHaveExecuted() || r.stream.software != 0)
+		sheddingRequest{route: r.match.route.Name, retry: r.machine.Attempts() > 0, slotTime: demand.slotTime, workPercentile: percentile, elapsed: now.Sub(r.match.startedAt)}, r.machine.MayHaveExecuted() || r.stream.software != 0)
 	switch {
 	case !ok:
 		c := p.traffic.noTargetCode(now, r.match.pool, r.stream.software)
@@ -167,6 +168,10 @@
 	return r.machine.Step(attempt.DeadlinePassed{})
 }
 
+// retryAfterDivisor bounds Retry-After as a part of the remaining time: an attempt may have taken time
+// since the decision that set it.
+const retryAfterDivisor = 3
+
 // finish answers the caller with the result code c if no answer was sent, aborts a partly sent
 // answer, and records the result.
 func (r *openRequest) finish(c code.Code) {
@@ -187,8 +192,10 @@
 		switch {
 		case r.minRetryAfter > 0:
 			r.responder.SendError(c, addPositiveJitter(r.minRetryAfter))
-		case r.retryAfter > 0 && r.retryAfterSpread:
-			r.responder.SendError(c, retryAfter)
+		case r.retryAfter > 0 && r.retryAfterSpread && c.Lookup().Execution == code.NotExecuted:
+			r.responder.SendError(c, min(retryAfter, max(r.deadline.Sub(p.now())/retryAfterDivisor, 0)))
+		case r.retryAfterSpread:
+			r.responder.SendError(c, addJitter(admission.RetryAfter(c, r.deadline.Sub(p.now()))))
 		default:
 			r.responder.SendError(c, addJitter(retryAfter))
 		}
--- a/internal/app/gateway/shedding.go
+++ b/internal/app/gateway/shedding.go
@@ -21,7 +21,7 @@
 	cuts     map[string]*shedding.Cut     // by pool
 	rankings map[string]*shedding.Ranking // by pool
 	reports  map[uint32]teamReport        // by source
-	teamWork map[uint64]time.Duration     // the sum of reports
+	sum      map[uint64]time.Duration     // of the reports, by team; nil if it must be computed, see teamWork
 	routers  int                          // routers that are alive, including this one
 }
 
@@ -47,20 +47,16 @@
 func (s *sheddingState) receive(now time.Time, source uint32, work []shedding.TeamWork) {
 	if _, known := s.reports[source]; known || len(work) > 0 {
 		s.reports[source] = teamReport{now, work}
-		s.expire(now)
+		s.sum = nil
 	}
 }
 
-// expire drops reports that no longer count, and sums the others.
+// expire drops reports that no longer count.
 func (s *sheddingState) expire(now time.Time) {
-	s.teamWork = make(map[uint64]time.Duration)
 	for source, r := range s.reports {
 		if len(r.work) == 0 || now.Sub(r.at) > teamReportTTL {
 			delete(s.reports, source)
-			continue
-		}
-		for _, w := range r.work {
-			s.teamWork[w.Team] += w.Work
+			s.sum = nil
 		}
 	}
 }
@@ -73,12 +69,21 @@
 	for _, source := range sources {
 		delete(s.reports, source)
 	}
-	clear(s.teamWork)
-	for _, r := range s.reports {
-		for _, w := range r.work {
-			s.teamWork[w.Team] += w.Work
+	s.sum = nil
+}
+
+// teamWork returns the sum of the reports. It is computed when a decision needs it: a relay of a large
+// fleet receives a thousand reports a second.
+func (s *sheddingState) teamWork() map[uint64]time.Duration {
+	if s.sum == nil {
+		s.sum = make(map[uint64]time.Duration)
+		for _, r := range s.reports {
+			for _, w := range r.work {
+				s.sum[w.Team] += w.Work
+			}
 		}
 	}
+	return s.sum
 }
 
 // largestTeams returns the teams with the most work at this router, for its digest.
@@ -127,6 +132,8 @@
 	// route's requests with less work.
 	slotTime       time.Duration
 	workPercentile float64
+	// elapsed is the time since the request arrived, in which it may have waited for a prefix.
+	elapsed time.Duration
 }
 
 // decideByShare decides on a placed request of a pool that is scheduled by work.
@@ -135,8 +142,8 @@
 	utilization := t.balancer.Utilization(now, request.Pool)
 	d := t.shedding.cut(request.Pool).Decide(now, shedding.Request{
 		Team: a.Team, Route: s.route, Urgency: shedding.Urgency{Priority: a.Priority, RoutePriority: a.RoutePriority},
-		Remaining: a.Remaining, Objective: a.Objective, ExpectedWait: wait, SlotTime: s.slotTime, WorkPercentile: s.workPercentile, Retry: s.retry,
-	}, shedding.Load{Utilization: utilization, TeamWork: t.shedding.teamWork, Routers: t.shedding.routers})
+		Remaining: a.Remaining, Objective: a.Objective, ExpectedWait: wait, SlotTime: s.slotTime, WorkPercentile: s.workPercentile, Retry: s.retry, Elapsed: s.elapsed,
+	}, shedding.Load{Utilization: utilization, TeamWork: t.shedding.teamWork(), Routers: t.shedding.routers})
 	out := &shedDecision{Decision: d, Wait: wait, Utilization: utilization, TargetPriority: a.Priority}
 	if ranking, ok := t.shedding.rankings[request.Pool]; ok {
 		out.TargetPriority = ranking.TargetPriority(d.Urgency)
--- a/internal/app/gateway/shedding_test.go
+++ b/internal/app/gateway/shedding_test.go
@@ -13,6 +13,7 @@
 	"github.com/hemlockdyke/hemlockdyke/internal/core/placement"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/route"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/shedding"
+	"github.com/hemlockdyke/hemlockdyke/internal/core/workload"
 )
 
 var _ = Describe("load shedding", func() {
@@ -63,6 +64,19 @@
 		}
 	})
 
+	// Guards against a route whose requests are refused for ever since their assumed work exceeds their time:
+	// no answer would ever correct the assumption.
+	It("does not refuse a request for work that is only assumed", func() {
+		m := &MatchedRequest{call: &Call{PromptTokens: 3000, MaxOutputTokens: 30_000, PromptPrefixes: []placement.Prefix{{Hash: 1, Tokens: 2000}}}}
+		e := workload.NewEstimator()
+		Expect(m.demandOf(e.Estimate("r", m.workRequest()))).To(BeZero())
+		now := time.Unix(1000, 0)
+		e.Record(now, "r", e.Estimate("r", m.workRequest()), workload.Outcome{Events: 100, TokensPerEvent: 1, FirstEvent: 100 * time.Millisecond, Total: time.Second})
+		d := m.demandOf(e.Estimate("r", m.workRequest()))
+		Expect(d.slotTime).To(BeNumerically(">", 0))
+		Expect(d.memoryTokens).To(BeNumerically("~", 1100, 5), "what others share is not counted")
+	})
+
 	// Guards against refusals by the load of one target, and against counts that are not taken back.
 	It("refuses by the utilization of the pool, and reports the work of its teams", func() {
 		c, now := newTraffic(true)
@@ -70,7 +84,7 @@
 		_, _, choice := place(c, now, 100, 2, 2)
 		Expect(c.traffic.digestContent(now).Teams).To(Equal([]shedding.TeamWork{{Team: shedding.TeamHash("p", "b"), Work: 2 * time.Second}}))
 		c.applyReport(now, fleet.ReportReceived{Source: 7, Loads: []placement.Load{{Target: 1, Open: 12}, {Target: 2, Open: 12}}, Teams: []shedding.TeamWork{{Team: 3, Work: time.Second}}})
-		Expect(c.traffic.shedding.teamWork).To(Equal(map[uint64]time.Duration{3: time.Second}))
+		Expect(c.traffic.shedding.teamWork()).To(Equal(map[uint64]time.Duration{3: time.Second}))
 		now = now.Add(100 * time.Millisecond)
 		refused := 0
 		for range 10 {
@@ -87,6 +101,6 @@
 			c.traffic.finishAttempt(now, "p", "b", ended, placement.Answered, time.Second, admission.InTime, &shedDecision{Decision: shedding.Decision{Work: time.Second}})
 		}
 		c.traffic.forgetSources([]uint32{7})
-		Expect(c.traffic.shedding.teamWork).To(BeEmpty())
+		Expect(c.traffic.shedding.teamWork()).To(BeEmpty())
 	})
 })
--- a/internal/app/gateway/work.go
+++ b/internal/app/gateway/work.go
@@ -61,6 +61,26 @@
 	}
 }
 
+// demand is what a request is expected to need at a target; zero if it is unknown.
+type demand struct {
+	slotTime     time.Duration
+	memoryTokens int
+}
+
+// demandOf returns the demand of a request with an estimate. Before the route's first answer it is
+// unknown: a route whose assumed output is too high would be refused for it for ever. The prefix that
+// other requests share is not counted as its memory, since targets keep it once for all of them.
+func (m *MatchedRequest) demandOf(work workload.Estimate) demand {
+	if !work.IsLearned {
+		return demand{}
+	}
+	shared := 0
+	if n := len(m.call.PromptPrefixes); n > 0 {
+		shared = m.call.PromptPrefixes[n-1].Tokens
+	}
+	return demand{slotTime: work.SlotTime, memoryTokens: max(work.MemoryTokens-shared, 0)}
+}
+
 // recordWork records the work of a stream that has ended with a complete answer. An answer of which
 // other attempts sent a part, or the caller had one already, does not show the work of a request.
 func (t *targetAttempt) recordWork() {
--- a/internal/core/placement/utilization.go
+++ b/internal/core/placement/utilization.go
@@ -19,13 +19,19 @@
 	memory, memoryLimit int
 }
 
+// add adds a target. One target with a false or very high figure must not count for the rest of the
+// pool, so its figures are bounded.
 func (s *roomSum) add(t *target) {
-	s.open += t.totalOpen()
+	limit := t.pool.limits.MemoryTokens
+	s.open += min(t.totalOpen(), maxTargetUse*t.Slots)
 	s.slots += t.Slots
-	s.memory += t.memoryOpen()
-	s.memoryLimit += t.pool.limits.MemoryTokens
+	s.memory += min(t.memoryOpen(), maxTargetUse*limit)
+	s.memoryLimit += limit
 }
 
+// maxTargetUse bounds the open requests of a target, in slots, and their memory, as a multiple of its own.
+const maxTargetUse = 2
+
 func (s *roomSum) addSum(o roomSum) {
 	s.open += o.open
 	s.slots += o.slots
--- a/internal/core/placement/utilization_test.go
+++ b/internal/core/placement/utilization_test.go
@@ -49,6 +49,14 @@
 		Expect(b.Utilization(start.Add(60*time.Millisecond), "p")).To(Equal(0.5))
 	})
 
+	// Guards against one false figure of a router that makes all routers shed the work of the whole pool.
+	It("counts no target as used more than twice over", func() {
+		b := newBalancer(target(1, 10), target(2, 10), target(3, 10), target(4, 10))
+		b.SetLimits(map[string]placement.PoolLimits{"p": {MemoryTokens: 100_000}})
+		b.ReceiveReport(start, 1, []placement.Load{{Target: 1, Open: 4e9, Memory: 4e9}, {Target: 2, Open: 2}}, nil)
+		Expect(b.Utilization(start, "p")).To(Equal(0.55))
+	})
+
 	It("is 0 if the pool or its slots are unknown", func() {
 		b := newBalancer(target(1, 0))
 		b.ReceiveReport(start, 1, []placement.Load{{Target: 1, Open: 9}}, nil)
--- a/internal/core/shedding/shedding.go
+++ b/internal/core/shedding/shedding.go
@@ -86,6 +86,8 @@
 	ExpectedWait, FirstEvent, SlotTime time.Duration
 	// WorkPercentile is the part of the route's requests with less work; 0.5 if unknown.
 	WorkPercentile float64
+	// Elapsed is the time since the request arrived at this router.
+	Elapsed time.Duration
 	// Retry is true if this router has admitted the same request before.
 	Retry bool
 }
@@ -178,6 +180,9 @@
 	}
 }
 
+// IsShortage reports whether load is shed at a utilization.
+func IsShortage(utilization float64) bool { return utilization > shedStart }
+
 // Decide admits or refuses a request. RecordStart and RecordEnd must follow if it is sent.
 func (c *Cut) Decide(now time.Time, r Request, l Load) Decision {
 	r.clean()
@@ -231,7 +236,7 @@
 		return
 	}
 	shortage := utilization > shedStart && r.Objective > 0 && wait > 0
-	late := shortage && wait+r.firstEvent() > r.Objective
+	late := shortage && r.Elapsed+wait+r.firstEvent() > r.Objective
 	mayNotQueue := shortage && !d.Returning && float64(wait) > maxQueuedPart*float64(r.Objective) && o.share(utilization+queueMargin) < 1
 	returningShare := d.Share
 	if !d.Excess {
@@ -395,12 +400,13 @@
 	if elapsed := now.Sub(b.at); elapsed > 0 {
 		b.usual = time.Duration(float64(b.usual) * math.Exp2(-elapsed.Seconds()/budgetHalfLife.Seconds()))
 	}
-	b.usual, b.at = max(b.usual, r.Remaining), now
+	whole := r.Remaining + r.Elapsed
+	b.usual, b.at = max(b.usual, whole), now
 	missing := (1 - returningPart) * float64(b.usual)
 	if r.Objective > 0 {
 		missing = min(missing, returningObjective*float64(r.Objective))
 	}
-	return float64(r.Remaining) < float64(b.usual)-missing
+	return float64(whole) < float64(b.usual)-missing
 }
 
 // countPriority counts a request for commonPriority.
@@ -461,7 +467,7 @@
 // clean brings all figures into their ranges.
 func (r *Request) clean() {
 	r.Urgency = r.Urgency.limited()
-	for _, d := range []*time.Duration{&r.Remaining, &r.Objective, &r.ExpectedWait, &r.FirstEvent, &r.SlotTime} {
+	for _, d := range []*time.Duration{&r.Remaining, &r.Objective, &r.Elapsed, &r.ExpectedWait, &r.FirstEvent, &r.SlotTime} {
 		*d = min(max(*d, 0), maxDuration)
 	}
 	if !(r.WorkPercentile >= 0 && r.WorkPercentile <= 1) {
--- a/internal/core/shedding/shedding_test.go
+++ b/internal/core/shedding/shedding_test.go
@@ -152,6 +152,19 @@
 		Expect(n).To(Equal(200), "there is no shortage")
 	})
 
+	// Guards against a request that has waited at this router for a prefix and is taken for one of a caller
+	// that returns, or as in time although it is late.
+	It("counts the time that a request has spent at this router", func() {
+		c := newCut()
+		l := shedding.Load{Utilization: 1.1}
+		r := shedding.Request{Route: "a", Urgency: second, Remaining: 8 * time.Second, Objective: time.Second, WorkPercentile: 0.5}
+		c.Decide(start, r, l)
+		r.Remaining, r.Elapsed = 7500*time.Millisecond, 500*time.Millisecond
+		Expect(c.Decide(start, r, l).Returning).To(BeFalse())
+		r.ExpectedWait, r.FirstEvent = 60*time.Millisecond, 500*time.Millisecond
+		Expect(c.Decide(start, r, l).Reason).To(Equal(shedding.ReasonHopeless))
+	})
+
 	// Guards against requests that wait behind more urgent ones until their deadlines.
 	It("lets only the floor of a rank that is cut wait at targets", func() {
 		r := shedding.Request{Urgency: second, Remaining: 8 * time.Second, Objective: time.Second, ExpectedWait: 200 * time.Millisecond, FirstEvent: 300 * time.Millisecond, WorkPercentile: 0.5}
--- a/internal/core/shedding/teams.go
+++ b/internal/core/shedding/teams.go
@@ -133,7 +133,9 @@
 			oldest, found = name, true
 		}
 	}
-	delete(s.byName, oldest)
+	if found {
+		delete(s.byName, oldest)
+	}
 	return found
 }
 
--- a/internal/core/workload/workload.go
+++ b/internal/core/workload/workload.go
@@ -24,6 +24,9 @@
 	OutputTokens float64
 	SlotTime     time.Duration // from sending the request to the end of its answer
 	MemoryTokens int           // prompt and output tokens
+	// IsLearned is true if the route has had answers. Before, the output tokens are an assumption, often
+	// several times too high.
+	IsLearned bool
 
 	prompt, unread float64 // as used for the estimate
 	hint           float64 // 0 if there is none or it is false
@@ -202,6 +205,7 @@
 	if isCount(r.HintTokens) && (out.maxOutput == 0 || float64(r.HintTokens) <= out.maxOutput) {
 		out.hint = float64(r.HintTokens)
 	}
+	out.IsLearned = s.output.count > 0
 	mean := s.meanOutput(out.maxOutput)
 	out.OutputTokens = mean
 	if out.hint > 0 {
