Targets get the rank of a request's urgency only if the settings ask for scheduling by work

With the rank, targets without a free slot preempt requests of less urgent routes and prefill them again.

--- a/internal/app/gateway/shedding.go
+++ b/internal/app/gateway/shedding.go
@@ -20,9 +20,13 @@
 type sheddingState struct {
 	cuts     map[string]*shedding.Cut     // by pool
 	rankings map[string]*shedding.Ranking // by pool
-	reports  map[uint32]teamReport        // by source
-	sum      map[uint64]time.Duration     // of the reports, by team; nil if it must be computed, see teamWork
-	routers  int                          // routers that are alive, including this one
+	// ordersTargets is true if targets get the rank of a request's urgency as its priority, instead of the
+	// team's or the route's. They preempt requests of less urgent routes then, which prefill their prompts a
+	// second time, so the settings must ask for it.
+	ordersTargets bool
+	reports       map[uint32]teamReport    // by source
+	sum           map[uint64]time.Duration // of the reports, by team; nil if it must be computed, see teamWork
+	routers       int                      // routers that are alive, including this one
 }
 
 type teamReport struct {
@@ -30,8 +34,8 @@
 	work []shedding.TeamWork
 }
 
-func newSheddingState() *sheddingState {
-	return &sheddingState{cuts: make(map[string]*shedding.Cut), reports: make(map[uint32]teamReport)}
+func newSheddingState(ordersTargets bool) *sheddingState {
+	return &sheddingState{ordersTargets: ordersTargets, cuts: make(map[string]*shedding.Cut), reports: make(map[uint32]teamReport)}
 }
 
 func (s *sheddingState) cut(pool string) *shedding.Cut {
@@ -145,7 +149,7 @@
 		Remaining: a.Remaining, Objective: a.Objective, ExpectedWait: wait, SlotTime: s.slotTime, WorkPercentile: s.workPercentile, Retry: s.retry, Elapsed: s.elapsed,
 	}, shedding.Load{Utilization: utilization, TeamWork: t.shedding.teamWork(), Routers: t.shedding.routers})
 	out := &shedDecision{Decision: d, Wait: wait, Utilization: utilization, TargetPriority: a.Priority}
-	if ranking, ok := t.shedding.rankings[request.Pool]; ok {
+	if ranking, ok := t.shedding.rankings[request.Pool]; ok && t.shedding.ordersTargets {
 		out.TargetPriority = ranking.TargetPriority(d.Urgency)
 	}
 	return out
--- a/internal/app/gateway/shedding_test.go
+++ b/internal/app/gateway/shedding_test.go
@@ -26,6 +26,7 @@
 		for i := range uint64(4) {
 			list = append(list, placement.PoolTarget{Pool: "p", Target: placement.Target{UID: i + 1, ID: string(rune('a' + i)), Slots: 4, DataCentre: "a"}})
 		}
+		c.traffic.shedding.ordersTargets = scheduleByWork
 		c.traffic.balancer.UpdateTargets(now, placement.TargetChanges{Updated: list})
 		zero := 0
 		state := &route.DesiredState{
@@ -64,6 +65,15 @@
 		}
 	})
 
+	// Guards against targets that preempt requests of less urgent routes, and prefill them again, where the
+	// settings don't ask for it.
+	It("sends the request's own priority if only the targets' pace switched the scheduling on", func() {
+		c, now := newTraffic(true)
+		c.traffic.shedding.ordersTargets = false
+		_, shed, _ := place(c, now, 100, 1, 2)
+		Expect(shed.TargetPriority).To(Equal(1))
+	})
+
 	// Guards against a route whose requests are refused for ever since their assumed work exceeds their time:
 	// no answer would ever correct the assumption.
 	It("does not refuse a request for work that is only assumed", func() {
