Package shedding in files of one job each

The order of the ranks, the share within a rank and what is learned of callers are files of their own; no code changes. Unit tests of the package pass as before.

--- a/internal/core/shedding/shedding.go
+++ b/internal/core/shedding/shedding.go
@@ -12,27 +12,9 @@
 )
 
 const (
-	// rankWindow is how long a rank is active after its last request.
-	rankWindow = 5 * time.Second
-	// shedStart is the utilization up to which all work is admitted. Targets preempt running requests for
-	// more urgent ones when their slots are full, so shedding starts before that. Over the next shedSpan,
-	// the part of the offered work that is shed rises to 1. With a shorter span, the utilization would
-	// oscillate: reports are some 200 ms old.
-	shedStart = 0.9
-	shedSpan  = 0.4
 	// excessMargin is by how much the utilization counts as higher for excess, so that it is cut well before
 	// other requests of its urgency.
 	excessMargin = 0.1
-	// maxShedPart bounds the part of the work that is shed. A peak of the utilization, which is known some
-	// 200 ms late, would cut the most urgent rank otherwise.
-	maxShedPart = 0.75
-	// mixHalfLife is the half-life of the offered work of the ranks, from which their parts of it are
-	// computed. A router sees some tens of requests in that time.
-	mixHalfLife = 2 * time.Second
-	// floorFactor times the square of the part of the work that is admitted is the least share of a rank, so
-	// that none is starved: a seventh of its requests at twice the capacity. A constant floor would take what
-	// the most urgent rank needs when the load is several times the capacity.
-	floorFactor = 0.45
 	// maxQueuedPart is how long requests of the ranks that are cut, or will be if the utilization rises by
 	// queueMargin, may wait at a target, as a part of their objective. Behind more urgent ones they would
 	// wait there until their deadlines or until their callers leave.
@@ -41,15 +23,6 @@
 	// unknownFirstEvent is the time from the slot to the first event that is assumed if it is unknown, as a
 	// part of the objective.
 	unknownFirstEvent = 0.5
-	// smallestFactor and percentileSlope make the share of a request depend on its work.
-	smallestFactor  = 1.4
-	percentileSlope = 0.8
-	// returningPart is the part of the usual time budget of a route below which a request counts as
-	// one of a caller that returns after a refusal. If the route has an objective, returningObjective of
-	// it less than usual is enough: callers may be told to return after a quarter of the objective, and
-	// with an objective of 1 s and a budget of 8 s none of them would be recognized otherwise.
-	returningPart      = 0.9
-	returningObjective = 0.2
 	// returningAllowance is by how much lower the utilization counts for a returning caller. It bounds
 	// the advantage of callers that send short time budgets. Excess has none: the repeats of a
 	// team's surge would be admitted nearly in full.
@@ -58,13 +31,6 @@
 	// Estimates are often wrong by half, and a caller with a request of that size has nothing to gain
 	// from a retry.
 	deadlineMargin = 1.5
-	// maxDebt bounds how many requests returning callers may take ahead of others of their rank.
-	maxDebt = 4.0
-	// budgetHalfLife is the half-life of a route's usual time budget. A caller counts as returning by
-	// mistake if no request with the full budget came for 9 s.
-	budgetHalfLife = 60 * time.Second
-	// maxRoutes bounds the routes whose usual time budget is known.
-	maxRoutes = 256
 	// slotTimeWeight is the weight of one request in the mean slot time: about the last thirty count.
 	slotTimeWeight = 0.033
 	// initialSlotTime is the mean slot time before any request has ended.
@@ -130,35 +96,6 @@
 	Work time.Duration
 }
 
-// rankKey orders the requests of a pool: excess ones come after others of the same urgency.
-type rankKey struct {
-	urgency Urgency
-	excess  bool
-}
-
-func (k rankKey) isBefore(o rankKey) bool {
-	if c := k.urgency.Compare(o.urgency); c != 0 {
-		return c < 0
-	}
-	return !k.excess && o.excess
-}
-
-// rank is what is known of the requests of one rank. Each request adds its share to credit, and takes
-// one if it is admitted, so that the admitted ones are spread evenly.
-type rank struct {
-	key             rankKey
-	lastRequestAt   time.Time
-	offered         float64 // slot time of its recent requests in seconds, decaying
-	credit          float64
-	returningCredit float64
-	floorCredit     float64
-}
-
-type budget struct {
-	usual time.Duration
-	at    time.Time
-}
-
 // Cut sheds the load of one pool. It is not safe for concurrent use.
 type Cut struct {
 	ranks      map[rankKey]*rank
@@ -261,68 +198,6 @@
 	return time.Duration(unknownFirstEvent * float64(r.Objective))
 }
 
-// takeFloor reports whether a request is admitted as one of the least share of its rank, also if it has to
-// wait.
-func (k *rank) takeFloor(share, utilization float64) bool {
-	if utilization <= shedStart {
-		return false
-	}
-	if k.floorCredit += floor(utilization); k.floorCredit < 1 {
-		return false
-	}
-	k.floorCredit--
-	k.credit = max(k.credit+share-1, -maxDebt) // it is one of the rank's share
-	return true
-}
-
-// take reports whether a request is in the share of its rank. A returning caller takes from the credit
-// of the others, so that it goes first and the rank gets about its share.
-func (k *rank) take(share, returningShare float64, r *Request, returning bool) bool {
-	factor := smallestFactor - percentileSlope*r.WorkPercentile
-	effective := share
-	if share < 1 {
-		effective = min(share*factor, 1)
-	}
-	if returning {
-		k.credit = min(k.credit+effective, 1)
-		if returningShare < 1 {
-			returningShare = min(returningShare*max(factor, 1), 1)
-		}
-		if k.returningCredit += returningShare; k.returningCredit < 1 {
-			return false
-		}
-		k.returningCredit--
-		k.credit = max(k.credit-1, -maxDebt)
-		return true
-	}
-	if effective >= 1 {
-		k.credit = min(k.credit+(1-k.credit)*0.1, 1) // a debt does not outlast the shortage
-		return true
-	}
-	if k.credit += effective; k.credit < 1 {
-		return false
-	}
-	k.credit--
-	return true
-}
-
-// share returns the share of the rank's requests that is admitted. The part of the offered work that
-// is shed is taken from the last ranks first.
-func (o *order) share(utilization float64) float64 {
-	return min(max(1-(shedPart(utilization)*o.total-o.after)/o.own, floor(utilization)), 1)
-}
-
-// shedPart returns the part of the offered work that is shed.
-func shedPart(utilization float64) float64 {
-	return min(max((utilization-shedStart)/shedSpan, 0), maxShedPart)
-}
-
-// floor returns the least share of a rank.
-func floor(utilization float64) float64 {
-	admitted := 1 - shedPart(utilization)
-	return floorFactor * admitted * admitted
-}
-
 // retryAfter returns when a caller that is refused should retry. If its rank's share is half or more, it
 // will probably be admitted then, and may still be answered within its objective.
 func (c *Cut) retryAfter(r *Request, share float64) time.Duration {
@@ -335,103 +210,6 @@
 	return time.Duration(late)
 }
 
-func (c *Cut) rank(key rankKey) *rank {
-	k, ok := c.ranks[key]
-	if !ok {
-		k = &rank{key: key, credit: 0.5, returningCredit: 0.5}
-		c.ranks[key] = k
-	}
-	return k
-}
-
-// order is where a rank stands among the active ones, by the work that they offer, in seconds of one
-// slot.
-type order struct {
-	position int     // number of more urgent ranks
-	own      float64 // work of the rank
-	before   float64 // work of the rank and of the more urgent ones
-	after    float64 // work of the less urgent ranks
-	total    float64
-}
-
-// order returns where a rank with a recent request stands.
-func (c *Cut) order(now time.Time, own *rank) order {
-	factor := math.Exp2(-max(now.Sub(c.decayedAt).Seconds(), 0) / mixHalfLife.Seconds())
-	c.decayedAt = now
-	var o order
-	for _, k := range c.ranks {
-		if now.Sub(k.lastRequestAt) > rankWindow {
-			delete(c.ranks, k.key)
-			continue
-		}
-		k.offered *= factor
-		o.total += k.offered
-		switch {
-		case k.key.isBefore(own.key):
-			o.position++
-			o.before += k.offered
-		case k != own:
-			o.after += k.offered
-		}
-	}
-	o.own = max(own.offered, minOffered)
-	o.before += o.own
-	o.total = max(o.total, o.before)
-	return o
-}
-
-// minOffered keeps the work of a rank above zero, in seconds of one slot.
-const minOffered = 1e-6
-
-// recordBudget learns the usual time budget of the request's route, and reports whether the request has
-// so much less that its caller was probably refused before.
-func (c *Cut) recordBudget(now time.Time, r Request) (returning bool) {
-	if r.Retry {
-		return false
-	}
-	b, ok := c.budgets[r.Route]
-	if !ok {
-		if len(c.budgets) >= maxRoutes {
-			clear(c.budgets)
-		}
-		b = &budget{}
-		c.budgets[r.Route] = b
-	}
-	if elapsed := now.Sub(b.at); elapsed > 0 {
-		b.usual = time.Duration(float64(b.usual) * math.Exp2(-elapsed.Seconds()/budgetHalfLife.Seconds()))
-	}
-	whole := r.Remaining + r.Elapsed
-	b.usual, b.at = max(b.usual, whole), now
-	missing := (1 - returningPart) * float64(b.usual)
-	if r.Objective > 0 {
-		missing = min(missing, returningObjective*float64(r.Objective))
-	}
-	return float64(whole) < float64(b.usual)-missing
-}
-
-// countPriority counts a request for commonPriority.
-func (c *Cut) countPriority(now time.Time, priority int) {
-	if elapsed := now.Sub(c.countedAt); elapsed > 0 {
-		factor := math.Exp(-elapsed.Seconds() / rankWindow.Seconds())
-		for i := range c.priorities {
-			c.priorities[i] *= factor
-		}
-		c.countedAt = now
-	}
-	c.priorities[priority]++
-}
-
-// commonPriority returns the most common priority of the recent requests.
-func (c *Cut) commonPriority() int {
-	best := 0
-	for i, n := range c.priorities {
-		if n > c.priorities[best] {
-			best = i
-		}
-	}
-	return best
-}
-
 // RecordStart records that a request was sent. work is that of its Decision.
 func (c *Cut) RecordStart(now time.Time, teamName string, work time.Duration) {
 	if t := c.teams.team(now, teamName); t != nil {
