Requests of the last rank that wait behind more urgent ones are refused, or promoted

Trace (logs of all routers): 65 of 67 were sent to a target without a free slot (30 open of 24 at the median), silent there for 1.2 s, repeated at another full one, and given up by their callers.

Cause: the expected wait was that of a queue in order of arrival. Targets admit more urgent requests first, and those that come meanwhile too, so the last rank waits for as long as the shortage lasts. The least share of a rank was sent into the same queue.

Change: the expected wait grows with the part of the slots that more urgent work takes, as in a queue with priorities. A request of the least share of its rank gets the priority of the most urgent route at its target, and is admitted before the reasons of the others count.

--- a/internal/app/gateway/shedding.go
+++ b/internal/app/gateway/shedding.go
@@ -147,10 +147,10 @@
 	d := t.shedding.cut(request.Pool).Decide(now, shedding.Request{
 		Team: a.Team, Route: s.route, Urgency: shedding.Urgency{Priority: a.Priority, RoutePriority: a.RoutePriority},
 		Remaining: a.Remaining, Objective: a.Objective, ExpectedWait: wait, SlotTime: s.slotTime, WorkPercentile: s.workPercentile, Retry: s.retry, Elapsed: s.elapsed,
-	}, shedding.Load{Utilization: utilization, TeamWork: t.shedding.teamWork(), Routers: t.shedding.routers})
+	}, shedding.Load{Utilization: utilization, TeamWork: t.shedding.teamWork(), Routers: t.shedding.routers, TargetsOrderByRank: t.shedding.ordersTargets})
 	out := &shedDecision{Decision: d, Wait: wait, Utilization: utilization, TargetPriority: a.Priority}
 	if ranking, ok := t.shedding.rankings[request.Pool]; ok && t.shedding.ordersTargets {
-		out.TargetPriority = ranking.TargetPriority(d.Urgency)
+		out.TargetPriority = ranking.TargetPriority(&d)
 	}
 	return out
 }
--- a/internal/core/shedding/fleet_sim_test.go
+++ b/internal/core/shedding/fleet_sim_test.go
@@ -289,7 +289,7 @@
 	d := r.cuts[i].Decide(r.time(), shedding.Request{
 		Team: team, Route: fmt.Sprint(q.kind), Urgency: r.urgency(q.kind, q.team), Remaining: q.remaining, Objective: kinds[q.kind].objective,
 		ExpectedWait: wait, FirstEvent: time.Duration(kinds[q.kind].firstEvent * float64(estimate)), SlotTime: estimate, WorkPercentile: q.percentile,
-	}, shedding.Load{Utilization: utilization, TeamWork: r.teamWork[i], Routers: r.routers})
+	}, shedding.Load{TargetsOrderByRank: true, Utilization: utilization, TeamWork: r.teamWork[i], Routers: r.routers})
 	if q.measured {
 		r.count(q, func(t *tally) { t.requested++ })
 		r.out.utilizationSum += utilization
@@ -323,7 +323,7 @@
 	r.gates[i].RecordStart(team)
 	r.cuts[i].RecordStart(r.time(), team, d.Work)
 	r.order++
-	q.router, q.life, q.choice, q.decision, q.priority, q.sequence = i, r.life, choice, d, r.ranking.TargetPriority(d.Urgency), r.order
+	q.router, q.life, q.choice, q.decision, q.priority, q.sequence = i, r.life, choice, d, r.ranking.TargetPriority(&d), r.order
 	q.target = r.targets[choice.Target.UID]
 	if q.measured {
 		r.count(q, func(t *tally) { t.admitted++ })
--- a/internal/core/shedding/order.go
+++ b/internal/core/shedding/order.go
@@ -21,9 +21,11 @@
 	// computed. A router sees some tens of requests in that time.
 	mixHalfLife = 2 * time.Second
 	// floorFactor times the square of the part of the work that is admitted is the least share of a rank, so
-	// that none is starved: a seventh of its requests at twice the capacity. A constant floor would take what
-	// the most urgent rank needs when the load is several times the capacity.
+	// that none is starved: a ninth of its requests while half of the work is shed. A constant floor would
+	// take what the most urgent rank needs when the load is several times the capacity.
 	floorFactor = 0.45
+	// maxAhead bounds the part of the slots that more urgent work takes, see order.wait.
+	maxAhead = 0.95
 	// minOffered keeps the work of a rank above zero, in seconds of one slot.
 	minOffered = 1e-6
 )
@@ -64,6 +66,20 @@
 	return o
 }
 
+// wait returns the wait for a slot that decides on a request of the rank, given the time for which it would
+// wait for all requests that are open at its target. It counts the work of the rank and of more urgent
+// ones, so that the less urgent are refused for their wait first. If targets admit more urgent requests first,
+// those that come meanwhile prolong it: with a part p of the slots taken by them, it is 1 / (1 - p) times
+// as long.
+func (o *order) wait(forAll time.Duration, l *Load) time.Duration {
+	counted := float64(forAll) * o.before / o.total
+	if !l.TargetsOrderByRank {
+		return time.Duration(counted)
+	}
+	ahead := min(l.Utilization, 1) * (o.before - o.own) / (o.total * (1 - shedPart(l.Utilization)))
+	return min(time.Duration(counted/(1-min(ahead, maxAhead))), maxDuration)
+}
+
 // share returns the share of the rank's requests that is admitted. The part of the offered work that
 // is shed is taken from the last ranks first.
 func (o *order) share(utilization float64) float64 {
--- a/internal/core/shedding/rank.go
+++ b/internal/core/shedding/rank.go
@@ -43,13 +43,9 @@
 	return k
 }
 
-// takeFloor reports whether a request is admitted as one of the least share of its rank, also if it has to
-// wait.
-func (k *rank) takeFloor(share, utilization float64) bool {
-	if utilization <= shedStart {
-		return false
-	}
-	if k.floorCredit += floor(utilization); k.floorCredit < 1 {
+// takeFloor reports whether a request is admitted as one of the least share of its rank.
+func (k *rank) takeFloor(share, floor float64) bool {
+	if k.floorCredit += floor; k.floorCredit < 1 {
 		return false
 	}
 	k.floorCredit--
--- a/internal/core/shedding/ranking.go
+++ b/internal/core/shedding/ranking.go
@@ -48,9 +48,14 @@
 	return min(i, max(len(r.urgencies)-1, 0))
 }
 
-// TargetPriority returns the priority to send to targets, 0 to 9. If the pool has more than ten
-// urgencies, adjacent ones share a priority.
-func (r *Ranking) TargetPriority(u Urgency) int {
+// TargetPriority returns the priority to send to targets with an admitted request, 0 to 9. A promoted
+// request has that of the most urgent route. If the pool has more than ten urgencies, adjacent ones share
+// a priority.
+func (r *Ranking) TargetPriority(d *Decision) int {
+	u := d.Urgency
+	if d.Promoted {
+		u.RoutePriority = 0
+	}
 	rank, n := r.Rank(u), len(r.urgencies)
 	if n <= maxPriority+1 {
 		return rank
--- a/internal/core/shedding/shedding.go
+++ b/internal/core/shedding/shedding.go
@@ -64,6 +64,9 @@
 	// TeamWork is the work of the teams at the other routers, see TeamHash. Other teams are unknown.
 	TeamWork map[uint64]time.Duration
 	Routers  int // routers that are alive, including this one
+	// TargetsOrderByRank is true if targets get the ranks of requests as their priorities, and admit the more
+	// urgent ones first.
+	TargetsOrderByRank bool
 }
 
 // Reason says why a request was refused.
@@ -92,6 +95,9 @@
 	// Excess is true if the request is beyond its team's share, and Returning if its caller was refused
 	// before.
 	Excess, Returning bool
+	// Promoted is true if the request is one of the least share of its rank and has to wait: targets must
+	// admit it before others, or it would wait behind them until its deadline.
+	Promoted bool
 	// Work is the expected slot time, for RecordStart and RecordEnd.
 	Work time.Duration
 }
@@ -149,8 +155,7 @@
 	}
 	d.Rank, d.Share = o.position, o.share(l.Utilization)
 	d.RetryAfter = c.retryAfter(&r, d.Share)
-	r.ExpectedWait = time.Duration(float64(r.ExpectedWait) * o.before / o.total)
-	c.admit(&d, &r, k, &o, l.Utilization)
+	c.admit(&d, &r, k, &o, &l)
 	if t != nil && d.Excess && d.Code != code.OK {
 		t.excessRefused++
 	}
@@ -158,13 +163,17 @@
 }
 
 // admit sets the code and the reason of a decision.
-func (c *Cut) admit(d *Decision, r *Request, k *rank, o *order, utilization float64) {
-	wait := r.ExpectedWait
+func (c *Cut) admit(d *Decision, r *Request, k *rank, o *order, l *Load) {
+	wait := o.wait(r.ExpectedWait, l)
 	work := time.Duration(float64(max(r.SlotTime, r.FirstEvent)) / deadlineMargin)
+	shortage := IsShortage(l.Utilization)
 	switch {
 	case work > r.Remaining:
 		d.Code, d.Reason, d.RetryAfter = code.DeadlineTooShort, ReasonDeadline, 0
 		return
+	case shortage && !r.isLate(r.ExpectedWait) && k.takeFloor(d.Share, floor(l.Utilization)):
+		d.Promoted = r.ExpectedWait > 0
+		return
 	case wait > 0 && wait+work > r.Remaining:
 		d.Code, d.Reason = code.QueueFull, ReasonDeadline
 		return
@@ -172,14 +181,13 @@
 		d.Code, d.Reason = code.QueueFull, ReasonWait
 		return
 	}
-	shortage := utilization > shedStart && r.Objective > 0 && wait > 0
-	late := shortage && r.Elapsed+wait+r.firstEvent() > r.Objective
-	mayNotQueue := shortage && !d.Returning && float64(wait) > maxQueuedPart*float64(r.Objective) && o.share(utilization+queueMargin) < 1
+	late := shortage && r.isLate(wait)
+	mayNotQueue := shortage && !d.Returning && r.isLong(wait) && o.share(l.Utilization+queueMargin) < 1
 	returningShare := d.Share
 	if !d.Excess {
-		returningShare = o.share(utilization - returningAllowance)
+		returningShare = o.share(l.Utilization - returningAllowance)
 	}
-	if !late && (k.takeFloor(d.Share, utilization) || (!mayNotQueue && k.take(d.Share, returningShare, r, d.Returning))) {
+	if !late && !mayNotQueue && k.take(d.Share, returningShare, r, d.Returning) {
 		return
 	}
 	switch d.Code, d.Reason = code.QueueFull, ReasonShare; {
@@ -190,6 +198,16 @@
 	}
 }
 
+// isLate reports whether a request that has to wait for a slot will miss its objective.
+func (r *Request) isLate(wait time.Duration) bool {
+	return r.Objective > 0 && wait > 0 && r.Elapsed+wait+r.firstEvent() > r.Objective
+}
+
+// isLong reports whether a wait is long for a request of a rank that is cut.
+func (r *Request) isLong(wait time.Duration) bool {
+	return r.Objective > 0 && float64(wait) > maxQueuedPart*float64(r.Objective)
+}
+
 // firstEvent returns the expected time from the slot to the first event.
 func (r *Request) firstEvent() time.Duration {
 	if r.FirstEvent > 0 {
--- a/internal/core/shedding/shedding_test.go
+++ b/internal/core/shedding/shedding_test.go
@@ -135,11 +135,33 @@
 		d := c.Decide(start, r, shedding.Load{})
 		Expect(d.Reason).To(Equal(shedding.ReasonWait))
 		Expect(d.RetryAfter).To(BeNumerically("<", r.ExpectedWait))
-		for range 20 {
-			c.Decide(start, r, shedding.Load{})
+	})
+
+	// Guards against an urgent request that is refused for a queue of less urgent ones, and against one of the
+	// last rank that waits behind urgent ones until its deadline since its wait is expected to be short.
+	It("expects the most urgent requests to wait less, and the least urgent ones longer, if targets order by rank", func() {
+		first := shedding.Request{Remaining: 8 * time.Second, Objective: 2 * time.Second, ExpectedWait: 700 * time.Millisecond, WorkPercentile: 0.5}
+		last := first
+		last.Urgency, last.ExpectedWait = second, 150*time.Millisecond
+		reasons := func(ordered bool) (ofFirst, ofLast shedding.Reason) {
+			c := shedding.NewCut("p", 1)
+			l := shedding.Load{Utilization: 0.85, TargetsOrderByRank: ordered}
+			for range 200 { // the first rank offers four fifths of the work
+				for range 4 {
+					ofFirst = c.Decide(start, first, l).Reason
+				}
+				ofLast = c.Decide(start, last, l).Reason
+			}
+			return ofFirst, ofLast
 		}
-		r.Urgency = shedding.Urgency{}
-		Expect(c.Decide(start, r, shedding.Load{}).Code).To(Equal(code.OK), "the first rank does not wait for the others")
+		ofFirst, ofLast := reasons(true)
+		Expect(ofFirst).To(BeEmpty())
+		Expect(ofLast).To(BeEmpty())
+		last.ExpectedWait = 400 * time.Millisecond // 1.25 s behind the first rank
+		_, ofLast = reasons(true)
+		Expect(ofLast).To(Equal(shedding.ReasonWait))
+		_, ofLast = reasons(false)
+		Expect(ofLast).To(BeEmpty())
 	})
 
 	// Guards against slots that are taken by answers that come late while others could be in time.
@@ -168,7 +190,13 @@
 	// Guards against requests that wait behind more urgent ones until their deadlines.
 	It("lets only the floor of a rank that is cut wait at targets", func() {
 		r := shedding.Request{Urgency: second, Remaining: 8 * time.Second, Objective: time.Second, ExpectedWait: 200 * time.Millisecond, FirstEvent: 300 * time.Millisecond, WorkPercentile: 0.5}
-		n, _ := admitted(newCut(), 200, r, shedding.Load{Utilization: 1.1})
+		c, n := newCut(), 0
+		for range 200 {
+			if d := c.Decide(start, r, shedding.Load{Utilization: 1.1}); d.Code == code.OK {
+				n++
+				Expect(d.Promoted).To(BeTrue(), "targets must admit it before others")
+			}
+		}
 		Expect(n).To(BeNumerically("~", 0.1125*200, 2))
 		r.ExpectedWait = 90 * time.Millisecond
 		n, _ = admitted(newCut(), 200, r, shedding.Load{Utilization: 1.1})
@@ -201,11 +229,18 @@
 		r := shedding.NewRanking([]shedding.Urgency{{2, 2}, {0, 1}, {1, 1}, {0, 0}, {0, 1}})
 		for want, u := range []shedding.Urgency{{0, 0}, {0, 1}, {1, 1}, {2, 2}} {
 			Expect(r.Rank(u)).To(Equal(want))
-			Expect(r.TargetPriority(u)).To(Equal(want))
+			Expect(r.TargetPriority(&shedding.Decision{Urgency: u})).To(Equal(want))
 		}
 		Expect(r.Rank(shedding.Urgency{9, 9})).To(Equal(3), "an urgency that the state lacks")
 		Expect(r.Rank(shedding.Urgency{0, 2})).To(Equal(2))
-		Expect(shedding.NewRanking(nil).TargetPriority(shedding.Urgency{3, 3})).To(BeZero())
+		Expect(shedding.NewRanking(nil).TargetPriority(&shedding.Decision{Urgency: shedding.Urgency{3, 3}})).To(BeZero())
+	})
+
+	// Guards against the least share of a rank that waits at targets behind all others until its deadline.
+	It("sends the most urgent route's priority with a promoted request", func() {
+		r := shedding.NewRanking([]shedding.Urgency{{0, 0}, {0, 2}, {1, 0}, {1, 2}})
+		Expect(r.TargetPriority(&shedding.Decision{Urgency: shedding.Urgency{1, 2}})).To(Equal(3))
+		Expect(r.TargetPriority(&shedding.Decision{Urgency: shedding.Urgency{1, 2}, Promoted: true})).To(Equal(2))
 	})
 
 	It("sends ten priorities at most", func() {
@@ -218,8 +253,8 @@
 		r := shedding.NewRanking(all)
 		last := 0
 		for _, u := range all {
-			Expect(r.TargetPriority(u)).To(BeNumerically(">=", last))
-			last = r.TargetPriority(u)
+			Expect(r.TargetPriority(&shedding.Decision{Urgency: u})).To(BeNumerically(">=", last))
+			last = r.TargetPriority(&shedding.Decision{Urgency: u})
 		}
 		Expect(last).To(Equal(9))
 	})
