Room at targets is computed by the filter that placement uses; one estimate of work

The spare capacity of a model (computeRoom) had its own copy of placement's check of a target's state, health and version, and the estimate of a request's work stood in two functions of which one took a time that it did not use.

Room now goes through newSkipFilter and skipFilter.skipsByHealth, and estimateWork is one function.

--- a/internal/app/gateway/run.go
+++ b/internal/app/gateway/run.go
@@ -109,7 +109,7 @@
 	}
 	work, percentile := workload.Estimate{}, unknownPercentile
 	if r.match.call.PromptTokens > 0 && r.match.route.Kind == route.Stream {
-		work, percentile = p.traffic.estimateWork(now, r.match.pool, r.match.route.Name, r.match.workRequest())
+		work, percentile = p.traffic.estimateWork(r.match.pool, r.match.route.Name, r.match.workRequest())
 	}
 	demand := r.match.demandOf(work)
 	choice, decision, shed, ok := p.traffic.placeRequest(now, placement.Request{
--- a/internal/app/gateway/work.go
+++ b/internal/app/gateway/work.go
@@ -12,16 +12,11 @@
 const unknownPercentile = 0.5
 
 // estimateWork returns the estimated work of a request and its work percentile within its route. If
-// the request is not scheduled by work, the estimate is zero and the percentile a half. It changes
-// nothing that was learned. Unread tokens that are not known yet are passed as PromptTokens.
-func (t *trafficState) estimateWork(now time.Time, pool, route string, r workload.Request) (workload.Estimate, float64) {
+// the request is not scheduled by work, the estimate is zero and the percentile unknownPercentile. It
+// changes nothing that was learned. Unread tokens that are not known yet are passed as PromptTokens.
+func (t *trafficState) estimateWork(pool, route string, r workload.Request) (workload.Estimate, float64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.estimateWorkLocked(now, pool, route, r)
-}
-
-// estimateWorkLocked is estimateWork for callers that hold t.mu.
-func (t *trafficState) estimateWorkLocked(_ time.Time, pool, route string, r workload.Request) (workload.Estimate, float64) {
 	if r.PromptTokens <= 0 || !t.balancer.IsScheduledByWork(pool) {
 		return workload.Estimate{}, unknownPercentile
 	}
--- a/internal/app/gateway/work_estimate_test.go
+++ b/internal/app/gateway/work_estimate_test.go
@@ -18,7 +18,7 @@
 		c.traffic.balancer.UpdateTargets(time.Now(), placement.TargetChanges{
 			Updated: []placement.PoolTarget{{Pool: "p", Target: placement.Target{UID: 1, ID: "t", Slots: 4}}},
 		})
-		return c.traffic.estimateWork(time.Now(), "p", "r", workload.Request{PromptTokens: promptTokens, UnreadTokens: promptTokens, MaxOutputTokens: 200})
+		return c.traffic.estimateWork("p", "r", workload.Request{PromptTokens: promptTokens, UnreadTokens: promptTokens, MaxOutputTokens: 200})
 	}
 
 	// Guards against parts that schedule by work and get no estimate to do so.
--- a/internal/core/placement/choose.go
+++ b/internal/core/placement/choose.go
@@ -66,6 +66,11 @@
 	if t.pause.isOn(f.now) || t.isCold(f.now) || t.isFull(f.loadsOutdated) {
 		return true
 	}
+	return f.skipsByHealth(t)
+}
+
+// skipsByHealth reports whether a target must get no new requests because it is suspended or ejected.
+func (f skipFilter) skipsByHealth(t *target) bool {
 	if t.health.isSuspended(f.now) {
 		return t.health.unreachable || f.applySuspensions
 	}
--- a/internal/core/placement/utilization.go
+++ b/internal/core/placement/utilization.go
@@ -1,10 +1,6 @@
 package placement
 
-import (
-	"time"
-
-	"github.com/hemlockdyke/hemlockdyke/internal/core/ablate"
-)
+import "time"
 
 // utilizationInterval is how long a pool's utilization is used before it is computed anew, which visits
 // all targets: that takes 0.17 ms with 3,000. In between, only this router's own requests are added. Reports
@@ -32,13 +28,6 @@
 // maxTargetUse bounds the open requests of a target, in slots, and their memory, as a multiple of its own.
 const maxTargetUse = 2
 
-func (s *roomSum) addSum(o roomSum) {
-	s.open += o.open
-	s.slots += o.slots
-	s.memory += o.memory
-	s.memoryLimit += o.memoryLimit
-}
-
 // utilization returns the used part of the slots or of the memory, whichever is more: targets preempt
 // requests when either is full.
 func (s *roomSum) utilization() float64 {
@@ -53,8 +42,8 @@
 }
 
 // Utilization returns the part of the slots, or of the memory if that is more, that the fleet's open
-// requests use, over the targets of a pool that may get requests; 0 if no slots are known. It counts the targets that skipFilter does not skip,
-// and full ones, which are skipped only because they are used.
+// requests use, over the targets of a pool that may get requests; 0 if no slots are known. Full targets
+// count, though placement passes over them.
 func (b *Balancer) Utilization(now time.Time, pool string) float64 {
 	p, ok := b.pools[pool]
 	if !ok {
@@ -66,35 +55,14 @@
 	return p.room.utilization()
 }
 
-// computeRoom sums up the targets that may get requests. It follows newSkipFilter and skipFilter.skips in one pass.
+// computeRoom sums up the targets that may get requests.
 func (p *pool) computeRoom(now time.Time) roomSum {
-	eligible, suspended, ejected := 0, 0, 0
-	var usable, ofSuspended, ofEjected roomSum
+	filter := newSkipFilter(now, p)
+	var sum roomSum
 	for _, t := range p.targets {
-		isSuspended := t.health.isSuspended(now)
-		if t.isClosed(now) || (t.health.unreachable && isSuspended) {
-			continue
-		}
-		eligible++
-		sum := &usable
-		switch {
-		case isSuspended:
-			suspended++
-			sum = &ofSuspended
-		case t.isEjected(now):
-			ejected++
-			sum = &ofEjected
-		}
-		if t.Slots > 0 && !t.isCold(now) {
+		if t.Slots > 0 && !t.isClosed(now) && !t.isCold(now) && !filter.skipsByHealth(t) {
 			sum.add(t)
 		}
 	}
-	ignoreThresholds := ablate.IsOff(ablate.PanicThreshold)
-	if !ignoreThresholds && float64(suspended) > suspensionPanicThreshold*float64(eligible) {
-		usable.addSum(ofSuspended)
-	}
-	if !ignoreThresholds && float64(suspended+ejected) > ejectionPanicThreshold*float64(eligible) {
-		usable.addSum(ofEjected)
-	}
-	return usable
+	return sum
 }
