A silent target's attempt is kept until another one has spoken

What callers saw: a sound target was silent for 1.2 to 1.5 s and went on, and its resumable streams broke off, its idempotent requests were refused (503, 502).

Cause: a decision to replace an attempt was carried out before it was known that there would be a replacement. After the silence timeout (0.25 to 1.2 s) the attempt was cancelled; only then was the retry asked for, which could be denied by the budget, find no target (none of the stream's software version, all of them silent), or be the last attempt at another silent target. The connection that had the rest of the answer a moment later was closed by then.

Budget, placement and admission are asked while the first attempt stays open; what they refuse costs nothing and is asked again each 250 ms. The first of the two whose target speaks goes on, the other is cancelled: a claim under the request's lock, made by the state machine, so that no piece comes twice. A second attempt that fails leaves the first one waiting. The platform forbids two targets to work on one stream for more than 400 ms, so the first attempt at a stream is given up 250 ms after the second was sent; the second is then the last and is never given up for silence. A hung target is cancelled as before, as soon as the other one speaks. Hedges count as retries.

--- a/internal/app/gateway/answer.go
+++ b/internal/app/gateway/answer.go
@@ -45,7 +45,7 @@
 		t.recordAnswer(answer, info.Sealed)
 		return t.forwardAnswer(answer, body)
 	}
-	return r.machine.Step(attempt.ConnectionFailed{Attempt: t.number})
+	return r.step(attempt.ConnectionFailed{Attempt: t.number})
 }
 
 // recordAnswer clears what the request carries of suspicion, as the target executed it and is still
@@ -85,16 +85,20 @@
 	if !r.match.route.AllowsRetry() {
 		return t.forwardAnswer(answer, body)
 	}
+	r.mu.Lock()
 	r.targetError = &bufferedAnswer{status: answer.Status, header: answer.Header, body: body}
-	return r.machine.Step(attempt.ConnectionFailed{Attempt: t.number})
+	r.mu.Unlock()
+	return r.step(attempt.ConnectionFailed{Attempt: t.number})
 }
 
-// forwardAnswer sends a complete answer to the caller.
+// forwardAnswer sends a complete answer to the caller, unless another attempt has answered.
 func (t *targetAttempt) forwardAnswer(answer *upstream.Answer, body []byte) attempt.Action {
 	r := t.request
-	r.machine.Step(attempt.Part{Attempt: t.number, Echo: t.number})
+	if r.step(attempt.Part{Attempt: t.number, Echo: t.number}).Kind != attempt.Forward {
+		return t.endOvertaken()
+	}
 	r.sendAnswer(answer.Status, answer.Header, body)
-	return r.machine.Step(attempt.End{Attempt: t.number, Echo: t.number, Total: 1})
+	return r.step(attempt.End{Attempt: t.number, Echo: t.number, Total: 1})
 }
 
 // streamProgress records how much of a stream the caller has received.
@@ -120,8 +124,8 @@
 			t.silence.stop()
 			t.recordBytes()
 			pending = append(pending, chunk[:n]...)
-			rest, action := t.forwardEvents(answer, pending)
-			if action.Kind == attempt.Finish {
+			rest, action, ended := t.forwardEvents(answer, pending)
+			if ended {
 				return action
 			}
 			t.resetSilenceTimer()
@@ -136,43 +140,67 @@
 // eventEnd is the separator that ends an event in a text/event-stream.
 var eventEnd = []byte("\n\n")
 
-// forwardEvents sends the complete events in data to the caller and returns the rest of data.
-func (t *targetAttempt) forwardEvents(answer *upstream.Answer, data []byte) ([]byte, attempt.Action) {
+// forwardEvents sends the complete events in data to the caller and returns the rest of data. If ended is
+// true, the attempt has ended with action.
+func (t *targetAttempt) forwardEvents(answer *upstream.Answer, data []byte) (rest []byte, action attempt.Action, ended bool) {
 	r := t.request
-	completeBytes := 0
+	completeBytes, events := 0, 0
 	for {
 		n := bytes.Index(data[completeBytes:], eventEnd)
 		if n < 0 {
 			break
 		}
 		completeBytes += n + len(eventEnd)
-		r.machine.Step(attempt.Part{Attempt: t.number, Echo: t.number, Offset: r.stream.events})
-		r.stream.events++
-		t.events++
+		events++
+	}
+	if events == 0 {
+		return data, attempt.Action{}, false
 	}
-	if completeBytes == 0 {
-		return data, attempt.Action{}
+	isFirst, ok := t.claimEvents(answer.Status, events, data[:completeBytes])
+	if !ok {
+		return nil, t.endOvertaken(), true
 	}
 	t.recordFirstEvent(true)
-	switch {
-	case t.firstEventAt.IsZero():
+	if t.events > events && !t.cleared && t.hasOutlivedBlame() {
+		t.clear(r.contents)
+	}
+	if isFirst {
+		r.responder.SendHeader(answer.Status, answer.Header, -1)
+	}
+	if err := r.responder.Write(data[:completeBytes]); err != nil {
+		return nil, r.step(attempt.CallerDisconnected{}), true
+	}
+	return data[completeBytes:], attempt.Action{}, false
+}
+
+// claimEvents records complete events that are about to be sent to the caller. It returns false if
+// another attempt answers the request; isFirst is true if they are the first of the answer.
+func (t *targetAttempt) claimEvents(status, count int, events []byte) (isFirst, ok bool) {
+	r := t.request
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if t.events == 0 && r.stream.events > 0 && r.stream.software == lineage.Conflicting {
+		return false, false // the version that sent the first events became unknown after this attempt was placed
+	}
+	for range count {
+		if r.stepLocked(attempt.Part{Attempt: t.number, Echo: t.number, Offset: r.stream.events}).Kind != attempt.Forward {
+			return false, false
+		}
+		r.stream.events++
+		t.events++
+	}
+	if t.firstEventAt.IsZero() {
 		t.firstEventAt = r.proxy.now()
 		t.answering.Store(true)
 		r.bindStream(t.choice.Target)
-	case !t.cleared && t.hasOutlivedBlame():
-		t.clear(r.contents)
 	}
-	if id, ok := findLastEventID(data[:completeBytes]); ok {
+	if id, found := findLastEventID(events); found {
 		r.stream.lastEventID = id
 	}
-	if r.firstByteAt.IsZero() {
-		r.firstByteAt, r.status = r.proxy.now(), answer.Status
-		r.responder.SendHeader(answer.Status, answer.Header, -1)
+	if isFirst = r.firstByteAt.IsZero(); isFirst {
+		r.firstByteAt, r.status = r.proxy.now(), status
 	}
-	if err := r.responder.Write(data[:completeBytes]); err != nil {
-		return nil, r.machine.Step(attempt.CallerDisconnected{})
-	}
-	return data[completeBytes:], attempt.Action{}
+	return isFirst, true
 }
 
 // findLastEventID returns the ID of the last event that has one.
@@ -197,6 +225,10 @@
 	case errors.Is(err, io.EOF) && (answer.Framed || len(pending) == 0):
 		// An answer without a length ends with the connection. A broken one ends with a reset or in
 		// the middle of an event.
+		action, ok := t.claimEnd()
+		if !ok {
+			return t.endOvertaken()
+		}
 		t.outcome = placement.Answered
 		t.recordAnswer(answer, true)
 		t.recordWork()
@@ -205,24 +237,33 @@
 		} else if len(pending) > 0 {
 			_ = r.responder.Write(pending) // a write error also cancels the caller's context
 		}
-		return r.machine.Step(attempt.End{Attempt: t.number, Echo: t.number, Total: r.stream.events})
+		return action
 	case r.ctx.Err() != nil:
 		return t.endByContext()
 	}
 	t.recordBrokenConnection("stream_cut", err)
-	return r.machine.Step(attempt.ConnectionFailed{Attempt: t.number})
+	return r.step(attempt.ConnectionFailed{Attempt: t.number})
+}
+
+// claimEnd records the end of the answer. It returns false if another attempt answers the request.
+func (t *targetAttempt) claimEnd() (action attempt.Action, ok bool) {
+	r := t.request
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	action = r.stepLocked(attempt.End{Attempt: t.number, Echo: t.number, Total: r.stream.events})
+	return action, action.Kind != attempt.None
 }
 
 // A target counts as silent after a multiple of the route's objective. The silence is recorded for
-// placement, as a failure of the target. An idempotent request is then retried if its route allows
-// another attempt; admission checks that enough time remains. Any other request keeps waiting.
+// placement, as a failure of the target. An idempotent request is then hedged, see openRequest.hedge.
+// Any other request keeps waiting.
 const (
 	answerTimeoutFactor   = 2.0
 	eventGapTimeoutFactor = 3.0
 	// minSilenceTimeout covers the normal variation in a healthy target's response time.
 	minSilenceTimeout = 250 * time.Millisecond
-	// maxSilenceTimeout ends a stream attempt before its caller gives up. Callers give up after at
-	// least 2 s without an event.
+	// maxSilenceTimeout leaves a second attempt at a stream the time to answer before the caller gives up.
+	// Callers give up after at least 2 s without an event.
 	maxSilenceTimeout = 1200 * time.Millisecond
 )
 
@@ -248,7 +289,8 @@
 	}
 }
 
-// onSilent records that the target was silent for too long. It runs before the attempt ends.
+// onSilent records that the target was silent for too long, and hedges the request if it may be sent
+// again. It runs before the attempt ends.
 func (t *targetAttempt) onSilent() {
 	r := t.request
 	if t.isForwarded() {
@@ -256,8 +298,9 @@
 	} else {
 		t.recordSilence()
 	}
-	if r.match.route.AllowsRetry() && r.match.route.MaxAttempts > t.number {
-		t.cancel(errSilent)
+	if r.match.route.AllowsRetry() {
+		r.hedges.Add(1)
+		go r.hedge(t)
 	}
 }
 
--- a/internal/app/gateway/budget.go
+++ b/internal/app/gateway/budget.go
@@ -58,3 +58,10 @@
 	}
 	return w.TightestHeadroom(now, t.retryLimits), false
 }
+
+// retryHeadroom returns what the pool's budget allows now.
+func (t *trafficState) retryHeadroom(now time.Time, pool string) retry.Headroom {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.retryBudget(now, pool).TightestHeadroom(now, t.retryLimits)
+}
--- a/internal/app/gateway/forward.go
+++ b/internal/app/gateway/forward.go
@@ -181,13 +181,13 @@
 		case errors.Is(err, errTargetUnreachable):
 			t.outcome = placement.Unreachable
 		}
-		return r.machine.Step(attempt.NotForwarded{Attempt: t.number})
+		return r.step(attempt.NotForwarded{Attempt: t.number})
 	case errors.Is(err, errForwarderLost):
 		t.failure = t.failureCause("forwarder_lost")
 	default:
 		t.recordFailure(t.failureCause("broken"), err)
 	}
-	return r.machine.Step(attempt.ConnectionFailed{Attempt: t.number})
+	return r.step(attempt.ConnectionFailed{Attempt: t.number})
 }
 
 // forwardedBody reads the body of a forwarded answer.
--- a/internal/app/gateway/proxy.go
+++ b/internal/app/gateway/proxy.go
@@ -220,6 +220,7 @@
 	}
 	r := &openRequest{
 		proxy: p, match: m, body: body, responder: responder, deadline: m.startedAt.Add(timeout), contents: m.contents(body),
+		hedgeActions: make(chan attempt.Action, 1),
 		machine: attempt.New(attempt.Spec{
 			Idempotent: m.route.AllowsRetry(), MaxAttempts: max(m.route.MaxAttempts, 1), MaxNotExecuted: maxNotExecuted,
 		}),
@@ -249,9 +250,8 @@
 		r.finish(mayGoOn)
 		return
 	}
-	action := r.attemptNext()
-	for action.Kind == attempt.RequestTicket {
-		action = r.retry()
-	}
-	r.finish(action.Code)
+	c := r.run()
+	cancel()
+	r.hedges.Wait()
+	r.finish(c)
 }
--- a/internal/app/gateway/run.go
+++ b/internal/app/gateway/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -15,6 +16,7 @@
 	"github.com/hemlockdyke/hemlockdyke/internal/core/lineage"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/placement"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/poison"
+	"github.com/hemlockdyke/hemlockdyke/internal/core/retry"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/route"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/workload"
 	"github.com/hemlockdyke/hemlockdyke/internal/eventlog"
@@ -32,6 +34,13 @@
 	ctx      context.Context
 	deadline time.Time // start plus the timeout of the caller or the route, see Proxy.Serve
 
+	// mu guards machine and what follows while a hedge is open, as two attempts run then.
+	mu       sync.Mutex
+	attempts []*targetAttempt // open attempts, two at most
+	hedges   sync.WaitGroup
+	// hedgeActions receives what to do after a hedge that was the last open attempt.
+	hedgeActions chan attempt.Action
+
 	retries     int
 	retryDenied bool
 	// retryAfter is when the caller should retry according to admission, before jitter; 0 if the
@@ -46,10 +55,9 @@
 	firstByteAt   time.Time
 	status        int
 	// targetError is a 5xx answer from a target, sent to the caller if no other target succeeds.
-	targetError  *bufferedAnswer
-	stream       streamProgress
-	contents     poison.Contents
-	suspectTrial bool // the current attempt is a trial of the suspects that the request carries
+	targetError *bufferedAnswer
+	stream      streamProgress
+	contents    poison.Contents
 }
 
 // bufferedAnswer is a complete answer.
@@ -59,23 +67,90 @@
 	body   []byte
 }
 
+// step passes an event to the machine. It cancels the attempt in whose place another one goes on.
+func (r *openRequest) step(ev attempt.Event) attempt.Action {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.stepLocked(ev)
+}
+
+// stepLocked is step with mu held.
+func (r *openRequest) stepLocked(ev attempt.Event) attempt.Action {
+	action := r.machine.Step(ev)
+	if action.Abandon != 0 {
+		for _, t := range r.attempts {
+			if t.number == action.Abandon {
+				t.cancel(errOvertaken)
+			}
+		}
+	}
+	return action
+}
+
+func (r *openRequest) addAttempt(t *targetAttempt) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.attempts = append(r.attempts, t)
+	if !r.machine.IsOpen(t.number) { // the silent target has gone on meanwhile
+		t.cancel(errOvertaken)
+	}
+}
+
+func (r *openRequest) removeAttempt(t *targetAttempt) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.attempts = slices.DeleteFunc(r.attempts, func(other *targetAttempt) bool { return other == t })
+}
+
+// run makes attempts until the request is finished, and returns its result code.
+func (r *openRequest) run() code.Code {
+	action := r.attemptNext()
+	for {
+		switch action.Kind {
+		case attempt.None: // a hedge is still open
+			action = r.awaitHedge()
+		case attempt.RequestTicket:
+			action = r.retry()
+		default:
+			return action.Code
+		}
+	}
+}
+
 // retry sends the request to another target if the retry budget allows it. While no target has got
 // the request, another attempt takes nothing from the budget.
 func (r *openRequest) retry() attempt.Action {
-	p := r.proxy
-	if !r.machine.HasArrived() {
+	r.mu.Lock()
+	arrived := r.machine.HasArrived()
+	r.mu.Unlock()
+	if !arrived {
 		return r.attemptNext()
 	}
-	if headroom, ok := p.traffic.tryRetry(p.now(), r.match.pool); !ok {
+	if !r.takeRetry() {
 		r.retryDenied = true
-		r.logLine(eventlog.RetryDenied).Str("pool", r.match.pool).Int("repeats", headroom.Retries).Float64("allowed", headroom.Allowed).
-			Float64("requests", headroom.Requests).Float64("slack", headroom.Slack).Msg("")
-		return r.machine.Step(attempt.TicketRefused{Code: code.TargetRefused})
+		return r.step(attempt.TicketRefused{Code: code.TargetRefused})
 	}
-	r.retries++
 	return r.attemptNext()
 }
 
+// takeRetry takes a retry from the pool's budget. It reports whether the budget allows one.
+func (r *openRequest) takeRetry() bool {
+	headroom, ok := r.proxy.traffic.tryRetry(r.proxy.now(), r.match.pool)
+	if !ok {
+		r.logRetryDenied(headroom)
+		return false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.retries++
+	return true
+}
+
+func (r *openRequest) logRetryDenied(headroom retry.Headroom) {
+	r.logLine(eventlog.RetryDenied).Str("pool", r.match.pool).Int("repeats", headroom.Retries).Float64("allowed", headroom.Allowed).
+		Float64("requests", headroom.Requests).Float64("slack", headroom.Slack).Msg("")
+}
+
 // attemptNext places the request and makes one attempt.
 func (r *openRequest) attemptNext() attempt.Action {
 	p := r.proxy
@@ -84,88 +159,179 @@
 		return r.endEarly()
 	}
 	preferred := uint64(0)
-	if r.machine.Attempts() == 0 {
+	if r.progress().attempts == 0 {
 		if preferred = r.awaitPrefixRead(now); r.ctx.Err() != nil {
 			return r.endEarly()
 		}
 		now = p.now()
 	}
-	if r.stream.events > 0 && p.traffic.streams.known(r.streamID()) == lineage.Conflicting {
-		r.unbindStream()
+	t, refused := r.place(now, preferred, nil)
+	if t == nil {
+		if refused.notAdmitted {
+			r.retryAfter, r.retryAfterSpread = refused.retryAfter, refused.retryAfterSpread
+		}
+		if refused.minRetryAfter > 0 {
+			r.minRetryAfter = refused.minRetryAfter
+		}
+		return r.step(attempt.TicketRefused{Code: refused.code})
 	}
+	return r.makeAttempt(t)
+}
+
+// placementRefusal is why a request can't be sent to a target now.
+type placementRefusal struct {
+	code             code.Code
+	notAdmitted      bool // admission refused it, with the two fields that follow, see openRequest
+	retryAfter       time.Duration
+	retryAfterSpread bool
+	minRetryAfter    time.Duration // see openRequest
+}
+
+// place chooses a target for the next attempt, and returns the attempt or why there is none. beside is the
+// attempt whose target is silent if the next one is a hedge, and nil otherwise.
+func (r *openRequest) place(now time.Time, preferred uint64, beside *targetAttempt) (*targetAttempt, placementRefusal) {
+	p := r.proxy
 	poisonDecision, confine := p.traffic.poisonGuard.admit(now, r.contents)
 	if poisonDecision.Refused {
 		r.logPoisonRefused(poisonDecision)
-		r.minRetryAfter = poisonDecision.RetryAfter
-		return r.machine.Step(attempt.TicketRefused{Code: code.Poison})
+		return nil, placementRefusal{code: code.Poison, minRetryAfter: poisonDecision.RetryAfter}
 	}
-	r.suspectTrial = poisonDecision.Trial
-	if r.suspectTrial {
-		defer func() { p.traffic.poisonGuard.endTrial(p.now(), r.contents) }()
+	endTrial := func() {
+		if poisonDecision.Trial {
+			p.traffic.poisonGuard.endTrial(p.now(), r.contents)
+		}
 	}
 	chatHash := r.match.call.ChatHash
 	if confine != 0 {
 		chatHash, preferred = uint64(confine), 0
 	}
+	if beside != nil && (poisonDecision.Trial || confine != 0) {
+		endTrial()
+		return nil, placementRefusal{code: code.Poison} // a suspect runs at one target at a time
+	}
 	work, percentile := workload.Estimate{}, unknownPercentile
 	if r.match.call.PromptTokens > 0 && r.match.route.Kind == route.Stream {
 		work, percentile = p.traffic.estimateWork(r.match.pool, r.match.route.Name, r.match.workRequest())
 	}
 	demand := r.match.demandOf(work)
+	progress := r.progress()
 	choice, decision, shed, ok := p.traffic.placeRequest(now, placement.Request{
 		Pool: r.match.pool, ChatHash: chatHash, PromptPrefixes: r.match.call.PromptPrefixes, PromptTokens: r.match.call.PromptTokens,
-		Objective: r.match.route.Objective, Excluded: r.machine.Excluded(), Software: r.stream.software, PreferredTarget: preferred,
+		Objective: r.match.route.Objective, Excluded: progress.excluded, Software: progress.software, PreferredTarget: preferred,
 		MemoryTokens: demand.memoryTokens,
 	}, admission.Request{Team: r.match.teamName(), Priority: r.match.priority(), RoutePriority: r.match.route.Priority, Remaining: r.deadline.Sub(now), Objective: r.match.route.Objective},
-		sheddingRequest{route: r.match.route.Name, retry: r.machine.Attempts() > 0, slotTime: demand.slotTime, workPercentile: percentile, elapsed: now.Sub(r.match.startedAt)}, r.machine.MayHaveExecuted() || r.stream.software != 0)
+		sheddingRequest{route: r.match.route.Name, retry: progress.attempts > 0, slotTime: demand.slotTime, workPercentile: percentile, elapsed: now.Sub(r.match.startedAt)}, progress.mayHaveExecuted || progress.software != 0)
 	switch {
 	case !ok:
-		c := p.traffic.noTargetCode(now, r.match.pool, r.stream.software)
-		if r.stream.software != 0 {
+		endTrial()
+		c := p.traffic.noTargetCode(now, r.match.pool, progress.software)
+		if progress.software != 0 && beside == nil {
 			r.logStreamRefused(c)
 		}
-		return r.machine.Step(attempt.TicketRefused{Code: c})
+		return nil, placementRefusal{code: c}
 	case decision.Code != code.OK:
-		line := r.logLine(eventlog.NotAdmitted).Str("target", choice.Target.ID).Int("open", choice.Open).
-			Dur("wait", decision.Wait).Dur("left", r.deadline.Sub(now))
-		if shed != nil {
-			shed.logTo(line)
-		} else {
-			line.Int("rank", r.match.priority())
+		endTrial()
+		r.logNotAdmitted(now, choice, decision, shed)
+		return nil, placementRefusal{code: decision.Code, notAdmitted: true, retryAfter: decision.RetryAfter, retryAfterSpread: shed != nil}
+	}
+	t := &targetAttempt{
+		request: r, choice: choice, decision: decision, startedAt: now, outcome: placement.Neutral, shed: shed, work: work,
+		trial: poisonDecision.Trial, hedges: beside != nil,
+	}
+	if !r.dispatch(t, beside) {
+		endTrial()
+		t.recordFirstEvent(false)
+		p.traffic.finishAttempt(p.now(), r.match.pool, r.match.teamName(), choice, placement.Neutral, 0, admission.InTime, shed)
+		return nil, placementRefusal{code: code.NoTarget}
+	}
+	r.logPlaced(t, p.traffic.loadReportAge(now))
+	return t, placementRefusal{}
+}
+
+// dispatch numbers a placed attempt. It returns false if the attempt must not be made.
+func (r *openRequest) dispatch(t, beside *targetAttempt) bool {
+	var ev attempt.Event = attempt.TicketGranted{Target: t.choice.Target.UID}
+	if beside != nil {
+		if !r.takeRetry() {
+			return false
 		}
-		line.Msg("")
-		r.retryAfter, r.retryAfterSpread = decision.RetryAfter, shed != nil
-		return r.machine.Step(attempt.TicketRefused{Code: decision.Code})
-	}
-	action := r.machine.Step(attempt.TicketGranted{Target: choice.Target.UID})
-	a := &targetAttempt{request: r, choice: choice, number: action.Attempt, startedAt: now, outcome: placement.Neutral, shed: shed, work: work}
-	r.logPlaced(a, p.traffic.loadReportAge(now))
-	action = a.make()
-	if a.failure == failureNotExecuted {
-		r.retryAfter, r.retryAfterSpread = decision.RetryAfter, shed != nil
-	}
-	if errors.Is(context.Cause(a.ctx), errVersionChanged) && a.events > 0 {
+		ev = attempt.HedgeGranted{Attempt: beside.number, Target: t.choice.Target.UID}
+	}
+	action := r.step(ev)
+	t.number = action.Attempt
+	return action.Kind == attempt.Dispatch
+}
+
+// requestProgress is what earlier attempts of a request mean for the next one.
+type requestProgress struct {
+	excluded        []uint64
+	software        lineage.Software
+	attempts        int
+	mayHaveExecuted bool
+}
+
+func (r *openRequest) progress() requestProgress {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.stream.events > 0 && r.proxy.traffic.streams.known(r.streamID()) == lineage.Conflicting {
 		r.unbindStream()
 	}
-	a.recordFirstEvent(false)
-	a.suspectPath()
-	took := p.now().Sub(now)
-	if p.traffic.finishAttempt(p.now(), r.match.pool, r.match.teamName(), choice, a.placementOutcome(), took, a.admissionOutcome(took), shed) {
-		r.logLine(eventlog.TargetSuspended).Str("target", choice.Target.ID).Str("why", a.failure).Msg("")
+	return requestProgress{r.machine.Excluded(), r.stream.software, r.machine.Attempts(), r.machine.MayHaveExecuted()}
+}
+
+func (r *openRequest) logNotAdmitted(now time.Time, choice placement.Choice, decision admission.Decision, shed *shedDecision) {
+	line := r.logLine(eventlog.NotAdmitted).Str("target", choice.Target.ID).Int("open", choice.Open).
+		Dur("wait", decision.Wait).Dur("left", r.deadline.Sub(now))
+	if shed != nil {
+		shed.logTo(line)
+	} else {
+		line.Int("rank", r.match.priority())
+	}
+	line.Msg("")
+}
+
+// makeAttempt makes a placed attempt and records its outcome.
+func (r *openRequest) makeAttempt(t *targetAttempt) attempt.Action {
+	p := r.proxy
+	if t.trial {
+		defer func() { p.traffic.poisonGuard.endTrial(p.now(), r.contents) }()
 	}
-	if a.failure != "" {
-		p.traffic.path.logLastSeen(r.logLine(eventlog.AttemptFailed), p.now(), r.match.pool).Int("attempt", a.number).Str("target", choice.Target.ID).
-			Str("why", a.failure).AnErr("error", a.err).Int("events", a.events).Strs("parts", r.match.call.PromptParts).Dur("after", took).Msg("")
+	action := t.make()
+	if t.overlapTimer != nil {
+		t.overlapTimer.Stop()
+	}
+	r.recordFailure(t)
+	t.recordFirstEvent(false)
+	t.suspectPath()
+	took := p.now().Sub(t.startedAt)
+	if p.traffic.finishAttempt(p.now(), r.match.pool, r.match.teamName(), t.choice, t.placementOutcome(), took, t.admissionOutcome(took), t.shed) {
+		r.logLine(eventlog.TargetSuspended).Str("target", t.choice.Target.ID).Str("why", t.failure).Msg("")
+	}
+	if t.failure != "" {
+		p.traffic.path.logLastSeen(r.logLine(eventlog.AttemptFailed), p.now(), r.match.pool).Int("attempt", t.number).Str("target", t.choice.Target.ID).
+			Str("why", t.failure).AnErr("error", t.err).Int("events", t.events).Strs("parts", r.match.call.PromptParts).Dur("after", took).Msg("")
 	}
 	return action
 }
 
+// recordFailure records what the failure of an attempt means for the request.
+func (r *openRequest) recordFailure(t *targetAttempt) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if t.failure == failureNotExecuted {
+		r.retryAfter, r.retryAfterSpread = t.decision.RetryAfter, t.shed != nil
+	}
+	if errors.Is(context.Cause(t.ctx), errVersionChanged) && t.events > 0 {
+		r.unbindStream()
+	}
+}
+
 // endEarly ends a request whose caller disconnected or whose deadline passed.
 func (r *openRequest) endEarly() attempt.Action {
 	if errors.Is(context.Cause(r.ctx), context.Canceled) {
-		return r.machine.Step(attempt.CallerDisconnected{})
+		return r.step(attempt.CallerDisconnected{})
 	}
-	return r.machine.Step(attempt.DeadlinePassed{})
+	return r.step(attempt.DeadlinePassed{})
 }
 
 // retryAfterDivisor bounds Retry-After as a part of the remaining time: an attempt may have taken time
@@ -253,5 +419,5 @@
 		Stringer("fingerprint", r.contents[0]).Str("target", c.Target.ID).Str("rule", string(c.Rule)).Int("open", c.Open).Float64("bound", c.Bound).
 		Str("source", c.CacheSource).Dur("loads_age", loadReportAge).Uint64("version", r.match.desiredVersion).
 		Uint64("targets_row", r.proxy.traffic.targetsRowVersion.Load()).
-		Str("software", c.Target.SoftwareVersion).Str("resume_from", r.stream.lastEventID).Str("resumes", r.match.call.ResumedID).Bool("trial", r.suspectTrial).Msg("")
+		Str("software", c.Target.SoftwareVersion).Str("resume_from", r.stream.lastEventID).Str("resumes", r.match.call.ResumedID).Bool("trial", a.trial).Bool("hedge", a.hedges).Msg("")
 }
--- a/internal/app/gateway/silence.go
+++ b/internal/app/gateway/silence.go
@@ -21,6 +21,7 @@
 	watch   attempt.SilenceWatch
 	running bool // from start to stop or onSilent
 	expired bool // onSilent was called
+	silent  bool // nothing arrived since onSilent was called
 }
 
 func newSilenceTimer(now func() time.Time, onSilent func()) *silenceTimer {
@@ -33,7 +34,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.watch.SetDeadline(from.Add(wait))
-	s.running = true
+	s.running, s.silent = true, false
 	if s.timer == nil {
 		s.timer = s.afterFunc(wait, s.expire)
 	} else {
@@ -45,7 +46,7 @@
 func (s *silenceTimer) stop() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.running = false
+	s.running, s.silent = false, false
 	s.timer.Stop()
 }
 
@@ -56,6 +57,13 @@
 	return s.expired
 }
 
+// isSilent reports whether the target has been silent for too long and is silent still.
+func (s *silenceTimer) isSilent() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.silent
+}
+
 func (s *silenceTimer) expire() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -71,7 +79,7 @@
 		s.watch.SetDeadline(now.Add(minSilenceTimeout))
 		s.timer.Reset(minSilenceTimeout)
 	default:
-		s.running, s.expired = false, true
+		s.running, s.expired, s.silent = false, true, true
 		s.onSilent()
 	}
 }
--- a/internal/app/gateway/target_attempt.go
+++ b/internal/app/gateway/target_attempt.go
@@ -20,6 +20,7 @@
 type targetAttempt struct {
 	request            *openRequest
 	choice             placement.Choice
+	decision           admission.Decision
 	number             int
 	startedAt          time.Time
 	shed               *shedDecision // nil unless the pool is scheduled by work
@@ -33,6 +34,11 @@
 	cleared            bool      // what the request carries was cleared of suspicion
 	// work is the estimated work of the request; zero if it is not scheduled by work.
 	work workload.Estimate
+	// trial is true if the attempt is a trial of the suspects that the request carries.
+	trial bool
+	// hedges is true if the attempt was made beside one whose target was silent.
+	hedges       bool
+	overlapTimer *time.Timer // see startOverlap; nil before
 	// answering is true once the first complete event of a stream has arrived.
 	answering atomic.Bool
 	// forwarder is the router that was last asked to send the request; nil if this one sends it.
@@ -43,8 +49,15 @@
 	silence *silenceTimer
 }
 
-// errSilent cancels an attempt whose target was silent for too long.
-var errSilent = errors.New("target is silent")
+// errOvertaken cancels an attempt in whose place another attempt of the same request goes on.
+var errOvertaken = errors.New("another attempt goes on")
+
+const (
+	// failureSilent is the reason for attempts whose target was silent when another attempt went on.
+	failureSilent = "silent"
+	// failureOvertaken is the reason for attempts that were not needed, as the silent target went on.
+	failureOvertaken = "overtaken"
+)
 
 // placementOutcome returns the attempt's outcome for placement. It is Neutral if the target's
 // silence has already been recorded: recording the failure again seconds later, at the deadline,
@@ -52,7 +65,7 @@
 // this router cancelled the attempt because the request became suspected, or if its own path is cut.
 func (t *targetAttempt) placementOutcome() placement.Outcome {
 	pathFailed := !t.isForwarded() && (t.outcome == placement.Failed || t.outcome == placement.Unreachable) && t.request.proxy.traffic.path.isCut(t.request.match.pool)
-	if pathFailed || (t.silence.hasExpired() && t.outcome == placement.Failed) || t.failure == failureRestarted || t.failure == failureSuspected {
+	if pathFailed || (t.silence.hasExpired() && t.outcome == placement.Failed) || t.failure == failureRestarted || t.failure == failureSuspected || t.failure == failureOvertaken {
 		return placement.Neutral
 	}
 	return t.outcome
@@ -96,6 +109,8 @@
 	r := t.request
 	t.ctx, t.cancel = context.WithCancelCause(r.ctx)
 	defer t.cancel(nil)
+	r.addAttempt(t)
+	defer r.removeAttempt(t)
 	r.proxy.traffic.openAttempts.add(t)
 	defer r.proxy.traffic.openAttempts.remove(t)
 	t.silence = newSilenceTimer(r.proxy.now, t.onSilent)
@@ -136,8 +151,11 @@
 // header returns the header of the attempt if it is sent now.
 func (t *targetAttempt) header() http.Header {
 	r := t.request
+	r.mu.Lock()
+	lastEventID := r.stream.lastEventID
+	r.mu.Unlock()
 	return r.proxy.codec.PrepareHeader(r.match.call, Attempt{
-		Remaining: r.deadline.Sub(r.proxy.now()), TargetID: t.choice.Target.ID, LastEventID: r.stream.lastEventID,
+		Remaining: r.deadline.Sub(r.proxy.now()), TargetID: t.choice.Target.ID, LastEventID: lastEventID,
 		CacheSource: t.choice.CacheSource, Team: r.match.teamName(), Priority: t.priority(),
 	})
 }
@@ -169,21 +187,24 @@
 	if r.ctx.Err() != nil {
 		return t.endByContext()
 	}
+	if errors.Is(context.Cause(t.ctx), errOvertaken) {
+		return t.endOvertaken()
+	}
 	if t.isForwarded() {
 		return t.handleForwardError(err)
 	}
 	if errors.Is(err, upstream.ErrWithdrawn) {
 		t.failure = failureWithdrawn
-		return r.machine.Step(attempt.NotSent{Attempt: t.number})
+		return r.step(attempt.NotSent{Attempt: t.number})
 	}
 	if errors.Is(err, upstream.ErrNotSent) {
 		t.recordFailure("not_sent", err)
 		t.outcome = placement.Unreachable
 		r.proxy.checkRefusedConnection(r.match.pool, t.choice.Target, err)
-		return r.machine.Step(attempt.NotSent{Attempt: t.number})
+		return r.step(attempt.NotSent{Attempt: t.number})
 	}
 	t.recordBrokenConnection("broken", err)
-	return r.machine.Step(attempt.ConnectionFailed{Attempt: t.number})
+	return r.step(attempt.ConnectionFailed{Attempt: t.number})
 }
 
 // recordBrokenConnection records a broken connection. Unless this router cancelled the attempt
@@ -209,7 +230,8 @@
 	if !t.request.proxy.traffic.confirmPlacement(t.request.proxy.now(), t.choice) {
 		return false
 	}
-	t.request.machine.Step(attempt.WriteStarted{Attempt: t.number})
+	t.request.step(attempt.WriteStarted{Attempt: t.number})
+	t.startOverlap()
 	return true
 }
 
@@ -225,8 +247,8 @@
 func (t *targetAttempt) failureCause(fallback string) string {
 	cause := context.Cause(t.ctx)
 	switch {
-	case errors.Is(cause, errSilent):
-		return "silent"
+	case errors.Is(cause, errOvertaken):
+		return t.overtakenReason()
 	case errors.Is(cause, errRestarted):
 		return failureRestarted
 	case errors.Is(cause, errSuspected):
@@ -260,5 +282,5 @@
 	case info.PauseDuration > 0:
 		t.outcome = placement.Neutral // the pause is already recorded
 	}
-	return t.request.machine.Step(attempt.TargetRefused{Attempt: t.number})
+	return t.request.step(attempt.TargetRefused{Attempt: t.number})
 }
--- a/internal/core/attempt/attempt.go
+++ b/internal/core/attempt/attempt.go
@@ -69,6 +69,22 @@
 	ConnectionFailed struct{ Attempt int }
 )
 
+// Events of a hedge: an attempt beside one whose target is silent. The first of the two that sends a part
+// goes on, the other is abandoned.
+type (
+	// Silent means that the target of the attempt has sent nothing for too long. The attempt stays open.
+	Silent struct{ Attempt int }
+	// HedgeGranted means that a ticket was granted for an attempt at Target beside the silent Attempt.
+	HedgeGranted struct {
+		Attempt int
+		Target  uint64
+	}
+	// HedgeRefused means that there will be no ticket; the silent Attempt goes on alone.
+	HedgeRefused struct{ Attempt int }
+	// OverlapEnded means that the silent attempt before Attempt must not stay open any longer.
+	OverlapEnded struct{ Attempt int }
+)
+
 // Events of the caller.
 type (
 	// DeadlinePassed means that the request's deadline has passed.
@@ -79,6 +95,10 @@
 
 func (TicketGranted) isEvent()      {}
 func (TicketRefused) isEvent()      {}
+func (Silent) isEvent()             {}
+func (HedgeGranted) isEvent()       {}
+func (HedgeRefused) isEvent()       {}
+func (OverlapEnded) isEvent()       {}
 func (NotSent) isEvent()            {}
 func (WriteStarted) isEvent()       {}
 func (NotForwarded) isEvent()       {}
@@ -113,6 +133,9 @@
 	Attempt int
 	Offset  int
 	Code    code.Code
+	// Abandon is the number of an attempt that must be cancelled, as another one goes on in its place; 0 if
+	// there is none.
+	Abandon int
 	// TargetFailed is true if the attempt that ended counts as a failure of its target.
 	TargetFailed bool
 	// CloseConnection is true if the attempt's connection must not be used again.
@@ -123,7 +146,8 @@
 type Machine struct {
 	spec                Spec
 	state               State
-	attempt             int
+	attempt             int // number of dispatches
+	current             int // number of the current attempt
 	target              uint64
 	offset              int
 	notExecuted         int  // number of attempts that no target executed
@@ -131,6 +155,7 @@
 	earlierPastNoReturn bool // an earlier attempt may have been executed
 	pastNoReturn        bool // the current attempt is past its point of no return
 	excluded            []uint64
+	hedge               hedge
 }
 
 // New returns a Machine that waits for its first ticket.
@@ -142,11 +167,18 @@
 // Attempts returns the number of dispatches.
 func (m *Machine) Attempts() int { return m.attempt }
 
-// Excluded returns the targets of the attempts that failed or were refused.
-func (m *Machine) Excluded() []uint64 { return m.excluded }
+// Excluded returns the targets of the attempts that failed, were refused or are silent.
+func (m *Machine) Excluded() []uint64 {
+	if m.hedge.requested {
+		return append(m.excluded[:len(m.excluded):len(m.excluded)], m.target)
+	}
+	return m.excluded
+}
 
 // MayHaveExecuted reports whether a target may have executed the request.
-func (m *Machine) MayHaveExecuted() bool { return m.earlierPastNoReturn || m.pastNoReturn }
+func (m *Machine) MayHaveExecuted() bool {
+	return m.earlierPastNoReturn || m.pastNoReturn || m.hedge.silent.pastNoReturn
+}
 
 // HasArrived reports whether an attempt may have reached a target, even one that refused it. Until
 // then another attempt is no retry for the targets.
@@ -157,6 +189,9 @@
 	if m.state == Finished {
 		return Action{}
 	}
+	if a, handled := m.stepHedge(ev); handled {
+		return a
+	}
 	switch ev := ev.(type) {
 	case TicketGranted:
 		return m.dispatch(ev)
@@ -185,7 +220,7 @@
 }
 
 func (m *Machine) forCurrentAttempt(attempt int, handle func() Action) Action {
-	if attempt != m.attempt || m.state == Waiting {
+	if attempt != m.current || m.state == Waiting {
 		return Action{}
 	}
 	return handle()
@@ -195,10 +230,15 @@
 	if m.state != Waiting {
 		return Action{}
 	}
+	return m.dispatchTo(ev.Target)
+}
+
+func (m *Machine) dispatchTo(target uint64) Action {
 	m.state = Dispatched
 	m.attempt++
-	m.target = ev.Target
-	return Action{Kind: Dispatch, Target: ev.Target, Attempt: m.attempt, Offset: m.offset}
+	m.current = m.attempt
+	m.target = target
+	return Action{Kind: Dispatch, Target: target, Attempt: m.attempt, Offset: m.offset}
 }
 
 func (m *Machine) writeStarted() Action {
@@ -256,7 +296,7 @@
 	m.state = Answering
 	m.pastNoReturn = true
 	m.offset++
-	return Action{Kind: Forward, Offset: ev.Offset}
+	return Action{Kind: Forward, Offset: ev.Offset, Abandon: m.endHedge()}
 }
 
 func (m *Machine) receiveEnd(ev End) Action {
@@ -296,16 +336,24 @@
 	m.earlierPastNoReturn = m.earlierPastNoReturn || m.pastNoReturn
 	m.pastNoReturn = false
 	var a Action
-	if m.attempt-min(m.notExecuted, m.spec.MaxNotExecuted) >= m.spec.MaxAttempts {
+	switch {
+	case m.hedge.isOpen():
+		m.resumeSilent()
+	case !m.hasAttemptsLeft():
 		a = m.finish(m.finalCode(c))
-	} else {
+	default:
 		m.state = Waiting
+		m.hedge.requested = false
 		a = Action{Kind: RequestTicket}
 	}
 	a.TargetFailed, a.CloseConnection = failed, failed
 	return a
 }
 
+func (m *Machine) hasAttemptsLeft() bool {
+	return m.attempt-min(m.notExecuted, m.spec.MaxNotExecuted) < m.spec.MaxAttempts
+}
+
 // finalCode replaces a code that guarantees "not executed" if an attempt may have been executed.
 func (m *Machine) finalCode(c code.Code) code.Code {
 	if !m.MayHaveExecuted() || c.Lookup().Execution != code.NotExecuted {
--- a/internal/core/retry/window.go
+++ b/internal/core/retry/window.go
@@ -83,13 +83,13 @@
 	Allowed  float64 // retries that the budget allows in the span
 }
 
-// allowsRetry reports whether the budget allows one more retry.
-func (h Headroom) allowsRetry() bool { return float64(h.Retries+1) <= h.Allowed }
+// AllowsRetry reports whether the budget allows one more retry.
+func (h Headroom) AllowsRetry() bool { return float64(h.Retries+1) <= h.Allowed }
 
 // TryRetry counts a retry and returns true if the budget allows it in every span that will contain
 // the retry, whatever requests follow.
 func (w *Window) TryRetry(now time.Time, l Limits) bool {
-	if !w.TightestHeadroom(now, l).allowsRetry() {
+	if !w.TightestHeadroom(now, l).AllowsRetry() {
 		return false
 	}
 	w.bucketAt(now).retries++
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -42,6 +42,7 @@
 	Software       string  `json:"software"`
 	Events         int     `json:"events"`
 	Resumes        string  `json:"resumes"`
+	Hedge          bool    `json:"hedge"`
 	Reason         string  `json:"why"`
 	Error          string  `json:"error"`
 	FailedAfter    float64 `json:"after"`
@@ -123,6 +124,9 @@
 		}
 		text := fmt.Sprintf("attempt %d goes to %s by rule %s: %d open requests of at most %.1f, load report age %.0f ms; desired state %d",
 			e.Attempt, e.Target, e.Rule, e.OpenRequests, e.Bound, e.LoadReportAge, e.Version)
+		if e.Hedge {
+			text += ", beside an attempt whose target is silent"
+		}
 		if e.Software != "" {
 			text += ", software " + e.Software
 		}
@@ -192,7 +196,8 @@
 	"not_forwarded":  "this router's path to the pool is cut or its quota used up, and no other router sent the request, so it was not executed",
 	"forwarder_lost": "the router that was to send the request was lost; it may have sent it",
 	"suspected":      "targets have exited while they executed this request, so the attempt was cancelled",
-	"silent":         "the target was silent for longer than its answers usually take",
+	"silent":         "the target was silent for longer than its answers usually take, and another attempt went on",
+	"overtaken":      "not needed, as the silent target went on first",
 	"truncated":      "the target's answer was truncated",
 	"stream_cut":     "the target broke off the stream",
 	"not_sealed":     "the answer has no seal of the target",
