Bytes before the end of an answer's header are bounded

A target that sent a header line, a status line or foreign bytes without end was read until the request's deadline: http.ReadResponse keeps a whole line in memory.

A connection now yields at most 32 KiB before the header of the answer ends, interim answers (so at most 1,311 of them) and the headers of answers to other requests included: twice what callers may send in a header. The bodies of skipped answers are bounded at 4 MiB in sum, and one whose Content-Length is larger is not read. The attempt ends as a broken connection, marked as ErrHeadTooLarge. The text of an error that quotes a malformed status line is bounded too: it was as long as the line, and it is logged.

--- a/internal/adapter/upstream/conn.go
+++ b/internal/adapter/upstream/conn.go
@@ -14,7 +14,8 @@
 // conn is a connection to a target. It carries one request at a time.
 type conn struct {
 	net.Conn
-	reader *bufio.Reader
+	source *limitedReader
+	reader *bufio.Reader // reads from source
 	// usableUntil is the time after which the idle connection is no longer reused, since the target
 	// may close it then. Answer.Close sets it.
 	usableUntil time.Time
@@ -65,7 +66,8 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: c, reader: bufio.NewReaderSize(c, readBufferBytes)}, nil
+	source := &limitedReader{reader: c, remaining: unlimited}
+	return &conn{Conn: c, source: source, reader: bufio.NewReaderSize(source, readBufferBytes)}, nil
 }
 
 // readBufferBytes is enough for the header and the first events of an answer.
--- a/internal/adapter/upstream/upstream.go
+++ b/internal/adapter/upstream/upstream.go
@@ -31,6 +31,9 @@
 	// ErrAnswerMismatch means that the connection carried the answer to another request, and that
 	// no answer to this request could be read after it.
 	ErrAnswerMismatch = errors.New("answer belongs to another request")
+	// ErrHeadTooLarge means that the target sent more bytes before the end of the answer's header than an
+	// answer may have. The error is an ErrConnectionBroken as well.
+	ErrHeadTooLarge = errors.New("header of the answer is too large")
 )
 
 // Settings limits the connections to targets.
@@ -262,15 +265,30 @@
 	return nil
 }
 
-// maxMismatches is how many answers to other requests are skipped before the connection is
-// closed. A target sends at most one surplus answer.
-const maxMismatches = 2
+const (
+	// maxHeadBytes limits what is read before the end of the answer's header: interim answers, the
+	// headers of answers to other requests and bytes that are no answer included. It is twice the header
+	// size that the platform allows to callers.
+	maxHeadBytes = 32 << 10
+	// maxMismatches is how many answers to other requests are skipped before the connection is
+	// closed. A target sends at most one surplus answer.
+	maxMismatches = 2
+	// maxSkippedBytes limits the bodies of the skipped answers.
+	maxSkippedBytes = 4 << 20
+	// maxErrorBytes limits the text of an error that quotes what the target sent.
+	maxErrorBytes = 200
+)
 
+// readHeader reads the header of the answer, and skips what precedes it.
 func (a *Answer) readHeader(r Request) error {
+	source := a.conn.source
+	source.remaining = maxHeadBytes
+	defer func() { source.remaining = unlimited }()
+	skippable := int64(maxSkippedBytes)
 	for mismatches := 0; ; {
 		resp, err := http.ReadResponse(a.conn.reader, &http.Request{Method: r.Method})
 		if err != nil {
-			return errors.Mark(err, ErrConnectionBroken)
+			return markHeadError(err)
 		}
 		if resp.StatusCode < http.StatusOK {
 			continue
@@ -286,10 +304,38 @@
 		if mismatches++; mismatches > maxMismatches || resp.Close || !isFramed(resp) {
 			return errors.Mark(errors.New("answer belongs to another request"), ErrAnswerMismatch)
 		}
-		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		limit := source.remaining
+		source.remaining = unlimited
+		skipped, err := skipBody(resp, skippable)
+		if err != nil {
 			return errors.Mark(err, ErrAnswerMismatch)
 		}
+		skippable -= skipped
+		source.remaining = limit
+	}
+}
+
+// markHeadError marks the error of a header that could not be read.
+func markHeadError(err error) error {
+	if errors.Is(err, ErrHeadTooLarge) {
+		return errors.Mark(ErrHeadTooLarge, ErrConnectionBroken)
+	}
+	if text := err.Error(); len(text) > maxErrorBytes {
+		err = errors.New(text[:maxErrorBytes])
 	}
+	return errors.Mark(err, ErrConnectionBroken)
+}
+
+// skipBody reads a body of at most limit bytes and returns its length.
+func skipBody(resp *http.Response, limit int64) (int64, error) {
+	if resp.ContentLength > limit {
+		return 0, errors.New("answer to another request is too large")
+	}
+	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, limit+1))
+	if err == nil && n > limit {
+		err = errors.New("answer to another request is too large")
+	}
+	return n, err
 }
 
 func isFramed(resp *http.Response) bool {
