--- a/internal/app/gateway/answer.go
+++ b/internal/app/gateway/answer.go
@@ -118,61 +118,51 @@
 // forwardStream sends complete events to the caller as they arrive. An incomplete event is held
 // back: if the target stops in the middle of it, another target sends the whole event again.
 func (t *targetAttempt) forwardStream(answer *upstream.Answer) attempt.Action {
-	var pending []byte
+	var buffer eventBuffer
 	chunk := make([]byte, streamReadSize)
 	for {
 		n, err := answer.Read(chunk)
 		if n > 0 {
 			t.silence.stop()
 			t.recordBytes()
-			pending = append(pending, chunk[:n]...)
-			rest, action, ended := t.forwardEvents(answer, pending)
-			if ended {
+			events, count, eventErr := buffer.add(chunk[:n])
+			if action, ended := t.forwardEvents(answer, events, count); ended {
 				return action
 			}
+			if eventErr != nil {
+				t.recordFailure("event_too_large", eventErr)
+				return t.request.step(attempt.ConnectionFailed{Attempt: t.number})
+			}
 			t.resetSilenceTimer()
-			pending = append(pending[:0], rest...)
 		}
 		if err != nil {
-			return t.endStream(answer, pending, err)
+			return t.endStream(answer, buffer.rest(), err)
 		}
 	}
 }
 
-// eventEnd is the separator that ends an event in a text/event-stream.
-var eventEnd = []byte("\n\n")
-
-// forwardEvents sends the complete events in data to the caller and returns the rest of data. If ended is
-// true, the attempt has ended with action.
-func (t *targetAttempt) forwardEvents(answer *upstream.Answer, data []byte) (rest []byte, action attempt.Action, ended bool) {
-	r := t.request
-	completeBytes, events := 0, 0
-	for {
-		n := bytes.Index(data[completeBytes:], eventEnd)
-		if n < 0 {
-			break
-		}
-		completeBytes += n + len(eventEnd)
-		events++
-	}
-	if events == 0 {
-		return data, attempt.Action{}, false
+// forwardEvents sends complete events to the caller, if there are any. If ended is true, the attempt has
+// ended with action.
+func (t *targetAttempt) forwardEvents(answer *upstream.Answer, events []byte, count int) (action attempt.Action, ended bool) {
+	if count == 0 {
+		return attempt.Action{}, false
 	}
-	isFirst, ok := t.claimEvents(answer.Status, events, data[:completeBytes])
+	r := t.request
+	isFirst, ok := t.claimEvents(answer.Status, count, events)
 	if !ok {
-		return nil, t.endOvertaken(), true
+		return t.endOvertaken(), true
 	}
 	t.recordFirstEvent(true)
-	if t.events > events && !t.cleared && t.hasOutlivedBlame() {
+	if t.events > count && !t.cleared && t.hasOutlivedBlame() {
 		t.clear(r.contents)
 	}
 	if isFirst {
 		r.responder.SendHeader(answer.Status, answer.Header, -1)
 	}
-	if err := r.responder.Write(data[:completeBytes]); err != nil {
-		return nil, r.step(attempt.CallerDisconnected{}), true
+	if err := r.responder.Write(events); err != nil {
+		return r.step(attempt.CallerDisconnected{}), true
 	}
-	return data[completeBytes:], attempt.Action{}, false
+	return attempt.Action{}, false
 }
 
 // claimEvents records complete events that are about to be sent to the caller. It returns false if
