--- a/internal/adapter/tableservice/tableservice.go
+++ b/internal/adapter/tableservice/tableservice.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"encoding/json"
+	"net"
 	"net/http"
 	"net/url"
 	"time"
@@ -16,7 +17,10 @@
 )
 
 // Client implements port.Table, port.ObjectStore and port.VMList.
-type Client struct{ store storecall.StoreClient }
+type Client struct {
+	store   *storecall.StoreClient
+	timeout time.Duration // of each call
+}
 
 var (
 	_ port.Table       = (*Client)(nil)
@@ -26,7 +30,7 @@
 
 // New returns a Client for the service at baseURL. Each call is bounded by timeout.
 func New(baseURL string, timeout time.Duration) *Client {
-	return &Client{storecall.StoreClient{BaseURL: baseURL, HTTPClient: &http.Client{Timeout: timeout}}}
+	return &Client{store: storecall.New(baseURL, (&net.Dialer{}).DialContext), timeout: timeout}
 }
 
 // Get returns one row.
@@ -74,6 +78,8 @@
 }
 
 func (c *Client) write(ctx context.Context, method, path string, body []byte) error {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
 	status, _, err := c.store.Call(ctx, method, path, body)
 	if err != nil {
 		return err
@@ -99,6 +105,8 @@
 }
 
 func (c *Client) fetch(ctx context.Context, path string) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
 	status, reply, err := c.store.Call(ctx, http.MethodGet, path, nil)
 	if err != nil {
 		return nil, err
