Requests that end without a complete answer are logged and counted by reason

Callers saw a closed connection, and nothing told a caller that left from a failed read beside the handler, a failed write, an answer aborted midway, or a connection that the gate of an overloaded router closed. http.Server wrote its errors, panics among them, to standard error as plain text.

Now: log line `incomplete` and counter `incomplete_total` by `why`, with the last read error of the caller's connection, which ConnTracker records; label `arrived` on `closed_unread_total`, by a look at the socket that leaves the bytes unread; `server_error` lines of all HTTP servers, bounded to 2 KiB and 20 a second. The server for callers takes interfaces, so that tests need no router.

The new tests don't compile before this commit: there was no log, counter or read error to look at.

--- a/internal/adapter/gatewayhttp/connections.go
+++ b/internal/adapter/gatewayhttp/connections.go
@@ -39,6 +39,7 @@
 	readsInterrupted bool      // a read deadline in the past interrupts reads
 	drainingRead     bool      // an interrupted read is taking the bytes that had arrived
 	requestBegunAt   time.Time // of a request that the server has not reported as active yet, or zero
+	readError        ReadError // how the last read ended
 }
 
 // Wrap returns a listener whose connections are tracked.
@@ -91,6 +92,7 @@
 		n, err = c.readArrived(p)
 		c.setDrainingRead(false)
 	}
+	c.recordRead(n, err)
 	if n > 0 {
 		c.markRequestBegun()
 	}
--- a/internal/adapter/gatewayhttp/gatewayhttp.go
+++ b/internal/adapter/gatewayhttp/gatewayhttp.go
@@ -3,6 +3,7 @@
 package gatewayhttp
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"strconv"
@@ -12,6 +13,7 @@
 
 	"github.com/hemlockdyke/hemlockdyke/internal/app/gateway"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/code"
+	"github.com/hemlockdyke/hemlockdyke/internal/eventlog"
 	"github.com/hemlockdyke/hemlockdyke/internal/wire"
 )
 
@@ -21,18 +23,42 @@
 	DecodeCall(r *http.Request) *gateway.Call
 }
 
+// Proxy matches and forwards requests.
+type Proxy interface {
+	// Match finds the route and team of a request. If the code is not code.OK, there is no match.
+	Match(call *gateway.Call) (*gateway.MatchedRequest, code.Code)
+	// Serve forwards a matched request and answers the caller. ctx ends when the caller disconnects.
+	Serve(ctx context.Context, m *gateway.MatchedRequest, body []byte, responder gateway.Responder)
+}
+
+// Lifecycle tells whether the router accepts requests.
+type Lifecycle interface {
+	Ready() bool
+	ShuttingDown() bool
+}
+
+// Observer counts requests.
+type Observer interface {
+	// CountRefusal counts a request that the Server refuses itself.
+	CountRefusal(c code.Code)
+	// CountIncomplete counts a request that ends without a complete answer, by one of the reasons
+	// IncompleteCallerLeft, IncompleteReadFailed, IncompleteWriteFailed and IncompleteAborted.
+	CountIncomplete(reason string)
+}
+
 // Server serves callers. It is safe for concurrent use.
 type Server struct {
-	proxy   *gateway.Proxy
-	control *gateway.Control
-	decoder Decoder
-	now     func() time.Time
-	refused func(c code.Code) // called for each request that ServeHTTP refuses itself
+	proxy    Proxy
+	control  Lifecycle
+	decoder  Decoder
+	now      func() time.Time
+	observer Observer
+	log      *eventlog.Log
 }
 
-// New returns a Server. It calls refused for each request that it refuses itself.
-func New(proxy *gateway.Proxy, control *gateway.Control, decoder Decoder, now func() time.Time, refused func(code.Code)) *Server {
-	return &Server{proxy: proxy, control: control, decoder: decoder, now: now, refused: refused}
+// New returns a Server.
+func New(proxy Proxy, control Lifecycle, decoder Decoder, observer Observer, log *eventlog.Log, now func() time.Time) *Server {
+	return &Server{proxy: proxy, control: control, decoder: decoder, now: now, observer: observer, log: log}
 }
 
 // defaultMaxBodyBytes applies if the desired state sets no limit.
@@ -67,13 +93,16 @@
 		return
 	}
 	s.proxy.Serve(r.Context(), match, body, out)
+	if out.aborted || out.writeError != nil {
+		s.logIncomplete(r, call.ID, out)
+	}
 	if out.aborted {
 		panic(http.ErrAbortHandler) // closes the connection without completing the answer
 	}
 }
 
 func (s *Server) refuse(out *responder, call *gateway.Call, c code.Code) {
-	s.refused(c)
+	s.observer.CountRefusal(c)
 	out.SendError(c, gateway.RetryAfter(c, call.Timeout))
 }
 
@@ -95,8 +124,11 @@
 	w          http.ResponseWriter
 	controller *http.ResponseController
 	now        func() time.Time
-	streaming  bool // the length of the body is not known
-	aborted    bool // the connection is closed without completing the answer
+	streaming  bool  // the length of the body is not known
+	aborted    bool  // the connection is closed without completing the answer
+	status     int   // that was sent; 0 if none
+	bodyBytes  int64 // of the body that were written
+	writeError error // of the first write that failed
 }
 
 // callerWriteTimeout bounds each write to a caller, after which the caller counts as
@@ -125,19 +157,22 @@
 	if !o.streaming {
 		h.Set("Content-Length", strconv.FormatInt(length, 10))
 	}
+	o.status = status
 	o.w.WriteHeader(status)
 }
 
 // Write sends a part of the body. It flushes each part of a body without a known length.
 func (o *responder) Write(p []byte) error {
 	_ = o.controller.SetWriteDeadline(o.now().Add(callerWriteTimeout))
-	if _, err := o.w.Write(p); err != nil {
-		return err
+	n, err := o.w.Write(p)
+	o.bodyBytes += int64(n)
+	if err == nil && o.streaming {
+		err = o.controller.Flush()
 	}
-	if o.streaming {
-		return o.controller.Flush()
+	if o.writeError == nil {
+		o.writeError = err
 	}
-	return nil
+	return err
 }
 
 // SendError answers with a result code. If the caller has disconnected, it aborts the connection
@@ -150,6 +185,7 @@
 	if retryAfter > 0 {
 		o.w.Header().Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64))
 	}
+	o.status = c.Lookup().Status
 	wire.WriteError(o.w, code.New(c, "request not served"))
 }
 
--- a/internal/adapter/gatewayhttp/overload.go
+++ b/internal/adapter/gatewayhttp/overload.go
@@ -16,7 +16,7 @@
 // do, see package overload. It is safe for concurrent use.
 type LoadGate struct {
 	others  func() int         // other routers that may take the connections
-	closed  func()             // called for each connection that is closed unread
+	closed  func(arrived bool) // called for each connection that is closed unread: whether bytes had arrived
 	changed func(limited bool) // called when the router begins or stops closing connections
 	begun   atomic.Int64       // first requests of connections since the last observation
 
@@ -25,7 +25,7 @@
 }
 
 // NewLoadGate returns a LoadGate that accepts all until Observe is called.
-func NewLoadGate(others func() int, closed func(), changed func(limited bool)) *LoadGate {
+func NewLoadGate(others func() int, closed func(arrived bool), changed func(limited bool)) *LoadGate {
 	return &LoadGate{others: others, closed: closed, changed: changed}
 }
 
@@ -80,8 +80,9 @@
 		if err != nil || l.gate.accept() {
 			return c, err
 		}
+		arrived := hasArrivedBytes(c)
 		_ = c.Close() // nothing was read: the caller learns that at once
-		l.gate.closed()
+		l.gate.closed(arrived)
 	}
 }
 
--- a/internal/adapter/gatewayhttp/overload_test.go
+++ b/internal/adapter/gatewayhttp/overload_test.go
@@ -19,7 +19,7 @@
 	It("closes new connections unread, serves open ones, and accepts all again later", func() {
 		var closed, handled atomic.Int64
 		var limited atomic.Bool
-		gate := gatewayhttp.NewLoadGate(func() int { return 8 }, func() { closed.Add(1) }, limited.Store)
+		gate := gatewayhttp.NewLoadGate(func() int { return 8 }, func(bool) { closed.Add(1) }, limited.Store)
 		tracker := gatewayhttp.NewConnTracker(gate.RecordBegun)
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		Expect(err).NotTo(HaveOccurred())
@@ -61,4 +61,37 @@
 		Expect(fresh()).To(Succeed())
 		Expect(fresh()).To(Succeed())
 	})
+
+	// Guards against counting a request that was sent and closed like a connection that never carried one.
+	It("tells closed connections on which bytes had arrived from others", func() {
+		arrived := make(chan bool, 2)
+		gate := gatewayhttp.NewLoadGate(func() int { return 8 }, func(bytes bool) { arrived <- bytes }, func(bool) {})
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		defer l.Close()
+		for range 4 {
+			gate.Observe(400 * time.Millisecond)
+		}
+		connect := func(text string) {
+			c, err := net.Dial("tcp", l.Addr().String())
+			Expect(err).NotTo(HaveOccurred())
+			DeferCleanup(c.Close)
+			_, err = io.WriteString(c, text)
+			Expect(err).NotTo(HaveOccurred())
+			time.Sleep(50 * time.Millisecond) // until it has arrived
+		}
+		connect("") // the one that is accepted
+		connect("GET / HT")
+		connect("")
+		gated := gate.Wrap(l)
+		go func() {
+			for {
+				if _, err := gated.Accept(); err != nil {
+					return
+				}
+			}
+		}()
+		Eventually(arrived).Should(Receive(BeTrue()))
+		Eventually(arrived).Should(Receive(BeFalse()))
+	})
 })
--- a/internal/adapter/metrics/gateway.go
+++ b/internal/adapter/metrics/gateway.go
@@ -112,7 +112,17 @@
 func (g *Gateway) CountRefusal(c code.Code) { g.add("refused_total", "code", c.Lookup().Name, 1) }
 
 // CountClosedUnread counts a caller's connection that was closed unread, as this router has too much work.
-func (g *Gateway) CountClosedUnread() { g.add("closed_unread_total", "", "", 1) }
+// arrived tells whether bytes of a request had arrived.
+func (g *Gateway) CountClosedUnread(arrived bool) {
+	value := "nothing"
+	if arrived {
+		value = "bytes"
+	}
+	g.add("closed_unread_total", "arrived", value, 1)
+}
+
+// CountIncomplete counts a request that ended without a complete answer, by reason.
+func (g *Gateway) CountIncomplete(reason string) { g.add("incomplete_total", "why", reason, 1) }
 
 // CountDial counts a new connection to a target.
 func (g *Gateway) CountDial() { g.add("dials_total", "", "", 1) }
--- a/internal/daemon/controller.go
+++ b/internal/daemon/controller.go
@@ -60,7 +60,7 @@
 		log: log, failures: make(chan error, 1), stop: stop,
 		server: &http.Server{
 			Handler:        operatorhttp.New(ctl, reconciler, routers).Handler(),
-			MaxHeaderBytes: maxOperatorHeaderBytes, ReadTimeout: operatorReadTimeout,
+			MaxHeaderBytes: maxOperatorHeaderBytes, ReadTimeout: operatorReadTimeout, ErrorLog: eventlog.NewServerLog(log, "operators"),
 		},
 	}
 	go serve(c.server, listener, c.failures)
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -110,7 +110,7 @@
 	g.proxy = proxy
 	g.loadGate = gatewayhttp.NewLoadGate(g.control.AliveRouters, m.CountClosedUnread, func(limited bool) { log.Line(eventlog.Overload).Bool("limited", limited).Msg("") })
 	g.callerConnections = gatewayhttp.NewConnTracker(g.loadGate.RecordBegun)
-	callerServer := gatewayhttp.New(proxy, g.control, p.HeaderCodec, time.Now, m.CountRefusal)
+	callerServer := gatewayhttp.New(proxy, g.control, p.HeaderCodec, m, log, time.Now)
 	if err := g.startServers(callerServer, m, reporter); err != nil {
 		stop()
 		return nil, err
@@ -162,16 +162,17 @@
 	peerMux := http.NewServeMux()
 	peerMux.Handle(peer.NewHandler(g, peer.WithoutCompression()))
 	for _, entry := range []struct {
+		port    string // for log lines
 		address string
 		server  *http.Server
 		wrap    func(net.Listener) net.Listener
 	}{
-		{g.settings.CallerAddress, &http.Server{Handler: callerServer, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: g.callerConnections.OnStateChange},
+		{"callers", g.settings.CallerAddress, &http.Server{Handler: callerServer, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: g.callerConnections.OnStateChange, ConnContext: g.callerConnections.ConnContext},
 			func(l net.Listener) net.Listener { return g.callerConnections.Wrap(g.loadGate.Wrap(l)) }},
-		{g.settings.ReadinessAddress, &http.Server{Handler: callerServer.ReadinessHandler(g.settings.ReadinessPath)}, nil},
-		{g.settings.Gateway.Address, &http.Server{Handler: peerMux, Protocols: peer.Protocols()},
+		{"readiness", g.settings.ReadinessAddress, &http.Server{Handler: callerServer.ReadinessHandler(g.settings.ReadinessPath)}, nil},
+		{"peers", g.settings.Gateway.Address, &http.Server{Handler: peerMux, Protocols: peer.Protocols()},
 			func(l net.Listener) net.Listener { return peer.CoalesceWrites(reporter.servedCopies.WrapListener(l)) }},
-		{g.settings.MetricsAddress, &http.Server{Handler: m.Handler(g.control.Status)}, nil},
+		{"metrics", g.settings.MetricsAddress, &http.Server{Handler: m.Handler(g.control.Status)}, nil},
 	} {
 		listener, err := listen(entry.address)
 		if err != nil {
@@ -180,6 +181,7 @@
 		if entry.wrap != nil {
 			listener = entry.wrap(listener)
 		}
+		entry.server.ErrorLog = eventlog.NewServerLog(g.log, entry.port)
 		g.servers = append(g.servers, entry.server)
 		go serve(entry.server, listener, g.failures)
 	}
--- a/internal/daemon/router.go
+++ b/internal/daemon/router.go
@@ -120,13 +120,14 @@
 // startServers opens the listeners and starts the servers.
 func (r *Router) startServers() error {
 	for _, entry := range []struct {
+		port    string // for log lines
 		server  *http.Server
 		address string
 		wrap    func(net.Listener) net.Listener
 	}{
-		{r.callersServer, r.settings.Listen.Callers, nil},
-		{r.peersServer, r.settings.Listen.Peers, func(l net.Listener) net.Listener { return peer.CoalesceWrites(r.peerTraffic.WrapListener(l)) }},
-		{r.adminServer, r.settings.Listen.Admin, nil},
+		{"callers", r.callersServer, r.settings.Listen.Callers, nil},
+		{"peers", r.peersServer, r.settings.Listen.Peers, func(l net.Listener) net.Listener { return peer.CoalesceWrites(r.peerTraffic.WrapListener(l)) }},
+		{"admin", r.adminServer, r.settings.Listen.Admin, nil},
 	} {
 		listener, err := listen(entry.address)
 		if err != nil {
@@ -135,6 +136,7 @@
 		if entry.wrap != nil {
 			listener = entry.wrap(listener)
 		}
+		entry.server.ErrorLog = eventlog.NewServerLog(r.log, entry.port)
 		go serve(entry.server, listener, r.failures)
 	}
 	return nil
--- a/internal/eventlog/eventlog_test.go
+++ b/internal/eventlog/eventlog_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"net/http"
 	"os"
 	"regexp"
 	"strings"
@@ -117,6 +118,16 @@
 		Expect(lines).To(Equal(300))
 	})
 
+	// Guards against errors of HTTP servers that no log line of ours shows, as http.Server has a logger of its own.
+	It("takes the messages of HTTP servers, bounded", func() {
+		var out bytes.Buffer
+		log := eventlog.New(zerolog.New(&out), time.Now)
+		server := &http.Server{ErrorLog: eventlog.NewServerLog(log, "callers")}
+		server.ErrorLog.Printf("http: panic serving %s: %s", "127.0.0.1:1", strings.Repeat("x", 1<<20))
+		Expect(out.String()).To(HavePrefix(`{"level":"warn","event":"server_error","port":"callers","message":"http: panic serving 127.0.0.1:1: xxx`))
+		Expect(out.Len()).To(BeNumerically("<", 4096))
+	})
+
 	It("has each kind described in docs/LOGS.md", func() {
 		page, err := os.ReadFile("../../docs/LOGS.md")
 		Expect(err).NotTo(HaveOccurred())
--- a/internal/eventlog/kinds.go
+++ b/internal/eventlog/kinds.go
@@ -32,6 +32,7 @@
 	Finished      = Kind{"finished", zerolog.InfoLevel, 400, "the caller has a target's answer"}
 	PrefillWait   = Kind{"prefill_wait", zerolog.InfoLevel, 200, "a request waited while a target read the beginning of its prompt for another request: how long, for which target, and what ended the wait"}
 	PoisonRefused = Kind{"poison_refused", zerolog.WarnLevel, 200, "a request was refused before it was sent: targets have exited while they executed requests with the same content or the same part of their prompts"}
+	Incomplete    = Kind{"incomplete", zerolog.WarnLevel, 400, "the caller's connection ends without a complete answer, and why"}
 	Failed        = Kind{"failed", zerolog.WarnLevel, 400, "the caller got a result code of the router or a truncated answer, or disconnected"}
 )
 
@@ -74,6 +75,7 @@
 	Overload              = Kind{"overload", zerolog.WarnLevel, 20, "this router has more work than its processor can do and closes a part of its new connections unread, or accepts all again"}
 	RoleChanged           = Kind{"role", zerolog.InfoLevel, 20, "this router began or stopped being a relay of its data centre, or another relay feeds it from now on"}
 	PeerCallFailed        = Kind{"peer_call_failed", zerolog.WarnLevel, 50, "a call to another router failed"}
+	ServerError           = Kind{"server_error", zerolog.WarnLevel, 20, "what the HTTP server of a port reports of a connection, in its own words"}
 	ListenerFailed        = Kind{"listener_failed", zerolog.ErrorLevel, 10, "a listener failed; the process stops"}
 	ChangeAccepted        = Kind{"change_accepted", zerolog.InfoLevel, 100, "an operator's change is accepted: its operation and revision"}
 	PlannedChangeProgress = Kind{"planned_change", zerolog.InfoLevel, 100, "a planned change progressed: its phase, and what it waits for"}
@@ -86,10 +88,10 @@
 // Kinds returns all kinds.
 func Kinds() []Kind {
 	return []Kind{
-		TicketRefused, Placed, AttemptFailed, RetryDenied, NotAdmitted, PrefillWait, PoisonRefused, Forwarded, NotForwarded, Forwarding, StreamRefused, Finished, Failed,
+		TicketRefused, Placed, AttemptFailed, RetryDenied, NotAdmitted, PrefillWait, PoisonRefused, Forwarded, NotForwarded, Forwarding, StreamRefused, Finished, Failed, Incomplete,
 		Started, Stopping, Stopped, Reloaded, ReloadRejected, RequestsCut, ReadyChanged, StaleChanged, DesiredState, Evacuation, TargetCold, TargetBrittle, TargetLoadIgnored,
 		DesiredStateRejected, TargetsChanged, TargetRejected, TargetRestarted, TargetDeparted, StoreChanged, StoreReadFailed, TableCopyFailed, TableCopyRefused, TableCopied, LinkUse, RouterListFailed, SuspectStoreFailed,
-		PeerUp, PeerDown, PeerUnlisted, PathChanged, Overload, RoleChanged, TargetSuspended, TargetNotice, TargetExited, PoisonChanged, PeerCallFailed, ListenerFailed,
+		PeerUp, PeerDown, PeerUnlisted, PathChanged, Overload, RoleChanged, TargetSuspended, TargetNotice, TargetExited, PoisonChanged, PeerCallFailed, ServerError, ListenerFailed,
 		ChangeAccepted, PlannedChangeProgress, PlannedChangeFailed, ClaimUnsettled, BurnIncomplete, LinesDropped,
 	}
 }
