A panic in the handler of a caller's request is answered, logged and counted

Callers saw a connection that was closed without an answer; http.Server recovers the panic, closes the connection and writes to its own logger.

ServeHTTP now recovers. If nothing was sent, the caller gets 500 with code 4003 internal_error, ran "unknown": a target may have run the request. An answer that has begun is cut as before. Line `panic` with the first 2 KiB of the stack and counter `panics_total`, through eventlog.Log, which every part of a router has. http.ErrAbortHandler passes as before.

--- a/internal/adapter/gatewayhttp/gatewayhttp.go
+++ b/internal/adapter/gatewayhttp/gatewayhttp.go
@@ -42,7 +42,7 @@
 	// CountRefusal counts a request that the Server refuses itself.
 	CountRefusal(c code.Code)
 	// CountIncomplete counts a request that ends without a complete answer, by one of the reasons
-	// IncompleteCallerLeft, IncompleteReadFailed, IncompleteWriteFailed and IncompleteAborted.
+	// IncompleteCallerLeft, IncompleteReadFailed, IncompleteWriteFailed, IncompleteAborted and IncompletePanic.
 	CountIncomplete(reason string)
 }
 
@@ -73,7 +73,14 @@
 		w.Header().Set("Connection", "close")
 	}
 	out := &responder{w: w, controller: http.NewResponseController(w), now: s.now}
+	id := ""
+	defer func() {
+		if value := recover(); value != nil {
+			s.handlePanic(r, id, out, value)
+		}
+	}()
 	call := s.decoder.DecodeCall(r)
+	id = call.ID
 	match, refusal := s.proxy.Match(call)
 	if refusal != code.OK {
 		s.refuse(out, call, refusal)
@@ -125,6 +132,7 @@
 	controller *http.ResponseController
 	now        func() time.Time
 	streaming  bool  // the length of the body is not known
+	panicked   bool  // the handler panicked
 	aborted    bool  // the connection is closed without completing the answer
 	status     int   // that was sent; 0 if none
 	bodyBytes  int64 // of the body that were written
--- a/internal/adapter/gatewayhttp/incomplete.go
+++ b/internal/adapter/gatewayhttp/incomplete.go
@@ -12,12 +12,16 @@
 	IncompleteReadFailed  = "read_failed"  // the request was cancelled, but the caller has not closed its connection
 	IncompleteWriteFailed = "write_failed" // a part of the answer could not be written
 	IncompleteAborted     = "aborted"      // the answer was begun and not completed
+	IncompletePanic       = "panic"        // the handler panicked after the answer was begun
 )
 
 // logIncomplete logs and counts a request that ends without a complete answer.
 func (s *Server) logIncomplete(r *http.Request, id string, out *responder) {
 	readError := lastReadError(r)
 	reason := out.incompleteReason(readError)
+	if out.panicked {
+		reason = IncompletePanic
+	}
 	s.observer.CountIncomplete(reason)
 	s.log.Line(eventlog.Incomplete).Str("request", id).Str("why", reason).Str("read", string(readError)).
 		Bool("cancelled", r.Context().Err() != nil).Int("status", out.status).Int64("sent", out.bodyBytes).AnErr("error", out.writeError).Msg("")
--- a/internal/adapter/gatewayhttp/server_test.go
+++ b/internal/adapter/gatewayhttp/server_test.go
@@ -104,6 +104,7 @@
 	Expect(err).NotTo(HaveOccurred())
 	s.address = l.Addr().String()
 	log := eventlog.New(zerolog.New(&s.lines), time.Now)
+	log.OnPanic(func(where string) { s.counts.add("panic at " + where) })
 	s.tracker = gatewayhttp.NewConnTracker(func() {})
 	s.server = &http.Server{
 		Handler:   gatewayhttp.New(stubProxy{serve}, alwaysReady{}, pathDecoder{}, &s.counts, log, time.Now),
@@ -148,6 +149,9 @@
 	if err != nil {
 		return 0, nil, "", err
 	}
+	if resp.Close { // ReadResponse removes the header
+		resp.Header.Set("Connection", "close")
+	}
 	b, err := io.ReadAll(resp.Body)
 	return resp.StatusCode, resp.Header, string(b), err
 }
--- a/internal/adapter/metrics/gateway.go
+++ b/internal/adapter/metrics/gateway.go
@@ -124,6 +124,9 @@
 // CountIncomplete counts a request that ended without a complete answer, by reason.
 func (g *Gateway) CountIncomplete(reason string) { g.add("incomplete_total", "why", reason, 1) }
 
+// CountPanic counts a panic, by where it occurred.
+func (g *Gateway) CountPanic(where string) { g.add("panics_total", "where", where, 1) }
+
 // CountDial counts a new connection to a target.
 func (g *Gateway) CountDial() { g.add("dials_total", "", "", 1) }
 
--- a/internal/core/code/code.go
+++ b/internal/core/code/code.go
@@ -70,6 +70,7 @@
 	CallerGone      Code = 3006
 	OutcomeUnknown  Code = 4001
 	ChangeUnknown   Code = 4002
+	InternalError   Code = 4003
 	BadResource     Code = 5001
 	Conflict        Code = 5002
 	NoSuchResource  Code = 5003
@@ -128,6 +129,7 @@
 	CallerGone:       {"caller_gone", 499, Executed, "None; the caller closed the connection."},
 	OutcomeUnknown:   {"outcome_unknown", 502, ExecutionUnknown, "Check at the service before asking again."},
 	ChangeUnknown:    {"change_unknown", 503, ExecutionUnknown, "Ask for the named operation until it settles."},
+	InternalError:    {"internal_error", 500, ExecutionUnknown, "Ask again if the request may run twice; see the router's panic line."},
 	BadResource:      {"bad_resource", 422, NotExecuted, "Correct the field that the message names."},
 	Conflict:         {"conflict", 409, NotExecuted, "Read the resource again and repeat the change on it."},
 	NoSuchResource:   {"no_such_resource", 404, NotExecuted, "Check kind and name."},
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -92,6 +92,7 @@
 	if s.MemoryBytes > 0 {
 		debug.SetMemoryLimit(int64(memoryLimitShare * float64(s.MemoryBytes)))
 	}
+	log.OnPanic(m.CountPanic)
 	ctx, stop := context.WithCancel(context.Background())
 	g := &Gateway{settings: s, log: log, failures: make(chan error, 5), stop: stop}
 	digestSocket, err := peer.ListenDigests(s.Gateway.Address)
--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -12,6 +12,8 @@
 	out zerolog.Logger
 	now func() time.Time
 
+	countPanic func(where string) // nil counts nothing
+
 	mu     sync.Mutex
 	counts map[string]*lineCount // by name of the kind
 }
--- a/internal/eventlog/kinds.go
+++ b/internal/eventlog/kinds.go
@@ -75,6 +75,7 @@
 	Overload              = Kind{"overload", zerolog.WarnLevel, 20, "this router has more work than its processor can do and closes a part of its new connections unread, or accepts all again"}
 	RoleChanged           = Kind{"role", zerolog.InfoLevel, 20, "this router began or stopped being a relay of its data centre, or another relay feeds it from now on"}
 	PeerCallFailed        = Kind{"peer_call_failed", zerolog.WarnLevel, 50, "a call to another router failed"}
+	Panic                 = Kind{"panic", zerolog.ErrorLevel, 10, "the code panicked: where, the request that it ended, if any, and the stack"}
 	ServerError           = Kind{"server_error", zerolog.WarnLevel, 20, "what the HTTP server of a port reports of a connection, in its own words"}
 	ListenerFailed        = Kind{"listener_failed", zerolog.ErrorLevel, 10, "a listener failed; the process stops"}
 	ChangeAccepted        = Kind{"change_accepted", zerolog.InfoLevel, 100, "an operator's change is accepted: its operation and revision"}
@@ -91,7 +92,7 @@
 		TicketRefused, Placed, AttemptFailed, RetryDenied, NotAdmitted, PrefillWait, PoisonRefused, Forwarded, NotForwarded, Forwarding, StreamRefused, Finished, Failed, Incomplete,
 		Started, Stopping, Stopped, Reloaded, ReloadRejected, RequestsCut, ReadyChanged, StaleChanged, DesiredState, Evacuation, TargetCold, TargetBrittle, TargetLoadIgnored,
 		DesiredStateRejected, TargetsChanged, TargetRejected, TargetRestarted, TargetDeparted, StoreChanged, StoreReadFailed, TableCopyFailed, TableCopyRefused, TableCopied, LinkUse, RouterListFailed, SuspectStoreFailed,
-		PeerUp, PeerDown, PeerUnlisted, PathChanged, Overload, RoleChanged, TargetSuspended, TargetNotice, TargetExited, PoisonChanged, PeerCallFailed, ServerError, ListenerFailed,
+		PeerUp, PeerDown, PeerUnlisted, PathChanged, Overload, RoleChanged, TargetSuspended, TargetNotice, TargetExited, PoisonChanged, PeerCallFailed, Panic, ServerError, ListenerFailed,
 		ChangeAccepted, PlannedChangeProgress, PlannedChangeFailed, ClaimUnsettled, BurnIncomplete, LinesDropped,
 	}
 }
