Panics in the handlers of other routers' calls and of the other ports are logged and counted

A router that forwarded an attempt for another one reset its stream on a panic, and only net/http's own logger said why; readiness checks, scrapes, operators and the callers of the resource API got a closed connection.

Calls between routers now recover through connect.WithRecover and fail with "internal", which promises nothing; the other ports use one handler (package recovery): 500 with code 4003, or a cut answer if it had begun.

--- a/internal/daemon/controller.go
+++ b/internal/daemon/controller.go
@@ -10,6 +10,7 @@
 
 	"github.com/hemlockdyke/hemlockdyke/internal/adapter/operatorhttp"
 	"github.com/hemlockdyke/hemlockdyke/internal/adapter/peer"
+	"github.com/hemlockdyke/hemlockdyke/internal/adapter/recovery"
 	"github.com/hemlockdyke/hemlockdyke/internal/adapter/tableservice"
 	"github.com/hemlockdyke/hemlockdyke/internal/adapter/target"
 	"github.com/hemlockdyke/hemlockdyke/internal/app/configstore"
@@ -59,7 +60,7 @@
 	c := &Controller{
 		log: log, failures: make(chan error, 1), stop: stop,
 		server: &http.Server{
-			Handler:        operatorhttp.New(ctl, reconciler, routers).Handler(),
+			Handler:        recovery.Handler(log, "operators", operatorhttp.New(ctl, reconciler, routers).Handler()),
 			MaxHeaderBytes: maxOperatorHeaderBytes, ReadTimeout: operatorReadTimeout, ErrorLog: eventlog.NewServerLog(log, "operators"),
 		},
 	}
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -13,6 +13,7 @@
 	"github.com/hemlockdyke/hemlockdyke/internal/adapter/gatewayhttp"
 	"github.com/hemlockdyke/hemlockdyke/internal/adapter/metrics"
 	"github.com/hemlockdyke/hemlockdyke/internal/adapter/peer"
+	"github.com/hemlockdyke/hemlockdyke/internal/adapter/recovery"
 	"github.com/hemlockdyke/hemlockdyke/internal/adapter/upstream"
 	"github.com/hemlockdyke/hemlockdyke/internal/app/gateway"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/code"
@@ -161,7 +162,7 @@
 // startServers opens the listeners and starts the servers.
 func (g *Gateway) startServers(callerServer *gatewayhttp.Server, m *metrics.Gateway, reporter *linkReporter) error {
 	peerMux := http.NewServeMux()
-	peerMux.Handle(peer.NewHandler(g, peer.WithoutCompression()))
+	peerMux.Handle(peer.NewHandler(g, peer.WithoutCompression(), recordPeerPanics(g.log)))
 	for _, entry := range []struct {
 		port    string // for log lines
 		address string
@@ -170,10 +171,10 @@
 	}{
 		{"callers", g.settings.CallerAddress, &http.Server{Handler: callerServer, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: g.callerConnections.OnStateChange, ConnContext: g.callerConnections.ConnContext},
 			func(l net.Listener) net.Listener { return g.callerConnections.Wrap(g.loadGate.Wrap(l)) }},
-		{"readiness", g.settings.ReadinessAddress, &http.Server{Handler: callerServer.ReadinessHandler(g.settings.ReadinessPath)}, nil},
+		{"readiness", g.settings.ReadinessAddress, &http.Server{Handler: recovery.Handler(g.log, "readiness", callerServer.ReadinessHandler(g.settings.ReadinessPath))}, nil},
 		{"peers", g.settings.Gateway.Address, &http.Server{Handler: peerMux, Protocols: peer.Protocols()},
 			func(l net.Listener) net.Listener { return peer.CoalesceWrites(reporter.servedCopies.WrapListener(l)) }},
-		{"metrics", g.settings.MetricsAddress, &http.Server{Handler: m.Handler(g.control.Status)}, nil},
+		{"metrics", g.settings.MetricsAddress, &http.Server{Handler: recovery.Handler(g.log, "metrics", m.Handler(g.control.Status))}, nil},
 	} {
 		listener, err := listen(entry.address)
 		if err != nil {
--- a/internal/daemon/router.go
+++ b/internal/daemon/router.go
@@ -12,6 +12,7 @@
 	"github.com/hemlockdyke/hemlockdyke/internal/adapter/callerhttp"
 	"github.com/hemlockdyke/hemlockdyke/internal/adapter/metrics"
 	"github.com/hemlockdyke/hemlockdyke/internal/adapter/peer"
+	"github.com/hemlockdyke/hemlockdyke/internal/adapter/recovery"
 	"github.com/hemlockdyke/hemlockdyke/internal/adapter/tableservice"
 	"github.com/hemlockdyke/hemlockdyke/internal/adapter/target"
 	"github.com/hemlockdyke/hemlockdyke/internal/app/configstore"
@@ -65,13 +66,13 @@
 		MaxBodyBytes: s.Limits.MaxBodyBytes, DefaultDeadline: s.Limits.DefaultDeadline.Std(),
 	}, r.control, r.forwarder, claims, observers{r.requestMetrics, burn}, log, time.Now)
 	r.callersServer = &http.Server{
-		Handler: callerServer.Handler(), MaxHeaderBytes: s.Limits.MaxHeaderBytes,
+		Handler: recovery.Handler(log, "callers", callerServer.Handler()), MaxHeaderBytes: s.Limits.MaxHeaderBytes,
 		ReadTimeout: s.Limits.ReadTimeout.Std(), ReadHeaderTimeout: s.Limits.ReadTimeout.Std(),
 	}
 	peerMux := http.NewServeMux()
-	peerMux.Handle(peer.NewHandler(burn))
+	peerMux.Handle(peer.NewHandler(burn, recordPeerPanics(log)))
 	r.peersServer = &http.Server{Handler: peerMux, Protocols: peer.Protocols()}
-	r.adminServer = &http.Server{Handler: r.adminHandler()}
+	r.adminServer = &http.Server{Handler: recovery.Handler(log, "admin", r.adminHandler())}
 	if err := r.startServers(); err != nil {
 		stop()
 		return nil, err
--- a/internal/daemon/server.go
+++ b/internal/daemon/server.go
@@ -6,9 +6,14 @@
 	"context"
 	"net"
 	"net/http"
+	"strings"
 	"time"
 
+	"connectrpc.com/connect"
 	"github.com/cockroachdb/errors"
+
+	"github.com/hemlockdyke/hemlockdyke/internal/adapter/peer"
+	"github.com/hemlockdyke/hemlockdyke/internal/eventlog"
 )
 
 // serve runs an HTTP server on a listener until the server is shut down. Any other error is sent to
@@ -19,6 +24,13 @@
 	}
 }
 
+// recordPeerPanics returns the option that logs and counts panics in the handlers of other routers' calls.
+func recordPeerPanics(log *eventlog.Log) connect.HandlerOption {
+	return peer.WithPanicHandler(func(procedure string, value any) {
+		log.RecordPanic("peers"+procedure[strings.LastIndex(procedure, "/"):], value, "")
+	})
+}
+
 // listen opens a TCP listener.
 func listen(address string) (net.Listener, error) {
 	listener, err := net.Listen("tcp", address)
