A panic on a goroutine of the router's own no longer looks like a kill

Callers saw all requests of a router lost at once, its output ended without a line, and a panic in one probe of a target looked like a process that was killed.

Work on goroutines of its own that holds no lock and owns no control state now recovers, is logged and counted by where it was: probes of targets, path checks, reads of the store, table copies, updates of the router list and of the stored suspects, lookups of streams, link reports. Each reports a failure to who waits for it, so that it is done again: a store read posts ReadFailed, a probe and a path check end, the callers of a lookup are answered. The goroutines of the control state, the gate, the digests and the servers write their `panic` line, wait up to 1 s until it is written, and end the process with status 2.

Not covered, as they have no log: the writes of long bodies to targets, the check of unacknowledged bytes, the sender of digests, coalesced writes between routers, the log's own writer. Their panics end the process without a line.

--- a/cmd/hemlockdyke-controller/main.go
+++ b/cmd/hemlockdyke-controller/main.go
@@ -29,6 +29,7 @@
 	out := eventlog.NewWriter(os.Stdout)
 	defer out.Close()
 	log := eventlog.New(logging.New(out, s.Log.Level, "controller", s.ID), time.Now)
+	log.FlushWith(out.Flush)
 	controller, err := daemon.StartController(s, log)
 	app.FatalIfError(err, "start")
 	daemon.RunUntilStopped(controller, log)
--- a/cmd/hemlockdyke-router/main.go
+++ b/cmd/hemlockdyke-router/main.go
@@ -38,6 +38,7 @@
 	out := eventlog.NewWriter(os.Stdout)
 	defer out.Close()
 	log := eventlog.New(logging.New(out, s.Log.Level, "router", s.ID), time.Now)
+	log.FlushWith(out.Flush)
 	router, err := daemon.StartRouter(s, uint64(time.Now().UnixNano()), log)
 	app.FatalIfError(err, "start")
 	daemon.RunUntilStopped(router, log)
@@ -50,6 +51,7 @@
 	out := eventlog.NewWriter(os.Stdout)
 	defer out.Close()
 	log := eventlog.New(logging.NewGateway(out, s.Gateway.Gateway.Name), time.Now)
+	log.FlushWith(out.Flush)
 	reload := func() (daemon.GatewaySettings, error) {
 		reloaded, err := platform.LoadSettings(os.Getenv(platform.SettingsPathEnv))
 		return reloaded.Gateway, err
--- a/internal/app/gateway/exits.go
+++ b/internal/app/gateway/exits.go
@@ -140,9 +140,9 @@
 	case probeExited:
 		p.handleTargetExit(target, []endedAttempt{ended})
 	case probeNow:
-		go p.probeTarget(pool, target)
+		p.log.Go(whereProbe, func() { p.probeTarget(pool, target) })
 	case probeLater:
-		go p.probeTargetLater(pool, target)
+		p.log.Go(whereProbe, func() { p.probeTargetLater(pool, target) })
 	case probeOpen:
 	}
 }
@@ -154,11 +154,11 @@
 	if !errors.Is(err, syscall.ECONNREFUSED) || p.traffic.isLeavingOrRemoved(target.UID) {
 		return
 	}
-	go func() {
+	p.log.Go(whereProbe, func() {
 		if p.paths.reachesAnother(pool, target.UID) {
 			p.handleTargetExit(target, nil)
 		}
-	}()
+	})
 }
 
 func isConnectionReset(err error) bool {
@@ -175,14 +175,17 @@
 // probeTarget probes the target's port. The port of an exited process refuses connections, and so does
 // every port over a path that is cut.
 func (p *Proxy) probeTarget(pool string, target placement.Target) {
-	exited := errors.Is(p.upstream.Probe(context.Background(), target.Address), syscall.ECONNREFUSED) && p.paths.reachesAnother(pool, target.UID)
+	exited := false
+	p.log.Guard(whereProbe, func() { // a probe that did not end would stop all later ones of the target
+		exited = errors.Is(p.upstream.Probe(context.Background(), target.Address), syscall.ECONNREFUSED) && p.paths.reachesAnother(pool, target.UID)
+	})
 	ended, again := p.traffic.poisonGuard.finishProbe(p.now(), target.UID, exited)
 	switch {
 	case exited:
 		p.handleTargetExit(target, ended)
 		return
 	case again:
-		go p.probeTargetLater(pool, target)
+		p.log.Go(whereProbe, func() { p.probeTargetLater(pool, target) })
 	}
 	p.clearLater(target, ended)
 }
@@ -195,24 +198,29 @@
 		return
 	}
 	time.AfterFunc(exitBlameWindow, func() {
-		if !p.traffic.isRunning(target.UID) {
-			return
-		}
-		for _, e := range complete {
-			p.traffic.poisonGuard.recordAnswer(p.now(), e.contents)
-		}
+		p.log.Guard(whereProbe, func() { p.clear(target, complete) })
 	})
 }
 
+// clear clears what complete answers carried if the target still runs.
+func (p *Proxy) clear(target placement.Target, complete []endedAttempt) {
+	if !p.traffic.isRunning(target.UID) {
+		return
+	}
+	for _, e := range complete {
+		p.traffic.poisonGuard.recordAnswer(p.now(), e.contents)
+	}
+}
+
 // probeExitedTargets probes targets that are believed to have exited, shortly before they would get
 // requests again. Without the probe, a request would find out that the connection is refused, and
 // its caller would wait for another target.
 func (c *Control) probeExitedTargets(ctx context.Context, now time.Time) {
 	for _, t := range c.traffic.takeExitedTargetsToProbe(now) {
-		go func() {
-			err := c.upstream.Probe(ctx, t.Address)
+		c.log.Go(whereProbe, func() {
+			err := c.log.Try(whereProbe, func() error { return c.upstream.Probe(ctx, t.Address) })
 			c.traffic.recordProbe(c.now(), t.UID, err == nil)
-		}()
+		})
 	}
 }
 
--- a/internal/app/gateway/forwarding.go
+++ b/internal/app/gateway/forwarding.go
@@ -164,7 +164,7 @@
 		f.checkTargetExit(err)
 	}
 	if f.proxy.traffic.path.recordFailure(f.proxy.now(), f.request.GetPool(), kind, startedAt) {
-		go f.proxy.paths.check(f.request.GetPool())
+		f.proxy.log.Go(wherePathCheck, func() { f.proxy.paths.check(f.request.GetPool()) })
 	}
 	return out
 }
--- a/internal/app/gateway/listing.go
+++ b/internal/app/gateway/listing.go
@@ -41,7 +41,7 @@
 func (c *Control) maintainRegistration(ctx context.Context) {
 	r := &registration{control: c, retryInterval: registrationInterval, sweptAt: c.now(), registered: make(map[fleet.Address]bool)}
 	for sleepWithJitter(ctx, registrationInterval) {
-		r.update(ctx)
+		c.log.Guard(whereRouterList, func() { r.update(ctx) })
 	}
 }
 
--- a/internal/app/gateway/reach.go
+++ b/internal/app/gateway/reach.go
@@ -137,7 +137,10 @@
 	targets := c.traffic.takeWitnesses(c.now(), pool, except, reach.Witnesses)
 	results := make(chan bool, len(targets))
 	for _, t := range targets {
-		go func() { results <- c.upstream.Probe(context.Background(), t.Address) == nil }()
+		go func() {
+			err := c.log.Try(whereProbe, func() error { return c.upstream.Probe(context.Background(), t.Address) })
+			results <- err == nil // in any case: the caller waits for each result
+		}()
 	}
 	for range targets {
 		if <-results {
@@ -150,7 +153,8 @@
 
 // check checks the path to a pool's targets, after beginCheck or recordFailure has begun it.
 func (c *pathChecker) check(pool string) {
-	tried, accepted := c.connectToWitnesses(pool, 0)
+	tried, accepted := 0, 0
+	c.log.Guard(wherePathCheck, func() { tried, accepted = c.connectToWitnesses(pool, 0) })
 	if !c.traffic.path.endCheck(c.now(), pool, tried, accepted) {
 		return
 	}
@@ -166,7 +170,7 @@
 func (c *pathChecker) checkOtherPools(pool string) {
 	for _, other := range c.traffic.poolNames() {
 		if other != pool && !c.traffic.path.isCut(other) && c.traffic.path.beginCheck(c.now(), other) {
-			go c.check(other)
+			c.log.Go(wherePathCheck, func() { c.check(other) })
 		}
 	}
 }
@@ -185,7 +189,7 @@
 func (t *targetAttempt) checkPathAfter(f reach.Failure) {
 	p, pool := t.request.proxy, t.request.match.pool
 	if p.traffic.path.recordFailure(p.now(), pool, f, t.startedAt) {
-		go p.paths.check(pool)
+		p.log.Go(wherePathCheck, func() { p.paths.check(pool) })
 	}
 }
 
@@ -199,7 +203,7 @@
 	c.traffic.path.setRouters(c.core.AliveRouters(now))
 	for _, pool := range pools {
 		if c.traffic.path.beginCheck(now, pool) {
-			go c.paths.check(pool)
+			c.log.Go(wherePathCheck, func() { c.paths.check(pool) })
 		}
 	}
 }
--- a/internal/app/gateway/reads.go
+++ b/internal/app/gateway/reads.go
@@ -9,6 +9,7 @@
 
 	peerv1 "github.com/hemlockdyke/hemlockdyke/gen/hemlockdyke/peer/v1"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/fleet"
+	"github.com/hemlockdyke/hemlockdyke/internal/core/replica"
 	"github.com/hemlockdyke/hemlockdyke/internal/eventlog"
 )
 
@@ -17,7 +18,12 @@
 
 func (c *Control) awaitChanges(ctx, callCtx context.Context, a fleet.ReadChanges) {
 	startedAt := c.now()
-	position, rows, err := c.store.AwaitChanges(callCtx, a.Table, a.After, a.Wait)
+	var position uint64
+	var rows []replica.Row
+	err := c.log.Try(whereStore, func() (err error) {
+		position, rows, err = c.store.AwaitChanges(callCtx, a.Table, a.After, a.Wait)
+		return err
+	})
 	if err != nil {
 		c.reportReadFailure(ctx, callCtx, a.Table, startedAt, err)
 		return
@@ -29,7 +35,12 @@
 	callCtx, cancel := context.WithTimeout(callCtx, storeCallTimeout)
 	defer cancel()
 	startedAt := c.now()
-	position, rows, err := c.store.ReadTable(callCtx, t, maxRows)
+	var position uint64
+	var rows []replica.Row
+	err := c.log.Try(whereStore, func() (err error) {
+		position, rows, err = c.store.ReadTable(callCtx, t, maxRows)
+		return err
+	})
 	if err != nil {
 		c.reportReadFailure(ctx, callCtx, t, startedAt, err)
 		return
@@ -52,11 +63,16 @@
 	callCtx, cancel := context.WithTimeout(ctx, a.Timeout)
 	defer cancel()
 	startedAt := c.now()
-	response, err := c.peers.RequestCopy(callCtx, string(a.Peer), req)
-	size := proto.Size(response)
-	if err == nil {
+	var response *peerv1.CopyResponse
+	size := 0
+	err := c.log.Try(whereCopy, func() (err error) {
+		if response, err = c.peers.RequestCopy(callCtx, string(a.Peer), req); err != nil {
+			return err
+		}
+		size = proto.Size(response)
 		response, err = unpack(response)
-	}
+		return err
+	})
 	switch {
 	case err != nil:
 		response = nil
--- a/internal/app/gateway/stream_registry.go
+++ b/internal/app/gateway/stream_registry.go
@@ -9,6 +9,7 @@
 	"github.com/hemlockdyke/hemlockdyke/internal/core/code"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/fleet"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/lineage"
+	"github.com/hemlockdyke/hemlockdyke/internal/eventlog"
 )
 
 const (
@@ -31,6 +32,7 @@
 // streamRegistry knows at which software versions streams began. It is safe for concurrent use.
 type streamRegistry struct {
 	peers Peers
+	log   *eventlog.Log
 	now   func() time.Time
 
 	mu        sync.Mutex
@@ -41,9 +43,9 @@
 	gathering bool             // a lookup is about to take the queued streams
 }
 
-func newStreamRegistry(peers Peers, now func() time.Time) *streamRegistry {
+func newStreamRegistry(peers Peers, log *eventlog.Log, now func() time.Time) *streamRegistry {
 	return &streamRegistry{
-		peers: peers, now: now, registry: lineage.NewRegistry(now(), defaultTimeout+returnPeriod),
+		peers: peers, log: log, now: now, registry: lineage.NewRegistry(now(), defaultTimeout+returnPeriod),
 		waiting: make(map[lineage.Stream][]chan<- lineage.Software),
 	}
 }
@@ -138,7 +140,7 @@
 	s.waiting[stream] = append(s.waiting[stream], answer)
 	if !s.gathering {
 		s.gathering = true
-		time.AfterFunc(lookupBatchDelay, s.lookUpQueued)
+		time.AfterFunc(lookupBatchDelay, func() { s.log.Guard(whereStreamLookup, s.lookUpQueued) })
 	}
 	return answer, 0
 }
@@ -151,7 +153,12 @@
 	s.mu.Unlock()
 	for len(streams) > 0 {
 		n := min(len(streams), maxStreamsPerLookup)
-		go s.lookUp(streams[:n:n])
+		batch := streams[:n:n]
+		go func() {
+			if s.log.Try(whereStreamLookup, func() error { s.lookUp(batch); return nil }) != nil {
+				s.answer(batch, true) // later callers would wait for this lookup
+			}
+		}()
 		streams = streams[n:]
 	}
 }
@@ -195,11 +202,15 @@
 	replies := make(chan *peerv1.FindStreamsResponse, len(addresses))
 	for _, a := range addresses {
 		go func() {
-			resp, err := s.peers.FindStreams(ctx, a, req)
+			var resp *peerv1.FindStreamsResponse
+			err := s.log.Try(whereStreamLookup, func() (err error) {
+				resp, err = s.peers.FindStreams(ctx, a, req)
+				return err
+			})
 			if err != nil {
 				resp = nil // as good as a router that knows nothing
 			}
-			replies <- resp
+			replies <- resp // in any case: the caller waits for each reply
 		}()
 	}
 	for range addresses {
--- a/internal/app/gateway/suspect_storage.go
+++ b/internal/app/gateway/suspect_storage.go
@@ -40,7 +40,7 @@
 		st.loadAtStart(ctx)
 	}
 	for st.awaitWork(ctx) {
-		st.update(ctx)
+		c.log.Guard(whereSuspects, func() { st.update(ctx) })
 	}
 }
 
--- a/internal/daemon/controller.go
+++ b/internal/daemon/controller.go
@@ -64,8 +64,8 @@
 			MaxHeaderBytes: maxOperatorHeaderBytes, ReadTimeout: operatorReadTimeout, ErrorLog: eventlog.NewServerLog(log, "operators"),
 		},
 	}
-	go serve(c.server, listener, c.failures)
-	go runReconciler(ctx, reconciler, log)
+	log.GoOrEnd("server", func() { serve(c.server, listener, c.failures) })
+	log.GoOrEnd("reconciler", func() { runReconciler(ctx, reconciler, log) })
 	log.Line(eventlog.Started).Str("operators", s.Listen).Msg("")
 	return c, nil
 }
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -118,10 +118,10 @@
 		return nil, err
 	}
 	reporter.status = g.control.Status
-	go reporter.run(ctx)
-	go g.loadGate.Run(ctx)
-	go g.receiveDigests(ctx)
-	go g.control.Run(ctx)
+	log.GoOrEnd("link", func() { reporter.run(ctx) })
+	log.GoOrEnd("load_gate", func() { g.loadGate.Run(ctx) })
+	log.GoOrEnd("digests", func() { g.receiveDigests(ctx) })
+	log.GoOrEnd("control", func() { g.control.Run(ctx) })
 	log.Line(eventlog.Started).Str("callers", s.CallerAddress).Str("peers", s.Gateway.Address).Msg("")
 	return g, nil
 }
@@ -185,7 +185,7 @@
 		}
 		entry.server.ErrorLog = eventlog.NewServerLog(g.log, entry.port)
 		g.servers = append(g.servers, entry.server)
-		go serve(entry.server, listener, g.failures)
+		g.log.GoOrEnd("server", func() { serve(entry.server, listener, g.failures) })
 	}
 	return nil
 }
--- a/internal/daemon/link.go
+++ b/internal/daemon/link.go
@@ -43,7 +43,7 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			r.report()
+			r.log.Guard("link", r.report)
 		}
 	}
 }
--- a/internal/daemon/router.go
+++ b/internal/daemon/router.go
@@ -77,7 +77,7 @@
 		stop()
 		return nil, err
 	}
-	go r.control.Run(ctx)
+	log.GoOrEnd("control", func() { r.control.Run(ctx) })
 	log.Line(eventlog.Started).Str("callers", s.Listen.Callers).Str("peers", s.Listen.Peers).Msg("")
 	return r, nil
 }
@@ -138,7 +138,7 @@
 			listener = entry.wrap(listener)
 		}
 		entry.server.ErrorLog = eventlog.NewServerLog(r.log, entry.port)
-		go serve(entry.server, listener, r.failures)
+		r.log.GoOrEnd("server", func() { serve(entry.server, listener, r.failures) })
 	}
 	return nil
 }
--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -13,6 +13,7 @@
 	now func() time.Time
 
 	countPanic func(where string) // nil counts nothing
+	flush      func()             // nil waits for nothing
 
 	mu     sync.Mutex
 	counts map[string]*lineCount // by name of the kind
--- a/internal/eventlog/eventlog_test.go
+++ b/internal/eventlog/eventlog_test.go
@@ -19,7 +19,12 @@
 	"github.com/hemlockdyke/hemlockdyke/internal/testkit"
 )
 
-func TestSuite(t *testing.T) { testkit.Run(t, "eventlog") }
+func TestSuite(t *testing.T) {
+	if os.Getenv(panicEnv) != "" {
+		panicAsOwner()
+	}
+	testkit.Run(t, "eventlog")
+}
 
 // stalledWriter is a writer that blocks until release is closed.
 type stalledWriter struct {
@@ -128,6 +133,24 @@
 		Expect(out.Len()).To(BeNumerically("<", 4096))
 	})
 
+	// Guards against the loss of a process's last line, which is written in the background.
+	It("waits in Flush until all lines are written, but not for a reader that has stopped", func() {
+		out := &recordingWriter{}
+		w := eventlog.NewWriter(out)
+		_, _ = w.Write([]byte("last\n"))
+		w.Flush()
+		Expect(strings.Join(out.writes, "")).To(Equal("last\n"))
+		stalled := &stalledWriter{release: make(chan bool)}
+		w = eventlog.NewWriter(stalled)
+		_, _ = w.Write([]byte("last\n"))
+		startedAt := time.Now()
+		w.Flush()
+		Expect(time.Since(startedAt)).To(BeNumerically("<", 2*time.Second))
+		close(stalled.release)
+		w.Close()
+		w.Flush()
+	})
+
 	It("has each kind described in docs/LOGS.md", func() {
 		page, err := os.ReadFile("../../docs/LOGS.md")
 		Expect(err).NotTo(HaveOccurred())
--- a/internal/eventlog/writer.go
+++ b/internal/eventlog/writer.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"sync/atomic"
+	"time"
 )
 
 const (
@@ -21,15 +22,16 @@
 // every request at its next log line. Writer is safe for concurrent use.
 type Writer struct {
 	out     io.Writer
-	lines   chan []byte   // never closed, since late goroutines may write lines after Close
-	closing chan struct{} // closed when Close is called
-	done    chan struct{} // closed when all queued lines have been written
+	lines   chan []byte          // never closed, since late goroutines may write lines after Close
+	flushes chan chan<- struct{} // Flush sends a channel that is closed when the lines are written
+	closing chan struct{}        // closed when Close is called
+	done    chan struct{}        // closed when all queued lines have been written
 	dropped atomic.Int64
 }
 
 // NewWriter returns a Writer that writes to out.
 func NewWriter(out io.Writer) *Writer {
-	w := &Writer{out: out, lines: make(chan []byte, maxQueuedLines), closing: make(chan struct{}), done: make(chan struct{})}
+	w := &Writer{out: out, lines: make(chan []byte, maxQueuedLines), flushes: make(chan chan<- struct{}), closing: make(chan struct{}), done: make(chan struct{})}
 	go w.run()
 	return w
 }
@@ -45,6 +47,26 @@
 	return len(p), nil
 }
 
+// flushTimeout bounds Flush, as the reader of a pipe may have stopped.
+const flushTimeout = time.Second
+
+// Flush waits until the queued lines are written, at most for flushTimeout.
+func (w *Writer) Flush() {
+	timeout := time.After(flushTimeout)
+	flushed := make(chan struct{})
+	select {
+	case w.flushes <- flushed:
+	case <-w.done:
+		return
+	case <-timeout:
+		return
+	}
+	select {
+	case <-flushed:
+	case <-timeout:
+	}
+}
+
 // Close writes the queued lines and stops the Writer. It must be called only once. Lines that
 // are written afterwards are dropped without being counted.
 func (w *Writer) Close() {
@@ -59,6 +81,9 @@
 		select {
 		case line := <-w.lines:
 			buffer = w.writeQueued(w.append(buffer, line))
+		case flushed := <-w.flushes:
+			buffer = w.writeQueued(buffer)
+			close(flushed)
 		case <-w.closing:
 			w.writeQueued(buffer)
 			return
