--- a/internal/daemon/controller.go
+++ b/internal/daemon/controller.go
@@ -10,6 +10,7 @@
 
 	"github.com/hemlockdyke/hemlockdyke/internal/adapter/operatorhttp"
 	"github.com/hemlockdyke/hemlockdyke/internal/adapter/peer"
+	"github.com/hemlockdyke/hemlockdyke/internal/adapter/recovery"
 	"github.com/hemlockdyke/hemlockdyke/internal/adapter/tableservice"
 	"github.com/hemlockdyke/hemlockdyke/internal/adapter/target"
 	"github.com/hemlockdyke/hemlockdyke/internal/app/configstore"
@@ -59,12 +60,12 @@
 	c := &Controller{
 		log: log, failures: make(chan error, 1), stop: stop,
 		server: &http.Server{
-			Handler:        operatorhttp.New(ctl, reconciler, routers).Handler(),
-			MaxHeaderBytes: maxOperatorHeaderBytes, ReadTimeout: operatorReadTimeout,
+			Handler:        recovery.Handler(log, "operators", operatorhttp.New(ctl, reconciler, routers).Handler()),
+			MaxHeaderBytes: maxOperatorHeaderBytes, ReadTimeout: operatorReadTimeout, ErrorLog: eventlog.NewServerLog(log, "operators"),
 		},
 	}
-	go serve(c.server, listener, c.failures)
-	go runReconciler(ctx, reconciler, log)
+	log.GoOrEnd("server", func() { serve(c.server, listener, c.failures) })
+	log.GoOrEnd("reconciler", func() { runReconciler(ctx, reconciler, log) })
 	log.Line(eventlog.Started).Str("operators", s.Listen).Msg("")
 	return c, nil
 }
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -13,6 +13,7 @@
 	"github.com/hemlockdyke/hemlockdyke/internal/adapter/gatewayhttp"
 	"github.com/hemlockdyke/hemlockdyke/internal/adapter/metrics"
 	"github.com/hemlockdyke/hemlockdyke/internal/adapter/peer"
+	"github.com/hemlockdyke/hemlockdyke/internal/adapter/recovery"
 	"github.com/hemlockdyke/hemlockdyke/internal/adapter/upstream"
 	"github.com/hemlockdyke/hemlockdyke/internal/app/gateway"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/code"
@@ -92,6 +93,7 @@
 	if s.MemoryBytes > 0 {
 		debug.SetMemoryLimit(int64(memoryLimitShare * float64(s.MemoryBytes)))
 	}
+	log.OnPanic(m.CountPanic)
 	ctx, stop := context.WithCancel(context.Background())
 	g := &Gateway{settings: s, log: log, failures: make(chan error, 5), stop: stop}
 	digestSocket, err := peer.ListenDigests(s.Gateway.Address)
@@ -110,16 +112,16 @@
 	g.proxy = proxy
 	g.loadGate = gatewayhttp.NewLoadGate(g.control.AliveRouters, m.CountClosedUnread, func(limited bool) { log.Line(eventlog.Overload).Bool("limited", limited).Msg("") })
 	g.callerConnections = gatewayhttp.NewConnTracker(g.loadGate.RecordBegun)
-	callerServer := gatewayhttp.New(proxy, g.control, p.HeaderCodec, time.Now, m.CountRefusal)
+	callerServer := gatewayhttp.New(proxy, g.control, p.HeaderCodec, m, log, time.Now)
 	if err := g.startServers(callerServer, m, reporter); err != nil {
 		stop()
 		return nil, err
 	}
 	reporter.status = g.control.Status
-	go reporter.run(ctx)
-	go g.loadGate.Run(ctx)
-	go g.receiveDigests(ctx)
-	go g.control.Run(ctx)
+	log.GoOrEnd("link", func() { reporter.run(ctx) })
+	log.GoOrEnd("load_gate", func() { g.loadGate.Run(ctx) })
+	log.GoOrEnd("digests", func() { g.receiveDigests(ctx) })
+	log.GoOrEnd("control", func() { g.control.Run(ctx) })
 	log.Line(eventlog.Started).Str("callers", s.CallerAddress).Str("peers", s.Gateway.Address).Msg("")
 	return g, nil
 }
@@ -160,18 +162,19 @@
 // startServers opens the listeners and starts the servers.
 func (g *Gateway) startServers(callerServer *gatewayhttp.Server, m *metrics.Gateway, reporter *linkReporter) error {
 	peerMux := http.NewServeMux()
-	peerMux.Handle(peer.NewHandler(g, peer.WithoutCompression()))
+	peerMux.Handle(peer.NewHandler(g, peer.WithoutCompression(), recordPeerPanics(g.log)))
 	for _, entry := range []struct {
+		port    string // for log lines
 		address string
 		server  *http.Server
 		wrap    func(net.Listener) net.Listener
 	}{
-		{g.settings.CallerAddress, &http.Server{Handler: callerServer, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: g.callerConnections.OnStateChange},
+		{"callers", g.settings.CallerAddress, &http.Server{Handler: callerServer, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: g.callerConnections.OnStateChange, ConnContext: g.callerConnections.ConnContext},
 			func(l net.Listener) net.Listener { return g.callerConnections.Wrap(g.loadGate.Wrap(l)) }},
-		{g.settings.ReadinessAddress, &http.Server{Handler: callerServer.ReadinessHandler(g.settings.ReadinessPath)}, nil},
-		{g.settings.Gateway.Address, &http.Server{Handler: peerMux, Protocols: peer.Protocols()},
+		{"readiness", g.settings.ReadinessAddress, &http.Server{Handler: recovery.Handler(g.log, "readiness", callerServer.ReadinessHandler(g.settings.ReadinessPath))}, nil},
+		{"peers", g.settings.Gateway.Address, &http.Server{Handler: peerMux, Protocols: peer.Protocols()},
 			func(l net.Listener) net.Listener { return peer.CoalesceWrites(reporter.servedCopies.WrapListener(l)) }},
-		{g.settings.MetricsAddress, &http.Server{Handler: m.Handler(g.control.Status)}, nil},
+		{"metrics", g.settings.MetricsAddress, &http.Server{Handler: recovery.Handler(g.log, "metrics", m.Handler(g.control.Status))}, nil},
 	} {
 		listener, err := listen(entry.address)
 		if err != nil {
@@ -180,8 +183,9 @@
 		if entry.wrap != nil {
 			listener = entry.wrap(listener)
 		}
+		entry.server.ErrorLog = eventlog.NewServerLog(g.log, entry.port)
 		g.servers = append(g.servers, entry.server)
-		go serve(entry.server, listener, g.failures)
+		g.log.GoOrEnd("server", func() { serve(entry.server, listener, g.failures) })
 	}
 	return nil
 }
--- a/internal/daemon/router.go
+++ b/internal/daemon/router.go
@@ -12,6 +12,7 @@
 	"github.com/hemlockdyke/hemlockdyke/internal/adapter/callerhttp"
 	"github.com/hemlockdyke/hemlockdyke/internal/adapter/metrics"
 	"github.com/hemlockdyke/hemlockdyke/internal/adapter/peer"
+	"github.com/hemlockdyke/hemlockdyke/internal/adapter/recovery"
 	"github.com/hemlockdyke/hemlockdyke/internal/adapter/tableservice"
 	"github.com/hemlockdyke/hemlockdyke/internal/adapter/target"
 	"github.com/hemlockdyke/hemlockdyke/internal/app/configstore"
@@ -65,18 +66,18 @@
 		MaxBodyBytes: s.Limits.MaxBodyBytes, DefaultDeadline: s.Limits.DefaultDeadline.Std(),
 	}, r.control, r.forwarder, claims, observers{r.requestMetrics, burn}, log, time.Now)
 	r.callersServer = &http.Server{
-		Handler: callerServer.Handler(), MaxHeaderBytes: s.Limits.MaxHeaderBytes,
+		Handler: recovery.Handler(log, "callers", callerServer.Handler()), MaxHeaderBytes: s.Limits.MaxHeaderBytes,
 		ReadTimeout: s.Limits.ReadTimeout.Std(), ReadHeaderTimeout: s.Limits.ReadTimeout.Std(),
 	}
 	peerMux := http.NewServeMux()
-	peerMux.Handle(peer.NewHandler(burn))
+	peerMux.Handle(peer.NewHandler(burn, recordPeerPanics(log)))
 	r.peersServer = &http.Server{Handler: peerMux, Protocols: peer.Protocols()}
-	r.adminServer = &http.Server{Handler: r.adminHandler()}
+	r.adminServer = &http.Server{Handler: recovery.Handler(log, "admin", r.adminHandler())}
 	if err := r.startServers(); err != nil {
 		stop()
 		return nil, err
 	}
-	go r.control.Run(ctx)
+	log.GoOrEnd("control", func() { r.control.Run(ctx) })
 	log.Line(eventlog.Started).Str("callers", s.Listen.Callers).Str("peers", s.Listen.Peers).Msg("")
 	return r, nil
 }
@@ -120,13 +121,14 @@
 // startServers opens the listeners and starts the servers.
 func (r *Router) startServers() error {
 	for _, entry := range []struct {
+		port    string // for log lines
 		server  *http.Server
 		address string
 		wrap    func(net.Listener) net.Listener
 	}{
-		{r.callersServer, r.settings.Listen.Callers, nil},
-		{r.peersServer, r.settings.Listen.Peers, func(l net.Listener) net.Listener { return peer.CoalesceWrites(r.peerTraffic.WrapListener(l)) }},
-		{r.adminServer, r.settings.Listen.Admin, nil},
+		{"callers", r.callersServer, r.settings.Listen.Callers, nil},
+		{"peers", r.peersServer, r.settings.Listen.Peers, func(l net.Listener) net.Listener { return peer.CoalesceWrites(r.peerTraffic.WrapListener(l)) }},
+		{"admin", r.adminServer, r.settings.Listen.Admin, nil},
 	} {
 		listener, err := listen(entry.address)
 		if err != nil {
@@ -135,7 +137,8 @@
 		if entry.wrap != nil {
 			listener = entry.wrap(listener)
 		}
-		go serve(entry.server, listener, r.failures)
+		entry.server.ErrorLog = eventlog.NewServerLog(r.log, entry.port)
+		r.log.GoOrEnd("server", func() { serve(entry.server, listener, r.failures) })
 	}
 	return nil
 }
--- a/internal/eventlog/eventlog_test.go
+++ b/internal/eventlog/eventlog_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"net/http"
 	"os"
 	"regexp"
 	"strings"
@@ -18,7 +19,12 @@
 	"github.com/hemlockdyke/hemlockdyke/internal/testkit"
 )
 
-func TestSuite(t *testing.T) { testkit.Run(t, "eventlog") }
+func TestSuite(t *testing.T) {
+	if os.Getenv(panicEnv) != "" {
+		panicAsOwner()
+	}
+	testkit.Run(t, "eventlog")
+}
 
 // stalledWriter is a writer that blocks until release is closed.
 type stalledWriter struct {
@@ -117,6 +123,34 @@
 		Expect(lines).To(Equal(300))
 	})
 
+	// Guards against errors of HTTP servers that no log line of ours shows, as http.Server has a logger of its own.
+	It("takes the messages of HTTP servers, bounded", func() {
+		var out bytes.Buffer
+		log := eventlog.New(zerolog.New(&out), time.Now)
+		server := &http.Server{ErrorLog: eventlog.NewServerLog(log, "callers")}
+		server.ErrorLog.Printf("http: panic serving %s: %s", "127.0.0.1:1", strings.Repeat("x", 1<<20))
+		Expect(out.String()).To(HavePrefix(`{"level":"warn","event":"server_error","port":"callers","message":"http: panic serving 127.0.0.1:1: xxx`))
+		Expect(out.Len()).To(BeNumerically("<", 4096))
+	})
+
+	// Guards against the loss of a process's last line, which is written in the background.
+	It("waits in Flush until all lines are written, but not for a reader that has stopped", func() {
+		out := &recordingWriter{}
+		w := eventlog.NewWriter(out)
+		_, _ = w.Write([]byte("last\n"))
+		w.Flush()
+		Expect(strings.Join(out.writes, "")).To(Equal("last\n"))
+		stalled := &stalledWriter{release: make(chan bool)}
+		w = eventlog.NewWriter(stalled)
+		_, _ = w.Write([]byte("last\n"))
+		startedAt := time.Now()
+		w.Flush()
+		Expect(time.Since(startedAt)).To(BeNumerically("<", 2*time.Second))
+		close(stalled.release)
+		w.Close()
+		w.Flush()
+	})
+
 	It("has each kind described in docs/LOGS.md", func() {
 		page, err := os.ReadFile("../../docs/LOGS.md")
 		Expect(err).NotTo(HaveOccurred())
