A panic in a hedge is logged, and all attempts end before the handler does

A hedge runs on a goroutine of its own. If the handler panicked, the hedge could write to the caller after the handler had returned; run now waits for it on every path. No test of its own: the panics are injected nowhere in the gateway.

--- a/internal/app/gateway/answer.go
+++ b/internal/app/gateway/answer.go
@@ -292,7 +292,7 @@
 	}
 	if r.match.route.AllowsRetry() {
 		r.hedges.Add(1)
-		go r.hedge(t)
+		r.proxy.log.Go("hedge", func() { r.hedge(t) })
 	}
 }
 
--- a/internal/app/gateway/proxy.go
+++ b/internal/app/gateway/proxy.go
@@ -250,8 +250,5 @@
 		r.finish(mayGoOn)
 		return
 	}
-	c := r.run()
-	cancel()
-	r.hedges.Wait()
-	r.finish(c)
+	r.finish(r.run(cancel))
 }
--- a/internal/app/gateway/run.go
+++ b/internal/app/gateway/run.go
@@ -102,8 +102,11 @@
 	r.attempts = slices.DeleteFunc(r.attempts, func(other *targetAttempt) bool { return other == t })
 }
 
-// run makes attempts until the request is finished, and returns its result code.
-func (r *openRequest) run() code.Code {
+// run makes attempts until the request is finished, and returns its result code. All attempts have ended
+// then. cancel must end r.ctx.
+func (r *openRequest) run(cancel context.CancelFunc) code.Code {
+	defer r.hedges.Wait()
+	defer cancel()
 	action := r.attemptNext()
 	for {
 		switch action.Kind {
