What a router holds of targets' answers is bounded by its memory

Each buffered answer was bounded at 16 MiB, whatever the VM has and however many were open, and was copied into a buffer of twice its size as it grew.

memory.Budget bounds the sum over all open requests at a quarter of the VM's memory (64 MiB if that is unknown). The first 64 KiB of each answer are granted at once, so small answers are never refused. An answer may take half of the budget and 16 MiB at most; a Content-Length beyond that is refused before its body is read, any other length is reserved at once. Answers are kept in pieces, without copies. Incomplete events of streams count as well.

attempt_failed lines name head_too_large, event_too_large, too_large and no_memory; the last says nothing about the target, the others count as its failures. New metrics answers_cut_total (part) and answer_memory_bytes.

The property test of the budget: never above the limit but for the free parts, nothing stuck, everything returned.

--- a/internal/adapter/metrics/gateway.go
+++ b/internal/adapter/metrics/gateway.go
@@ -108,6 +108,9 @@
 // CountPrefillWait counts a request that waited for the reading of a prompt prefix, by what ended the wait.
 func (g *Gateway) CountPrefillWait(ended string) { g.add("prefill_waits_total", "ended", ended, 1) }
 
+// CountCutAnswer counts an answer of a target that was not read to its end, by the part that is too large.
+func (g *Gateway) CountCutAnswer(part string) { g.add("answers_cut_total", "part", part, 1) }
+
 // CountRefusal counts a request that was refused before it had a route.
 func (g *Gateway) CountRefusal(c code.Code) { g.add("refused_total", "code", c.Lookup().Name, 1) }
 
@@ -176,6 +179,7 @@
 		{"feed_age_seconds", s.FeedAge.Seconds()}, {"suspects", float64(s.Suspects)}, {"evacuated_data_centres", float64(s.EvacuatedDataCentres)},
 		{"cold_targets", float64(s.ColdTargets)}, {"cut_pools", float64(s.CutPools)}, {"forwarding", float64(s.Forwarding)}, {"known_streams", float64(s.KnownStreams)},
 		{"prefill_claims", float64(s.PrefillClaims)}, {"prefill_waiting", float64(s.PrefillWaiting)},
+		{"answer_memory_bytes", float64(s.AnswerMemory)},
 	} {
 		fmt.Fprintf(w, "%s%s %g\n", prefix, gauge.name, gauge.value)
 	}
--- a/internal/adapter/upstream/upstream.go
+++ b/internal/adapter/upstream/upstream.go
@@ -106,6 +106,8 @@
 	// Otherwise the end of the connection ends the body, and a truncated body can't be
 	// recognised.
 	Framed bool
+	// Length is the length of the body in bytes; -1 if the header does not tell.
+	Length int64
 
 	body          io.ReadCloser
 	client        *Client
@@ -120,7 +122,7 @@
 // NewForwardedAnswer returns an answer that another router has received. The body must end with io.EOF
 // only if it is complete, and fail with an error otherwise.
 func NewForwardedAnswer(status int, header http.Header, framed bool, body io.ReadCloser) *Answer {
-	return &Answer{Status: status, Header: header, Framed: framed, body: body}
+	return &Answer{Status: status, Header: header, Framed: framed, Length: -1, body: body}
 }
 
 // Do sends a request and returns the answer as soon as its header has arrived. Until the answer
@@ -344,7 +346,10 @@
 
 func (a *Answer) setResponse(resp *http.Response) {
 	a.Status, a.Header, a.body = resp.StatusCode, resp.Header, resp.Body
-	a.Framed = isFramed(resp)
+	a.Framed, a.Length = isFramed(resp), resp.ContentLength
+	if resp.Body == http.NoBody { // the answer to a HEAD request has the length of another one
+		a.Length = 0
+	}
 	a.mustCloseConn = resp.Close || !a.Framed
 }
 
--- a/internal/app/gateway/answer.go
+++ b/internal/app/gateway/answer.go
@@ -15,24 +15,22 @@
 	"github.com/hemlockdyke/hemlockdyke/internal/core/poison"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/reach"
 	"github.com/hemlockdyke/hemlockdyke/internal/eventlog"
+	"github.com/hemlockdyke/hemlockdyke/internal/memory"
 )
 
-// maxBufferedBody is the largest answer, in bytes, that is buffered before it is sent.
-const maxBufferedBody = 16 << 20
-
 // forwardBuffered sends an answer to the caller after reading all of it. A truncated body must not
 // reach the caller as a complete one.
 func (t *targetAttempt) forwardBuffered(answer *upstream.Answer, info AnswerInfo) attempt.Action {
 	r := t.request
-	body, err := io.ReadAll(io.LimitReader(answer, maxBufferedBody+1))
+	body, err := t.readBody(answer)
 	t.silence.stop() // a caller that reads slowly does not make the target silent
 	switch {
 	case r.ctx.Err() != nil && err != nil:
 		return t.endByContext()
+	case errors.IsAny(err, errBodyTooLarge, memory.ErrExhausted):
+		t.recordCut(err)
 	case err != nil:
 		t.recordBrokenConnection("truncated", err)
-	case len(body) > maxBufferedBody:
-		t.recordFailure("too_large", nil)
 	case !info.Sealed && answer.Status < http.StatusMultipleChoices:
 		t.recordFailure("not_sealed", nil)
 	case impliesNotExecuted(answer.Status):
@@ -79,21 +77,22 @@
 
 // handleTargetError handles a 5xx answer from a target. An idempotent request is retried at another
 // target; the answer is kept in case no target succeeds.
-func (t *targetAttempt) handleTargetError(answer *upstream.Answer, body []byte) attempt.Action {
+func (t *targetAttempt) handleTargetError(answer *upstream.Answer, body [][]byte) attempt.Action {
 	t.outcome, t.failure = placement.Errored, "target_error"
 	r := t.request
 	if !r.match.route.AllowsRetry() {
 		return t.forwardAnswer(answer, body)
 	}
-	r.targetError = &bufferedAnswer{status: answer.Status, header: answer.Header, body: body}
+	r.discardTargetError()
+	r.targetError = &bufferedAnswer{status: answer.Status, header: answer.Header, body: body, memory: t.memory.Move()}
 	return r.machine.Step(attempt.ConnectionFailed{Attempt: t.number})
 }
 
 // forwardAnswer sends a complete answer to the caller.
-func (t *targetAttempt) forwardAnswer(answer *upstream.Answer, body []byte) attempt.Action {
+func (t *targetAttempt) forwardAnswer(answer *upstream.Answer, body [][]byte) attempt.Action {
 	r := t.request
 	r.machine.Step(attempt.Part{Attempt: t.number, Echo: t.number})
-	r.sendAnswer(answer.Status, answer.Header, body)
+	r.sendAnswer(answer.Status, answer.Header, body...)
 	return r.machine.Step(attempt.End{Attempt: t.number, Echo: t.number, Total: 1})
 }
 
@@ -123,8 +122,14 @@
 			if action := t.forwardEvents(answer, events, count); action.Kind == attempt.Finish {
 				return action
 			}
+			if eventErr == nil {
+				eventErr = t.holdMemory(buffer.size())
+			}
 			if eventErr != nil {
-				t.recordFailure("event_too_large", eventErr)
+				if t.request.ctx.Err() != nil {
+					return t.endByContext()
+				}
+				t.recordCut(eventErr)
 				return t.request.machine.Step(attempt.ConnectionFailed{Attempt: t.number})
 			}
 			t.resetSilenceTimer()
--- a/internal/app/gateway/event_buffer.go
+++ b/internal/app/gateway/event_buffer.go
@@ -53,6 +53,9 @@
 // rest returns the beginning of an event that is not complete yet, until the next call of add.
 func (b *eventBuffer) rest() []byte { return b.data[b.complete:] }
 
+// size returns how many bytes of memory the buffer takes.
+func (b *eventBuffer) size() int64 { return int64(cap(b.data)) }
+
 // discardComplete removes the events that were returned, and the memory that a large one took.
 func (b *eventBuffer) discardComplete() {
 	if b.complete == 0 {
--- a/internal/app/gateway/forwarding.go
+++ b/internal/app/gateway/forwarding.go
@@ -160,6 +160,8 @@
 	case errors.Is(err, upstream.ErrNotSent):
 		kind, out.Kind = reach.NoConnection, peerv1.ForwardFailureKind_FORWARD_FAILURE_KIND_UNREACHABLE
 		f.proxy.checkRefusedConnection(f.request.GetPool(), f.target, err)
+	case errors.Is(err, upstream.ErrHeadTooLarge):
+		f.proxy.observer.CountCutAnswer(PartHead)
 	default:
 		f.checkTargetExit(err)
 	}
--- a/internal/app/gateway/leaving_test.go
+++ b/internal/app/gateway/leaving_test.go
@@ -226,6 +226,7 @@
 func (discardResponder) CountIgnoredLoad(targetload.Fault)  {}
 func (discardResponder) CountPrefillClaim(string)           {}
 func (discardResponder) CountPrefillWait(string)            {}
+func (discardResponder) CountCutAnswer(string)              {}
 
 var _ = Describe("a router that can't copy the target list", func() {
 	const maxDelay = time.Second
--- a/internal/app/gateway/proxy.go
+++ b/internal/app/gateway/proxy.go
@@ -34,6 +34,9 @@
 	// CountPrefillWait counts a request that waited for another one's prefix by what ended the wait: one
 	// of WaitRead, WaitTime and WaitCaller.
 	CountPrefillWait(ended string)
+	// CountCutAnswer counts an answer of a target that was not read to its end, by the part that is too
+	// large: one of PartHead, PartEvent, PartBody and PartMemory.
+	CountCutAnswer(part string)
 }
 
 // Signals that targets send in their answers.
--- a/internal/app/gateway/run.go
+++ b/internal/app/gateway/run.go
@@ -18,6 +18,7 @@
 	"github.com/hemlockdyke/hemlockdyke/internal/core/route"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/workload"
 	"github.com/hemlockdyke/hemlockdyke/internal/eventlog"
+	"github.com/hemlockdyke/hemlockdyke/internal/memory"
 )
 
 // openRequest is a request that is being forwarded.
@@ -56,7 +57,8 @@
 type bufferedAnswer struct {
 	status int
 	header http.Header
-	body   []byte
+	body   [][]byte // in pieces
+	memory memory.Reservation
 }
 
 // retry sends the request to another target if the retry budget allows it. While no target has got
@@ -176,11 +178,12 @@
 // answer, and records the result.
 func (r *openRequest) finish(c code.Code) {
 	p := r.proxy
+	defer r.discardTargetError()
 	switch {
 	case c == code.OK:
 	case r.firstByteAt.IsZero() && r.targetError != nil:
 		// The target's own error tells the caller more than a result code.
-		r.sendAnswer(r.targetError.status, r.targetError.header, r.targetError.body)
+		r.sendAnswer(r.targetError.status, r.targetError.header, r.targetError.body...)
 	case r.firstByteAt.IsZero():
 		if wait := p.traffic.unavailableRetryAfter(p.now(), r.match.pool, r.stream.software); wait > 0 && r.minRetryAfter == 0 && isTargetUnavailable(c) {
 			r.minRetryAfter = wait
@@ -221,11 +224,27 @@
 		Dur("budget", r.deadline.Sub(r.match.startedAt)).Msg("")
 }
 
-// sendAnswer sends a complete answer to the caller.
-func (r *openRequest) sendAnswer(status int, header http.Header, body []byte) {
+// sendAnswer sends a complete answer, in pieces, to the caller.
+func (r *openRequest) sendAnswer(status int, header http.Header, body ...[]byte) {
 	r.firstByteAt, r.status = r.proxy.now(), status
-	r.responder.SendHeader(status, header, int64(len(body)))
-	_ = r.responder.Write(body) // a write error also cancels the caller's context
+	length := 0
+	for _, piece := range body {
+		length += len(piece)
+	}
+	r.responder.SendHeader(status, header, int64(length))
+	for _, piece := range body {
+		if r.responder.Write(piece) != nil { // a write error also cancels the caller's context
+			return
+		}
+	}
+}
+
+// discardTargetError releases the answer that was kept in case no target succeeds.
+func (r *openRequest) discardTargetError() {
+	if r.targetError != nil {
+		r.targetError.memory.Release()
+		r.targetError = nil
+	}
 }
 
 // logLine returns a log event with the request's ID and route.
--- a/internal/app/gateway/settings.go
+++ b/internal/app/gateway/settings.go
@@ -38,4 +38,6 @@
 	ScheduleByWork bool
 	// LinkBytesPerSecond is the bandwidth of the VM's link in each direction; 0 if unknown.
 	LinkBytesPerSecond int64
+	// MemoryBytes is the memory limit of the process; 0 if unknown.
+	MemoryBytes int64
 }
--- a/internal/app/gateway/status.go
+++ b/internal/app/gateway/status.go
@@ -27,6 +27,7 @@
 	KnownStreams         int            // number of streams whose software version this router knows
 	PrefillClaims        int            // number of prefixes that targets read, as this router has registered
 	PrefillWaiting       int            // number of requests that wait for a target to read their prefix
+	AnswerMemory         int64          // bytes of targets' answers that this router holds
 	OpenRequests         map[string]int // open requests of the fleet by target ID
 	// TargetLoads are the loads of the targets that reported theirs to this router, by target ID.
 	TargetLoads    map[string]placement.TargetLoad
@@ -52,6 +53,7 @@
 	s.CutPools, s.Forwarding = len(c.traffic.path.cutPools()), int(c.traffic.path.forwarding.Load())
 	s.KnownStreams = c.traffic.streams.count()
 	s.PrefillClaims, s.PrefillWaiting = c.traffic.prefill.count(c.now())
+	s.AnswerMemory = c.traffic.answerMemory.Held()
 	c.traffic.mu.Lock()
 	defer c.traffic.mu.Unlock()
 	s.ColdTargets = c.traffic.balancer.CountCold(c.now())
--- a/internal/app/gateway/target_attempt.go
+++ b/internal/app/gateway/target_attempt.go
@@ -14,6 +14,7 @@
 	"github.com/hemlockdyke/hemlockdyke/internal/core/placement"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/route"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/workload"
+	"github.com/hemlockdyke/hemlockdyke/internal/memory"
 )
 
 // targetAttempt is one attempt to send a request to a target.
@@ -41,6 +42,7 @@
 	ctx     context.Context
 	cancel  context.CancelCauseFunc
 	silence *silenceTimer
+	memory  memory.Reservation // of the answer
 }
 
 // errSilent cancels an attempt whose target was silent for too long.
@@ -101,6 +103,8 @@
 	t.silence = newSilenceTimer(r.proxy.now, t.onSilent)
 	t.startSilenceTimer()
 	defer t.silence.stop()
+	t.memory = r.proxy.traffic.answerMemory.Reserve()
+	defer t.memory.Release()
 	answer, err := t.send()
 	if t.acquired {
 		defer r.proxy.traffic.releaseSend(t.choice.Target.UID)
@@ -182,6 +186,10 @@
 		r.proxy.checkRefusedConnection(r.match.pool, t.choice.Target, err)
 		return r.machine.Step(attempt.NotSent{Attempt: t.number})
 	}
+	if errors.Is(err, upstream.ErrHeadTooLarge) {
+		t.recordCut(err)
+		return r.machine.Step(attempt.ConnectionFailed{Attempt: t.number})
+	}
 	t.recordBrokenConnection("broken", err)
 	return r.machine.Step(attempt.ConnectionFailed{Attempt: t.number})
 }
--- a/internal/app/gateway/view.go
+++ b/internal/app/gateway/view.go
@@ -15,6 +15,7 @@
 	"github.com/hemlockdyke/hemlockdyke/internal/core/route"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/warmup"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/workload"
+	"github.com/hemlockdyke/hemlockdyke/internal/memory"
 )
 
 // trafficState is the state that request goroutines share with the control goroutine: the routing
@@ -22,6 +23,8 @@
 // and finishing a request takes 2 us with 12 targets and 8 us with 120 (see
 // BenchmarkPlace of package placement).
 type trafficState struct {
+	// answerMemory bounds the answers of targets that this router holds.
+	answerMemory *memory.Budget
 	table        atomic.Pointer[route.Table]
 	shuttingDown atomic.Bool
 	// shutdownDeadline is the time by which all requests must end. It is set when the load balancer
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -105,6 +105,7 @@
 	targets := upstream.New(upstreamSettings, time.Now, m.CountDial)
 	reporter := &linkReporter{digests: digestSocket, capacity: s.Gateway.LinkBytesPerSecond, log: log, metrics: m}
 	peers := &peerClient{DigestSocket: digestSocket, CopyClient: peer.NewCopyClient(copyTimeout, reporter.fetchedCopies.WrapConn), ForwardClient: peer.NewForwardClient()}
+	s.Gateway.MemoryBytes = s.MemoryBytes
 	g.control = gateway.NewControl(s.Gateway, p.Store, p.Decoder, peers, targets, log, time.Now)
 	proxy := gateway.NewProxy(g.control, p.HeaderCodec, targets, m, log, time.Now)
 	g.proxy = proxy
