Forwarded answers that declare too much are refused at once

An answer that another router passes on had no known length here: one whose Content-Length is larger than a router may hold was read up to that bound first. The length that its header declares is used as for the router's own answers.

--- a/internal/app/gateway/forward.go
+++ b/internal/app/gateway/forward.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 
 	"github.com/cockroachdb/errors"
@@ -104,7 +105,19 @@
 	header := decodeHeader(part.GetHead().GetHeader())
 	status := int(part.GetHead().GetStatus())
 	r.proxy.applySignals(t.choice.Target, status, header)
-	return upstream.NewForwardedAnswer(status, header, part.GetHead().GetFramed(), body), nil, nil
+	answer := upstream.NewForwardedAnswer(status, header, part.GetHead().GetFramed(), body)
+	answer.Length = declaredLength(r.match.call.Method, status, header)
+	return answer, nil, nil
+}
+
+// declaredLength returns the length of the body that the header of an answer declares; -1 if it declares
+// none.
+func declaredLength(method string, status int, h http.Header) int64 {
+	n, err := strconv.ParseInt(h.Get("Content-Length"), 10, 64)
+	if err != nil || n < 0 || method == http.MethodHead || status == http.StatusNotModified {
+		return -1
+	}
+	return n
 }
 
 func (t *targetAttempt) forwardRequest() *peerv1.ForwardRequest {
