--- a/internal/app/gateway/target_attempt.go
+++ b/internal/app/gateway/target_attempt.go
@@ -14,6 +14,7 @@
 	"github.com/hemlockdyke/hemlockdyke/internal/core/placement"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/route"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/workload"
+	"github.com/hemlockdyke/hemlockdyke/internal/memory"
 )
 
 // targetAttempt is one attempt to send a request to a target.
@@ -47,6 +48,7 @@
 	ctx     context.Context
 	cancel  context.CancelCauseFunc
 	silence *silenceTimer
+	memory  memory.Reservation // of the answer
 }
 
 // errOvertaken cancels an attempt in whose place another attempt of the same request goes on.
@@ -116,6 +118,8 @@
 	t.silence = newSilenceTimer(r.proxy.now, t.onSilent)
 	t.startSilenceTimer()
 	defer t.silence.stop()
+	t.memory = r.proxy.traffic.answerMemory.Reserve()
+	defer t.memory.Release()
 	answer, err := t.send()
 	if t.acquired {
 		defer r.proxy.traffic.releaseSend(t.choice.Target.UID)
@@ -203,6 +207,10 @@
 		r.proxy.checkRefusedConnection(r.match.pool, t.choice.Target, err)
 		return r.step(attempt.NotSent{Attempt: t.number})
 	}
+	if errors.Is(err, upstream.ErrHeadTooLarge) {
+		t.recordCut(err)
+		return r.step(attempt.ConnectionFailed{Attempt: t.number})
+	}
 	t.recordBrokenConnection("broken", err)
 	return r.step(attempt.ConnectionFailed{Attempt: t.number})
 }
