Bound tables, rows and changes read from the platform's store

Callers of a fleet with a broken store could lose requests in two ways. Pages of a table that never end, or a reply of null or empty rows, took a router's memory: a row of 3 bytes of JSON decodes to 88. And a reply to a call for changes beyond the bound of a reply was asked for again for ever, so no desired state was applied any more.

A reply that is too large makes the router read the whole table, which comes in pages, after the usual delay of a failed call.

--- a/internal/app/gateway/ports.go
+++ b/internal/app/gateway/ports.go
@@ -27,6 +27,10 @@
 // ErrTooLarge is returned when a table has more rows than maxRows.
 var ErrTooLarge = errors.New("table too large")
 
+// ErrReplyTooLarge is returned when a reply of the store is larger than a router takes. It is marked as an
+// error of package port as well.
+var ErrReplyTooLarge = errors.New("reply of the store too large")
+
 // Store accesses the platform's tables. Implementations are safe for concurrent use.
 type Store interface {
 	// ReadTable returns all rows of a table and the position from which to follow changes. It fails
--- a/internal/app/gateway/reads.go
+++ b/internal/app/gateway/reads.go
@@ -44,7 +44,9 @@
 	if !cancelled && !tooLarge {
 		c.log.Line(eventlog.StoreReadFailed).Str("table", t.String()).Dur("after", c.now().Sub(startedAt)).Err(err).Msg("")
 	}
-	c.postEvent(ctx, fleet.ReadFailed{Table: t, TooLarge: tooLarge, HistoryLost: historyLost, Cancelled: cancelled})
+	c.postEvent(ctx, fleet.ReadFailed{
+		Table: t, TooLarge: tooLarge, ReplyTooLarge: errors.Is(err, ErrReplyTooLarge), HistoryLost: historyLost, Cancelled: cancelled,
+	})
 }
 
 func (c *Control) requestCopy(ctx context.Context, a fleet.RequestCopy) {
--- a/internal/core/fleet/events.go
+++ b/internal/core/fleet/events.go
@@ -57,13 +57,15 @@
 		Rows     []replica.Row
 	}
 	// ReadFailed reports that a store call failed. TooLarge: the table has more rows than the call
-	// allowed. HistoryLost: the store no longer has the changes after the position. Cancelled: the
-	// core cancelled the call.
+	// allowed. ReplyTooLarge: the reply was larger than a router takes; most such replies have no end.
+	// HistoryLost: the store no longer has the changes after the position. Cancelled: the core
+	// cancelled the call.
 	ReadFailed struct {
-		Table       Table
-		TooLarge    bool
-		HistoryLost bool
-		Cancelled   bool
+		Table         Table
+		TooLarge      bool
+		ReplyTooLarge bool
+		HistoryLost   bool
+		Cancelled     bool
 	}
 	// DigestReceived reports that a router sent a digest.
 	DigestReceived struct {
--- a/internal/core/fleet/store.go
+++ b/internal/core/fleet/store.go
@@ -114,6 +114,8 @@
 	case ev.TooLarge:
 		r.foundLargeAt = now
 		return
+	case ev.ReplyTooLarge:
+		r.needsFullRead = true // a sound table comes in pages, whatever its changes have added up to
 	}
 	r.lastCallOK = false
 	r.failures++
