The gate of an overloaded router answers whole requests that arrived before their connection was accepted

Callers saw a request that got neither an answer nor a refusal: a router that is short of processor time accepts late, the caller has sent its whole request long before, and the gate closed the connection unread.

Now a connection that the gate turns away is looked at once, without waiting (MSG_PEEK, at most 16 KiB). If it holds a whole request, by its head and Content-Length, that is read and answered 503, 2017 overloaded, ran "no", with a short Retry-After and Connection: close; no handler or goroutine sees it. The connection is closed 0.1 to 0.2 s later, so that bytes that still arrive don't reset it before the answer is read; at most 64 are kept. Anything else is closed unread as before, so that its caller may repeat. Both are counted: refused_total{code="overloaded"} and closed_unread_total{arrived}.

The older test of the gate expected a failed HTTP request where it depends on timing whether the request has arrived before it is accepted; it now looks for a connection that is closed without a byte.

--- /dev/null
+++ b/internal/adapter/gatewayhttp/export_test.go
@@ -0,0 +1,6 @@
+package gatewayhttp
+
+import "net"
+
+// TurnAway is turnAway for benchmarks.
+func (g *LoadGate) TurnAway(c net.Conn) { g.turnAway(c) }
--- a/internal/adapter/gatewayhttp/overload.go
+++ b/internal/adapter/gatewayhttp/overload.go
@@ -12,21 +12,24 @@
 	"github.com/hemlockdyke/hemlockdyke/internal/core/overload"
 )
 
-// LoadGate closes new connections of callers unread while this router has more work than its processor can
-// do, see package overload. It is safe for concurrent use.
+// LoadGate closes new connections of callers while this router has more work than its processor can do,
+// see package overload. A caller whose whole request has arrived by then gets an answer; all others are
+// closed unread. It is safe for concurrent use.
 type LoadGate struct {
 	others  func() int         // other routers that may take the connections
 	closed  func(arrived bool) // called for each connection that is closed unread: whether bytes had arrived
+	refused func()             // called for each connection whose whole request is answered at accept time
 	changed func(limited bool) // called when the router begins or stops closing connections
 	begun   atomic.Int64       // first requests of connections since the last observation
 
-	mu   sync.Mutex
-	gate overload.Gate
+	mu        sync.Mutex
+	gate      overload.Gate
+	lingering lingering
 }
 
 // NewLoadGate returns a LoadGate that accepts all until Observe is called.
-func NewLoadGate(others func() int, closed func(arrived bool), changed func(limited bool)) *LoadGate {
-	return &LoadGate{others: others, closed: closed, changed: changed}
+func NewLoadGate(others func() int, closed func(arrived bool), refused func(), changed func(limited bool)) *LoadGate {
+	return &LoadGate{others: others, closed: closed, refused: refused, changed: changed}
 }
 
 // Wrap returns a listener that accepts the connections that the gate accepts.
@@ -57,6 +60,7 @@
 	before := g.gate.Limited()
 	g.gate.Observe(delay, int(g.begun.Swap(0)), others)
 	after := g.gate.Limited()
+	g.lingering.closeOlder()
 	g.mu.Unlock()
 	if before != after {
 		g.changed(after)
@@ -80,12 +84,24 @@
 		if err != nil || l.gate.accept() {
 			return c, err
 		}
-		arrived := hasArrivedBytes(c)
-		_ = c.Close() // nothing was read: the caller learns that at once
-		l.gate.closed(arrived)
+		l.gate.turnAway(c)
 	}
 }
 
+// turnAway answers and closes a connection that is not accepted.
+func (g *LoadGate) turnAway(c net.Conn) {
+	arrived := refuseArrived(c)
+	if arrived == wholeArrived {
+		g.mu.Lock()
+		g.lingering.add(c)
+		g.mu.Unlock()
+		g.refused()
+		return
+	}
+	g.closed(arrived == partArrived)
+	_ = c.Close() // nothing was read: the caller learns that at once
+}
+
 // delayQuantile is the quantile of the scheduler's delays that tells of waiting work: a connection's goroutine
 // is put at the end of the queue once and goes on without delay several times.
 const delayQuantile = 0.9
--- a/internal/adapter/gatewayhttp/overload_test.go
+++ b/internal/adapter/gatewayhttp/overload_test.go
@@ -19,7 +19,7 @@
 	It("closes new connections unread, serves open ones, and accepts all again later", func() {
 		var closed, handled atomic.Int64
 		var limited atomic.Bool
-		gate := gatewayhttp.NewLoadGate(func() int { return 8 }, func(bool) { closed.Add(1) }, limited.Store)
+		gate := gatewayhttp.NewLoadGate(func() int { return 8 }, func(bool) { closed.Add(1) }, func() {}, limited.Store)
 		tracker := gatewayhttp.NewConnTracker(gate.RecordBegun)
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		Expect(err).NotTo(HaveOccurred())
@@ -49,7 +49,12 @@
 		Expect(limited.Load()).To(BeTrue())
 		before := handled.Load()
 		Expect(fresh()).To(Succeed(), "one a period is left")
-		Expect(fresh()).NotTo(Succeed())
+		silent, err := net.Dial("tcp", l.Addr().String()) // a request might have arrived before it is accepted
+		Expect(err).NotTo(HaveOccurred())
+		defer silent.Close()
+		_ = silent.SetReadDeadline(time.Now().Add(2 * time.Second))
+		_, err = silent.Read(make([]byte, 1))
+		Expect(err).To(MatchError(io.EOF), "closed without an answer")
 		Expect(handled.Load()).To(Equal(before+1), "not read")
 		Expect(closed.Load()).To(BeEquivalentTo(1))
 		Expect(get(kept)).To(Succeed())
@@ -65,7 +70,7 @@
 	// Guards against counting a request that was sent and closed like a connection that never carried one.
 	It("tells closed connections on which bytes had arrived from others", func() {
 		arrived := make(chan bool, 2)
-		gate := gatewayhttp.NewLoadGate(func() int { return 8 }, func(bytes bool) { arrived <- bytes }, func(bool) {})
+		gate := gatewayhttp.NewLoadGate(func() int { return 8 }, func(bytes bool) { arrived <- bytes }, func() {}, func(bool) {})
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		Expect(err).NotTo(HaveOccurred())
 		defer l.Close()
--- a/internal/core/code/code.go
+++ b/internal/core/code/code.go
@@ -61,6 +61,7 @@
 	TargetsCold      Code = 2014
 	UnknownStream    Code = 2015
 	NoSuchVersion    Code = 2016
+	Overloaded       Code = 2017
 
 	AttemptsSpent   Code = 3001
 	DeadlinePassed  Code = 3002
@@ -121,6 +122,7 @@
 	TargetsCold:      {"targets_cold", 503, NotExecuted, "Come back after Retry-After; all targets of the pool have just started."},
 	UnknownStream:    {"unknown_stream", 503, NotExecuted, "Begin the stream anew; no router knows which software version began it."},
 	NoSuchVersion:    {"no_such_version", 503, NotExecuted, "Begin the stream anew; no target runs the software version that began it."},
+	Overloaded:       {"overloaded", 503, NotExecuted, "Come back after Retry-After; this router has more work than its processor can do."},
 	AttemptsSpent:    {"attempts_spent", 502, Executed, "Ask again; every attempt failed."},
 	DeadlinePassed:   {"deadline_passed", 504, Executed, "Ask again with a later deadline."},
 	StreamCut:        {"stream_cut", 502, Executed, "Ask again; the stream ended before its end marker."},
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -110,7 +110,7 @@
 	g.control = gateway.NewControl(s.Gateway, p.Store, p.Decoder, peers, targets, log, time.Now)
 	proxy := gateway.NewProxy(g.control, p.HeaderCodec, targets, m, log, time.Now)
 	g.proxy = proxy
-	g.loadGate = gatewayhttp.NewLoadGate(g.control.AliveRouters, m.CountClosedUnread, func(limited bool) { log.Line(eventlog.Overload).Bool("limited", limited).Msg("") })
+	g.loadGate = gatewayhttp.NewLoadGate(g.control.AliveRouters, m.CountClosedUnread, func() { m.CountRefusal(code.Overloaded) }, func(limited bool) { log.Line(eventlog.Overload).Bool("limited", limited).Msg("") })
 	g.callerConnections = gatewayhttp.NewConnTracker(g.loadGate.RecordBegun)
 	callerServer := gatewayhttp.New(proxy, g.control, p.HeaderCodec, m, log, time.Now)
 	if err := g.startServers(callerServer, m, reporter); err != nil {
--- a/internal/eventlog/kinds.go
+++ b/internal/eventlog/kinds.go
@@ -72,7 +72,7 @@
 	TargetExited          = Kind{"target_ended", zerolog.WarnLevel, 50, "a target exited: its connections broke and its port refuses new ones; how many requests of this router it was executing"}
 	PoisonChanged         = Kind{"poison", zerolog.WarnLevel, 50, "requests that carry a suspect are refused from now on, one was let through and a target exited again or it was answered, or the suspicion is forgotten"}
 	PathChanged           = Kind{"path", zerolog.WarnLevel, 20, "this router's own path to the targets of a pool is cut, or works again: how many targets were tried, and how many accepted a connection"}
-	Overload              = Kind{"overload", zerolog.WarnLevel, 20, "this router has more work than its processor can do and closes a part of its new connections unread, or accepts all again"}
+	Overload              = Kind{"overload", zerolog.WarnLevel, 20, "this router has more work than its processor can do and closes a part of its new connections, or accepts all again"}
 	RoleChanged           = Kind{"role", zerolog.InfoLevel, 20, "this router began or stopped being a relay of its data centre, or another relay feeds it from now on"}
 	PeerCallFailed        = Kind{"peer_call_failed", zerolog.WarnLevel, 50, "a call to another router failed"}
 	Panic                 = Kind{"panic", zerolog.ErrorLevel, 10, "the code panicked: where, the request that it ended, if any, and the stack"}
