A stopping router no longer interrupts the rest of a request whose first bytes it has read

Callers saw a kept connection that was closed without an answer. The tracker interrupts reads of idle connections with a deadline in the past. If bytes were taken by the read at that moment, the connection no longer counted as idle, but the deadline stayed: net/http reads until it has four bytes before it sets its own, so fewer ended the connection.

The deadline is now lifted when the first bytes are recorded, under the lock that sets it. The test (three bytes, two checks of the idle connections, then the rest) fails before: the handler never gets the request.

The other paths by which net/http cancels a request beside its handler, each with a test that passes before and after: the next request arrives while a handler runs (no cancel), the deadline for the header (lifted before the handler). A caller that closes only its writing half looks like one that left: both are a read of 0 bytes, and only a write, which may begin an answer, tells them apart. It stays treated as left, and is logged with read "eof".

--- a/internal/adapter/gatewayhttp/connections.go
+++ b/internal/adapter/gatewayhttp/connections.go
@@ -103,9 +103,13 @@
 func (c *connection) markRequestBegun() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.idle {
-		c.idle, c.readsInterrupted, c.requestBegunAt = false, false, time.Now()
+	if !c.idle {
+		return
+	}
+	if c.readsInterrupted { // after the bytes were taken: the rest of the request may take a moment
+		_ = c.SetReadDeadline(time.Time{}) // fails if the connection is closed already
 	}
+	c.idle, c.readsInterrupted, c.requestBegunAt = false, false, time.Now()
 }
 
 // setDrainingRead sets or clears drainingRead and returns its new value. It can only be set while
--- a/internal/adapter/gatewayhttp/server_test.go
+++ b/internal/adapter/gatewayhttp/server_test.go
@@ -97,8 +97,8 @@
 }
 
 // startCallerServer starts a server whose requests are served by a function. wrap, if set, wraps the
-// connections below the tracker.
-func startCallerServer(serve func(context.Context, gateway.Responder), wrap func(net.Conn) net.Conn) *callerServer {
+// connections below the tracker. configure is called before the server starts.
+func startCallerServer(serve func(context.Context, gateway.Responder), wrap func(net.Conn) net.Conn, configure ...func(*callerServer)) *callerServer {
 	s := &callerServer{}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
@@ -113,6 +113,9 @@
 	if wrap == nil {
 		wrap = func(c net.Conn) net.Conn { return c }
 	}
+	for _, f := range configure {
+		f(s)
+	}
 	go func() { _ = s.server.Serve(s.tracker.Wrap(wrappingListener{l, wrap})) }()
 	DeferCleanup(s.server.Close)
 	return s
