A stopping router answers requests that net/http has read but not handed to a handler

Callers saw a connection closed without an answer although the router had read the whole request: - net/http reports a connection as active, then closes it without an answer if the server has begun to shut down before it calls the handler. A process that gets no processor time between the two loses the request. - It goes on reporting a connection as idle while it handles a request that it had read together with the one before. The tracker then interrupted the read beside the handler, which cancels the request, and http.Server.Shutdown closed the connection. One cause: the tracker went by the server's states, which don't tell whether a request is handled.

ConnTracker.Handler tells it when a handler runs. A request counts as begun from its first bytes to its handler, on a new connection too, for at most 0.5 s as before; a connection with a running handler is not touched.

Left: if a connection turns idle and its next request is already in the server's buffer, a deadline set just before the handler begins can still cancel it.

--- a/internal/adapter/gatewayhttp/connections.go
+++ b/internal/adapter/gatewayhttp/connections.go
@@ -38,7 +38,8 @@
 	idle             bool      // the last answer is complete and nothing has been read since
 	readsInterrupted bool      // a read deadline in the past interrupts reads
 	drainingRead     bool      // an interrupted read is taking the bytes that had arrived
-	requestBegunAt   time.Time // of a request that the server has not reported as active yet, or zero
+	handling         bool      // a handler runs
+	requestBegunAt   time.Time // of a request whose handler has not begun yet, or zero
 	readError        ReadError // how the last read ended
 }
 
@@ -62,7 +63,7 @@
 	return c, nil
 }
 
-// OnStateChange is to be set as the ConnState hook of the server.
+// OnStateChange is to be set as the ConnState hook of the server, along with ConnContext and Handler.
 func (c *ConnTracker) OnStateChange(conn net.Conn, state http.ConnState) {
 	tracked, ok := conn.(*connection)
 	if !ok {
@@ -74,7 +75,6 @@
 	case http.StateIdle:
 		tracked.idle, tracked.requestBegunAt = true, time.Time{}
 	case http.StateActive:
-		tracked.requestBegunAt = time.Time{}
 		if !tracked.hasBegun {
 			tracked.hasBegun = true
 			c.begun()
@@ -82,6 +82,29 @@
 	}
 }
 
+// Handler returns a handler that tells the tracker when next runs. The server's own states don't: it
+// reports a request as active before it decides whether to handle it, and one that was read together with
+// the request before it not at all.
+func (c *ConnTracker) Handler(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if tracked, ok := r.Context().Value(connectionKey{}).(*connection); ok {
+			tracked.setHandling(true)
+			defer tracked.setHandling(false)
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+func (c *connection) setHandling(handling bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.handling, c.requestBegunAt = handling, time.Time{}
+	if handling && c.readsInterrupted {
+		c.readsInterrupted = false
+		_ = c.SetReadDeadline(time.Time{}) // fails if the connection is closed already
+	}
+}
+
 // Read reads from the connection. If closeIfIdle has interrupted the read, Read still takes the
 // bytes that have arrived: the server reads a byte ahead while a handler runs, so a connection
 // may become idle after the first byte of its next request. Without the rest, that request would
@@ -103,7 +126,8 @@
 func (c *connection) markRequestBegun() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.idle {
+	isNew := !c.hasBegun && c.requestBegunAt.IsZero()
+	if !c.idle && !isNew {
 		return
 	}
 	if c.readsInterrupted { // after the bytes were taken: the rest of the request may take a moment
@@ -161,6 +185,9 @@
 func (c *connection) closeIfIdle(now time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.handling {
+		return c.idle // the server would close it: it read the request together with the one before
+	}
 	if c.idle && !c.drainingRead {
 		c.readsInterrupted = true
 		_ = c.SetReadDeadline(time.Unix(1, 0)) // fails if the connection is closed already
@@ -178,8 +205,8 @@
 	// even if its caller has begun another request. A process may get no processor time for a
 	// tenth of a second between the last byte of an answer and the end of its handler.
 	minShutdownPolling = 200 * time.Millisecond
-	// requestBeginTimeout is how long the server may take to report a connection as active after
-	// the first bytes of a request. Until then http.Server.Shutdown would close it. The limit
+	// requestBeginTimeout is how long the server may take from the first bytes of a request to its
+	// handler. Until then http.Server.Shutdown would close the connection. The limit
 	// keeps a caller that sends half a header from delaying the shutdown.
 	requestBeginTimeout = 500 * time.Millisecond
 )
@@ -199,7 +226,7 @@
 }
 
 // closeIdle closes the idle connections. It reports whether any connection is idle or has begun a
-// request that the server has not reported as active.
+// request whose handler has not begun.
 func (c *ConnTracker) closeIdle(now time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/adapter/gatewayhttp/connections_test.go
+++ b/internal/adapter/gatewayhttp/connections_test.go
@@ -88,7 +88,10 @@
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		Expect(err).NotTo(HaveOccurred())
 		connections := gatewayhttp.NewConnTracker(func() {})
-		s := &http.Server{ConnState: connections.OnStateChange, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "whole") })}
+		s := &http.Server{
+			ConnState: connections.OnStateChange, ConnContext: connections.ConnContext,
+			Handler: connections.Handler(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "whole") })),
+		}
 		go func() { _ = s.Serve(connections.Wrap(slowListener{l, delay})) }()
 		DeferCleanup(s.Close)
 		return l.Addr().String(), func(ctx context.Context) error { return connections.Shutdown(ctx, s) }
@@ -132,7 +135,10 @@
 		gated := gatedListener{l, make(chan struct{}, 10), make(chan struct{}), &atomic.Bool{}, make(chan struct{}), &sync.Once{}}
 		connections := gatewayhttp.NewConnTracker(func() {})
 		answer := make(chan struct{}, 2)
-		s := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { <-answer; fmt.Fprint(w, "whole") })}
+		s := &http.Server{
+			ConnContext: connections.ConnContext,
+			Handler:     connections.Handler(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { <-answer; fmt.Fprint(w, "whole") })),
+		}
 		s.ConnState = func(c net.Conn, state http.ConnState) {
 			connections.OnStateChange(c, state)
 			gated.armed.Store(state == http.StateIdle)
--- a/internal/adapter/gatewayhttp/read_error_test.go
+++ b/internal/adapter/gatewayhttp/read_error_test.go
@@ -55,6 +55,7 @@
 		Expect(status).To(Equal(http.StatusOK))
 		Expect(body).To(Equal("whole"))
 	}
+	twoRequests := "GET /1 HTTP/1.1\r\nHost: h\r\n\r\nGET /2 HTTP/1.1\r\nHost: h\r\n\r\n"
 
 	It("is answered if the next request arrives while its handler runs", func() {
 		s := startCallerServer(answerOrGone(begun, release), nil)
@@ -72,6 +73,26 @@
 		Expect(s.lines.String()).To(BeEmpty())
 	})
 
+	// Guards against a cancelled request whose router is stopping: net/http reports a connection as idle
+	// while it handles a request that it had read together with the one before.
+	It("is answered if it arrived together with the one before and its router stops", func() {
+		s := startCallerServer(answerOrGone(begun, release), nil)
+		c := s.dial()
+		reader := bufio.NewReader(c)
+		_, err := io.WriteString(c, twoRequests)
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(begun).Should(Receive())
+		release <- struct{}{}
+		expectWhole(reader)
+		Eventually(begun).Should(Receive())
+		done := make(chan error, 1)
+		go func() { done <- s.tracker.Shutdown(context.Background(), s.server) }()
+		time.Sleep(400 * time.Millisecond) // longer than the tracker closes connections one by one
+		release <- struct{}{}
+		expectWhole(reader)
+		Eventually(done, 3*time.Second).Should(Receive(BeNil()))
+	})
+
 	// Guards against a request that is lost as the deadline with which a stopping router closes idle
 	// connections ends the read of its rest.
 	It("is answered if its first bytes are read while its router closes idle connections", func() {
@@ -109,6 +130,39 @@
 		Eventually(done, 3*time.Second).Should(Receive(BeNil()))
 	})
 
+	// Guards against a request that a stopping router has read and drops: net/http reports a connection as
+	// active, and then closes it if the server has begun to shut down meanwhile.
+	DescribeTable("is answered if its router stops between its header and its handler", func(kept bool) {
+		active := make(chan struct{}, 10)
+		var armed atomic.Bool
+		s := startCallerServer(answerOrGone(begun, release), nil, func(s *callerServer) {
+			s.server.ConnState = func(c net.Conn, state http.ConnState) {
+				s.tracker.OnStateChange(c, state)
+				if state == http.StateActive && armed.Load() {
+					active <- struct{}{}
+					time.Sleep(300 * time.Millisecond) // like a process that gets no processor time
+				}
+			}
+		})
+		c := s.dial()
+		reader := bufio.NewReader(c)
+		if kept {
+			sendRequest(c, "1")
+			Eventually(begun).Should(Receive())
+			release <- struct{}{}
+			expectWhole(reader)
+			time.Sleep(20 * time.Millisecond) // until the connection is idle
+		}
+		armed.Store(true)
+		sendRequest(c, "2")
+		Eventually(active).Should(Receive())
+		done := make(chan error, 1)
+		go func() { done <- s.tracker.Shutdown(context.Background(), s.server) }()
+		release <- struct{}{}
+		expectWhole(reader)
+		Eventually(done, 3*time.Second).Should(Receive(BeNil()))
+	}, Entry("on a new connection", false), Entry("on a kept connection", true))
+
 	// Guards against a caller's early answer deadline: one that the server sets for the header must not
 	// outlast it.
 	It("is answered after the time for its header has passed", func() {
--- a/internal/adapter/gatewayhttp/server_test.go
+++ b/internal/adapter/gatewayhttp/server_test.go
@@ -107,7 +107,7 @@
 	log.OnPanic(func(where string) { s.counts.add("panic at " + where) })
 	s.tracker = gatewayhttp.NewConnTracker(func() {})
 	s.server = &http.Server{
-		Handler:   gatewayhttp.New(stubProxy{serve}, alwaysReady{}, pathDecoder{}, &s.counts, log, time.Now),
+		Handler:   s.tracker.Handler(gatewayhttp.New(stubProxy{serve}, alwaysReady{}, pathDecoder{}, &s.counts, log, time.Now)),
 		ConnState: s.tracker.OnStateChange, ConnContext: s.tracker.ConnContext, ErrorLog: eventlog.NewServerLog(log, "callers"),
 	}
 	if wrap == nil {
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -169,7 +169,7 @@
 		server  *http.Server
 		wrap    func(net.Listener) net.Listener
 	}{
-		{"callers", g.settings.CallerAddress, &http.Server{Handler: callerServer, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: g.callerConnections.OnStateChange, ConnContext: g.callerConnections.ConnContext},
+		{"callers", g.settings.CallerAddress, &http.Server{Handler: g.callerConnections.Handler(callerServer), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: g.callerConnections.OnStateChange, ConnContext: g.callerConnections.ConnContext},
 			func(l net.Listener) net.Listener { return g.callerConnections.Wrap(g.loadGate.Wrap(l)) }},
 		{"readiness", g.settings.ReadinessAddress, &http.Server{Handler: recovery.Handler(g.log, "readiness", callerServer.ReadinessHandler(g.settings.ReadinessPath))}, nil},
 		{"peers", g.settings.Gateway.Address, &http.Server{Handler: peerMux, Protocols: peer.Protocols()},
