A stream whose end comes long after its last event keeps its end marker

Callers saw a stream cut at its end if more than 5 s passed between its last event and its end: each write set a deadline, and net/http writes the end of a chunked answer after the handler has returned, under the deadline of the last event. Answers written only then (SendError, a header without a body) had no deadline at all.

ServeHTTP now sets the deadline once more when it returns, for all that the server writes afterwards. The timeout is a field, so that tests need not wait 5 s.

--- a/internal/adapter/gatewayhttp/gatewayhttp.go
+++ b/internal/adapter/gatewayhttp/gatewayhttp.go
@@ -54,11 +54,13 @@
 	now      func() time.Time
 	observer Observer
 	log      *eventlog.Log
+	// writeTimeout bounds each write to a caller, see callerWriteTimeout.
+	writeTimeout time.Duration
 }
 
 // New returns a Server.
 func New(proxy Proxy, control Lifecycle, decoder Decoder, observer Observer, log *eventlog.Log, now func() time.Time) *Server {
-	return &Server{proxy: proxy, control: control, decoder: decoder, now: now, observer: observer, log: log}
+	return &Server{proxy: proxy, control: control, decoder: decoder, now: now, observer: observer, log: log, writeTimeout: callerWriteTimeout}
 }
 
 // defaultMaxBodyBytes applies if the desired state sets no limit.
@@ -72,7 +74,9 @@
 		// once, requests that are already on their way would be lost.
 		w.Header().Set("Connection", "close")
 	}
-	out := &responder{w: w, controller: http.NewResponseController(w), now: s.now}
+	out := &responder{w: w, controller: http.NewResponseController(w), now: s.now, writeTimeout: s.writeTimeout}
+	// The server writes what is buffered, and the end of a body without a length, after this function.
+	defer out.extendDeadline()
 	id := ""
 	defer func() {
 		if value := recover(); value != nil {
@@ -131,12 +135,14 @@
 	w          http.ResponseWriter
 	controller *http.ResponseController
 	now        func() time.Time
-	streaming  bool  // the length of the body is not known
-	panicked   bool  // the handler panicked
-	aborted    bool  // the connection is closed without completing the answer
-	status     int   // that was sent; 0 if none
-	bodyBytes  int64 // of the body that were written
-	writeError error // of the first write that failed
+	// writeTimeout bounds each write.
+	writeTimeout time.Duration
+	streaming    bool  // the length of the body is not known
+	panicked     bool  // the handler panicked
+	aborted      bool  // the connection is closed without completing the answer
+	status       int   // that was sent; 0 if none
+	bodyBytes    int64 // of the body that were written
+	writeError   error // of the first write that failed
 }
 
 // callerWriteTimeout bounds each write to a caller, after which the caller counts as
@@ -171,7 +177,7 @@
 
 // Write sends a part of the body. It flushes each part of a body without a known length.
 func (o *responder) Write(p []byte) error {
-	_ = o.controller.SetWriteDeadline(o.now().Add(callerWriteTimeout))
+	o.extendDeadline()
 	n, err := o.w.Write(p)
 	o.bodyBytes += int64(n)
 	if err == nil && o.streaming {
@@ -183,6 +189,11 @@
 	return err
 }
 
+// extendDeadline gives the next write writeTimeout from now.
+func (o *responder) extendDeadline() {
+	_ = o.controller.SetWriteDeadline(o.now().Add(o.writeTimeout)) // fails if the connection is closed already
+}
+
 // SendError answers with a result code. If the caller has disconnected, it aborts the connection
 // instead.
 func (o *responder) SendError(c code.Code, retryAfter time.Duration) {
--- a/internal/adapter/gatewayhttp/server_test.go
+++ b/internal/adapter/gatewayhttp/server_test.go
@@ -92,6 +92,9 @@
 	address string
 	server  *http.Server
 	tracker *gatewayhttp.ConnTracker
+	handler *gatewayhttp.Server
+	closed  chan struct{} // closed when a connection is
+	close   sync.Once
 	counts  counts
 	lines   lineBuffer
 }
@@ -99,16 +102,23 @@
 // startCallerServer starts a server whose requests are served by a function. wrap, if set, wraps the
 // connections below the tracker. configure is called before the server starts.
 func startCallerServer(serve func(context.Context, gateway.Responder), wrap func(net.Conn) net.Conn, configure ...func(*callerServer)) *callerServer {
-	s := &callerServer{}
+	s := &callerServer{closed: make(chan struct{})}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
 	s.address = l.Addr().String()
 	log := eventlog.New(zerolog.New(&s.lines), time.Now)
 	log.OnPanic(func(where string) { s.counts.add("panic at " + where) })
 	s.tracker = gatewayhttp.NewConnTracker(func() {})
+	s.handler = gatewayhttp.New(stubProxy{serve}, alwaysReady{}, pathDecoder{}, &s.counts, log, time.Now)
 	s.server = &http.Server{
-		Handler:   s.tracker.Handler(gatewayhttp.New(stubProxy{serve}, alwaysReady{}, pathDecoder{}, &s.counts, log, time.Now)),
-		ConnState: s.tracker.OnStateChange, ConnContext: s.tracker.ConnContext, ErrorLog: eventlog.NewServerLog(log, "callers"),
+		Handler: s.tracker.Handler(s.handler),
+		ConnState: func(c net.Conn, state http.ConnState) {
+			s.tracker.OnStateChange(c, state)
+			if state == http.StateClosed {
+				s.close.Do(func() { close(s.closed) })
+			}
+		},
+		ConnContext: s.tracker.ConnContext, ErrorLog: eventlog.NewServerLog(log, "callers"),
 	}
 	if wrap == nil {
 		wrap = func(c net.Conn) net.Conn { return c }
