--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -111,7 +111,7 @@
 	g.control = gateway.NewControl(s.Gateway, p.Store, p.Decoder, peers, targets, log, time.Now)
 	proxy := gateway.NewProxy(g.control, p.HeaderCodec, targets, m, log, time.Now)
 	g.proxy = proxy
-	g.loadGate = gatewayhttp.NewLoadGate(g.control.AliveRouters, m.CountClosedUnread, func(limited bool) { log.Line(eventlog.Overload).Bool("limited", limited).Msg("") })
+	g.loadGate = gatewayhttp.NewLoadGate(g.control.AliveRouters, m.CountClosedUnread, func() { m.CountRefusal(code.Overloaded) }, func(limited bool) { log.Line(eventlog.Overload).Bool("limited", limited).Msg("") })
 	g.callerConnections = gatewayhttp.NewConnTracker(g.loadGate.RecordBegun)
 	callerServer := gatewayhttp.New(proxy, g.control, p.HeaderCodec, m, log, time.Now)
 	if err := g.startServers(callerServer, m, reporter); err != nil {
@@ -170,7 +170,7 @@
 		server  *http.Server
 		wrap    func(net.Listener) net.Listener
 	}{
-		{"callers", g.settings.CallerAddress, &http.Server{Handler: callerServer, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: g.callerConnections.OnStateChange, ConnContext: g.callerConnections.ConnContext},
+		{"callers", g.settings.CallerAddress, &http.Server{Handler: g.callerConnections.Handler(callerServer), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: g.callerConnections.OnStateChange, ConnContext: g.callerConnections.ConnContext},
 			func(l net.Listener) net.Listener { return g.callerConnections.Wrap(g.loadGate.Wrap(l)) }},
 		{"readiness", g.settings.ReadinessAddress, &http.Server{Handler: recovery.Handler(g.log, "readiness", callerServer.ReadinessHandler(g.settings.ReadinessPath))}, nil},
 		{"peers", g.settings.Gateway.Address, &http.Server{Handler: peerMux, Protocols: peer.Protocols()},
