hemlockctl explain tells panics, failed reads and failed writes from kills and callers that left

A request whose handler panicked was explained as "stopped logging: it was killed, lost power or is stalled", one whose read beside the handler failed as left by its caller, and one whose answer could not be written as answered.

The explanation now uses the lines `panic` and `incomplete`.

--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -61,6 +61,9 @@
 	AllowedRetries float64 `json:"allowed"`
 	Requests       float64 `json:"requests"`
 	Slack          float64 `json:"slack"`
+	ReadError      string  `json:"read"`
+	Sent           int64   `json:"sent"`
+	PanicValue     string  `json:"value"`
 
 	position int // in the input; orders entries with the same time
 }
@@ -156,12 +159,38 @@
 			return fmt.Sprintf("answered by %s, first byte after %.0f ms, end after %.0f of %.0f ms", e.Target, e.FirstByte, e.Total, e.TimeBudget)
 		}
 		return fmt.Sprintf("answered with status %d, first byte after %.0f ms, end after %.0f of %.0f ms", e.Status, e.FirstByte, e.Total, e.TimeBudget)
+	case eventlog.Incomplete.Name:
+		return e.describeIncomplete()
+	case eventlog.Panic.Name:
+		return fmt.Sprintf("the code of router %s panicked: %s", e.Router, e.PanicValue)
 	case eventlog.Failed.Name:
 		return fmt.Sprintf("ended as %d %s (ran: %s) after %.0f of %.0f ms", e.Code, e.Name, e.Executed, e.Total, e.TimeBudget)
 	}
 	return e.Event
 }
 
+// incompleteTexts describes the values of Entry.Reason of incomplete answers.
+var incompleteTexts = map[string]string{
+	"caller_left":  "the caller closed or reset its connection",
+	"read_failed":  "the router's read beside the handler failed, though the caller had not closed its connection",
+	"write_failed": "a write to the caller failed",
+	"aborted":      "the router broke off the answer that it had begun",
+	"panic":        "the router's code panicked after the answer had begun",
+}
+
+// describeIncomplete says why the caller has no complete answer.
+func (e Entry) describeIncomplete() string {
+	text, ok := incompleteTexts[e.Reason]
+	if !ok {
+		text = e.Reason
+	}
+	text = fmt.Sprintf("no complete answer: %s (last read: %s) after %d bytes of the body", text, e.ReadError, e.Sent)
+	if e.Error != "" {
+		text += ": " + e.Error
+	}
+	return text
+}
+
 // describeStream says which stream can't go on, and why.
 func (e Entry) describeStream() string {
 	stream := "the stream"
@@ -222,7 +251,7 @@
 	if len(entries) == 0 {
 		return fmt.Sprintf("no router logged %s: no router read it completely, or it was refused for its route or key", request)
 	}
-	var placed, failure, outcome *Entry
+	var placed, failure, outcome, incomplete, panicked *Entry
 	for i := range entries {
 		switch e := &entries[i]; e.Event {
 		case eventlog.Placed.Name:
@@ -231,9 +260,17 @@
 			failure = e
 		case eventlog.Finished.Name, eventlog.Failed.Name:
 			outcome = e
+		case eventlog.Incomplete.Name:
+			incomplete = e
+		case eventlog.Panic.Name:
+			panicked = e
 		}
 	}
 	switch {
+	case panicked != nil:
+		return panicked.describe() + atTarget(placed)
+	case incomplete != nil && (outcome == nil || failure == nil || outcome.Event == eventlog.Finished.Name):
+		return incomplete.describe() + atTarget(placed)
 	case outcome == nil && placed != nil:
 		return fmt.Sprintf("router %s stopped logging while attempt %d was at %s: it was killed, lost power or is stalled", placed.Router, placed.Attempt, placed.Target)
 	case outcome == nil:
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -41,6 +41,13 @@
 {"level":"warn","router":"front-b-1","event":"failed","request":"r10","code":2015,"name":"unknown_stream","ran":"no","time":"2026-04-21T22:03:09Z"}
 {"level":"warn","router":"front-b-1","event":"stream_refused","request":"r11","why":"no_such_version","resume_from":"4","resumes":"","events":4,"time":"2026-04-21T22:03:09Z"}
 {"level":"warn","router":"front-b-1","event":"failed","request":"r11","code":3003,"name":"stream_cut","ran":"yes","time":"2026-04-21T22:03:09Z"}
+{"level":"info","router":"front-b-1","event":"placed","request":"r12","attempt":1,"target":"i-9","time":"2026-04-21T22:03:09Z"}
+{"level":"error","router":"front-b-1","event":"panic","request":"r12","where":"callers","value":"index out of range","stack":"f()","time":"2026-04-21T22:03:09Z"}
+{"level":"info","router":"front-b-1","event":"placed","request":"r13","attempt":1,"target":"i-9","time":"2026-04-21T22:03:09Z"}
+{"level":"warn","router":"front-b-1","event":"failed","request":"r13","code":3006,"name":"caller_gone","total":300,"time":"2026-04-21T22:03:09Z"}
+{"level":"warn","router":"front-b-1","event":"incomplete","request":"r13","why":"read_failed","read":"timeout","cancelled":true,"status":0,"sent":0,"time":"2026-04-21T22:03:09Z"}
+{"level":"info","router":"front-b-1","event":"finished","request":"r14","status":200,"time":"2026-04-21T22:03:09Z"}
+{"level":"warn","router":"front-b-1","event":"incomplete","request":"r14","why":"write_failed","read":"none","status":200,"sent":4096,"error":"broken pipe","time":"2026-04-21T22:03:09Z"}
 not a line of ours, r1
 {"request": broken r1
 `
@@ -63,6 +70,9 @@
 		Entry("nobody knows the stream that it resumes", "r9", "the stream that request r-first began can't go on after event 12: no router knows which software version began it; ended as unknown_stream"),
 		Entry("its caller doesn't name the stream", "r10", "can't go on after event 12: the caller named no request that began it; ended as unknown_stream"),
 		Entry("no other target runs its version", "r11", "the stream can't go on after event 4: no target of the software version that began it takes requests; ended as stream_cut"),
+		Entry("the router's code panicked", "r12", "the code of router front-b-1 panicked: index out of range"),
+		Entry("a read of the router failed", "r13", "the router's read beside the handler failed, though the caller had not closed its connection (last read: timeout) after 0 bytes"),
+		Entry("a write to the caller failed", "r14", "a write to the caller failed (last read: none) after 4096 bytes of the body: broken pipe"),
 		Entry("no router logged it", "r6", "no router logged r6"),
 	)
 
