Forwarded answers that no caller takes hold 256 KiB of a connection each

A connection between routers took up to 4 MiB of each forwarded answer before anything read it, the default of net/http for HTTP/2: many answers that wait for memory or for slow callers at once would hold far more than the budget for answers counts. The window of a forwarded answer is 256 KiB now; that of table copies stays as it was.

--- a/internal/adapter/peer/forwarding.go
+++ b/internal/adapter/peer/forwarding.go
@@ -20,6 +20,9 @@
 	forwardDialTimeout = 300 * time.Millisecond
 	// forwardIdleTimeout is how long a connection is kept on which nothing is forwarded.
 	forwardIdleTimeout = 3 * time.Second
+	// forwardWindowBytes limits what a connection holds of an answer whose caller does not take it. The
+	// default of net/http is 4 MiB an answer, which many answers at once must not take.
+	forwardWindowBytes = 256 << 10
 )
 
 // ForwardClient asks other routers to send attempts to targets, which streams they know, and which target
@@ -28,7 +31,9 @@
 
 // NewForwardClient returns a ForwardClient.
 func NewForwardClient() *ForwardClient {
-	return &ForwardClient{client: newHTTPClient(forwardDialTimeout, forwardIdleTimeout, func(c net.Conn) net.Conn { return c })}
+	transport := newTransport(forwardDialTimeout, forwardIdleTimeout, func(c net.Conn) net.Conn { return c })
+	transport.HTTP2.MaxReceiveBufferPerStream = forwardWindowBytes
+	return &ForwardClient{client: &http.Client{Transport: transport}}
 }
 
 // Forward asks the router at an address to send an attempt. The end of ctx ends the attempt; its
--- a/internal/adapter/peer/peer.go
+++ b/internal/adapter/peer/peer.go
@@ -151,8 +151,12 @@
 // newHTTPClient returns an HTTP client for the peer service. An idle connection is closed after
 // idleTimeout, or never if that is 0.
 func newHTTPClient(timeout, idleTimeout time.Duration, wrap func(net.Conn) net.Conn) *http.Client {
+	return &http.Client{Transport: newTransport(timeout, idleTimeout, wrap)}
+}
+
+func newTransport(timeout, idleTimeout time.Duration, wrap func(net.Conn) net.Conn) *http.Transport {
 	dialer := &net.Dialer{Timeout: timeout}
-	return &http.Client{Transport: &http.Transport{
+	return &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			conn, err := dialer.DialContext(ctx, network, address)
 			if err != nil {
@@ -163,7 +167,7 @@
 		IdleConnTimeout: idleTimeout,
 		Protocols:       unencryptedHTTP2(),
 		HTTP2:           &http.HTTP2Config{SendPingTimeout: sendPingTimeout, PingTimeout: pingTimeout},
-	}}
+	}
 }
 
 func unencryptedHTTP2() *http.Protocols {
