Bound messages between routers, each and all at once

Callers lose all requests of a router whose process is killed for its memory, or whose core is busy with bytes that are no message. Package connect bounds a message at WithReadMaxBytes, but then discards the rest of it, which may have no end, and expands compressed messages that no router sends. A header had up to 10 MB, and requests at once were not bounded together.

An answer now has at most 32 KiB of header, 16 MiB of body (1 MiB for small calls and parts of forwarded answers, 20 MiB for a whole forwarded answer), and a client reads at most 24 MiB at once. A server holds at most 24 MiB of requests and refuses further ones with resource_exhausted; a forwarded attempt that is refused so counts as not forwarded. Routers on the platform neither accept nor send messages that connect has compressed. The content of a packed copy has at most 16 MiB. A desired state of 31,000 teams has 6 MB.

--- a/internal/adapter/peer/copier.go
+++ b/internal/adapter/peer/copier.go
@@ -10,6 +10,7 @@
 
 	peerv1 "github.com/hemlockdyke/hemlockdyke/gen/hemlockdyke/peer/v1"
 	"github.com/hemlockdyke/hemlockdyke/gen/hemlockdyke/peer/v1/peerv1connect"
+	"github.com/hemlockdyke/hemlockdyke/internal/readlimit"
 )
 
 // copyIdleTimeout is how long an idle connection for table copies is kept. Copies are rare, and
@@ -25,14 +26,14 @@
 // NewCopyClient returns a CopyClient whose calls are bounded by timeout. wrap is called for each
 // new connection, to count its traffic.
 func NewCopyClient(timeout time.Duration, wrap func(net.Conn) net.Conn) *CopyClient {
-	return &CopyClient{client: newHTTPClient(timeout, copyIdleTimeout, wrap), timeout: timeout}
+	return &CopyClient{client: bounded(newHTTPClient(timeout, copyIdleTimeout, wrap), maxBodyBytes, readlimit.NewBudget(maxHeldBytes)), timeout: timeout}
 }
 
 // RequestCopy requests a table copy from the router at an address.
 func (c *CopyClient) RequestCopy(ctx context.Context, address string, req *peerv1.CopyRequest) (*peerv1.CopyResponse, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
-	client := peerv1connect.NewPeerServiceClient(c.client, "http://"+address, connect.WithReadMaxBytes(maxMessageBytes))
+	client := peerv1connect.NewPeerServiceClient(c.client, "http://"+address, withoutGzip(maxMessageBytes)...)
 	resp, err := client.Copy(ctx, connect.NewRequest(req))
 	if err != nil {
 		return nil, err
--- a/internal/adapter/peer/forwarding.go
+++ b/internal/adapter/peer/forwarding.go
@@ -13,6 +13,7 @@
 	peerv1 "github.com/hemlockdyke/hemlockdyke/gen/hemlockdyke/peer/v1"
 	"github.com/hemlockdyke/hemlockdyke/gen/hemlockdyke/peer/v1/peerv1connect"
 	"github.com/hemlockdyke/hemlockdyke/internal/app/gateway"
+	"github.com/hemlockdyke/hemlockdyke/internal/readlimit"
 )
 
 const (
@@ -24,17 +25,24 @@
 
 // ForwardClient asks other routers to send attempts to targets, which streams they know, and which target
 // reads a prompt prefix. It is safe for concurrent use.
-type ForwardClient struct{ client *http.Client }
+type ForwardClient struct {
+	streams *http.Client // for forwarded attempts, whose answers are passed on part by part
+	calls   *http.Client // for all else
+}
 
 // NewForwardClient returns a ForwardClient.
 func NewForwardClient() *ForwardClient {
-	return &ForwardClient{client: newHTTPClient(forwardDialTimeout, forwardIdleTimeout, func(c net.Conn) net.Conn { return c })}
+	client := newHTTPClient(forwardDialTimeout, forwardIdleTimeout, func(c net.Conn) net.Conn { return c })
+	return &ForwardClient{
+		streams: bounded(client, maxForwardedBytes, nil),
+		calls:   bounded(client, maxForwardedPartBytes, readlimit.NewBudget(maxHeldBytes)),
+	}
 }
 
 // Forward asks the router at an address to send an attempt. The end of ctx ends the attempt; its
 // deadline is passed on.
 func (c *ForwardClient) Forward(ctx context.Context, address string, req *peerv1.ForwardRequest) (gateway.ForwardStream, error) {
-	client := peerv1connect.NewPeerServiceClient(c.client, "http://"+address, connect.WithReadMaxBytes(maxMessageBytes))
+	client := peerv1connect.NewPeerServiceClient(c.streams, "http://"+address, withoutGzip(maxForwardedPartBytes)...)
 	stream, err := client.Forward(ctx, connect.NewRequest(req))
 	if err != nil {
 		return nil, markNotForwarded(err)
@@ -44,7 +52,7 @@
 
 // FindStreams asks the router at an address at which software versions streams began.
 func (c *ForwardClient) FindStreams(ctx context.Context, address string, req *peerv1.FindStreamsRequest) (*peerv1.FindStreamsResponse, error) {
-	client := peerv1connect.NewPeerServiceClient(c.client, "http://"+address, connect.WithReadMaxBytes(maxMessageBytes))
+	client := peerv1connect.NewPeerServiceClient(c.calls, "http://"+address, withoutGzip(maxForwardedPartBytes)...)
 	resp, err := client.FindStreams(ctx, connect.NewRequest(req))
 	if err != nil {
 		return nil, err
@@ -54,7 +62,7 @@
 
 // ClaimRead asks the router at an address to have a target read a prompt prefix.
 func (c *ForwardClient) ClaimRead(ctx context.Context, address string, req *peerv1.ClaimReadRequest) (*peerv1.ClaimReadResponse, error) {
-	client := peerv1connect.NewPeerServiceClient(c.client, "http://"+address, connect.WithReadMaxBytes(maxMessageBytes))
+	client := peerv1connect.NewPeerServiceClient(c.calls, "http://"+address, withoutGzip(maxForwardedPartBytes)...)
 	resp, err := client.ClaimRead(ctx, connect.NewRequest(req))
 	if err != nil {
 		return nil, err
@@ -78,10 +86,11 @@
 }
 
 // markNotForwarded marks an error as gateway.ErrNotForwarded if the router can't have received the
-// request, or does not know the call.
+// request, does not know the call, or has no room for the request's body.
 func markNotForwarded(err error) error {
 	var op *net.OpError
-	if connect.CodeOf(err) == connect.CodeUnimplemented || (errors.As(err, &op) && op.Op == "dial") {
+	noRoom := connect.CodeOf(err) == connect.CodeResourceExhausted && connect.IsWireError(err)
+	if noRoom || connect.CodeOf(err) == connect.CodeUnimplemented || (errors.As(err, &op) && op.Op == "dial") {
 		return errors.Mark(err, gateway.ErrNotForwarded)
 	}
 	return err
--- /dev/null
+++ b/internal/adapter/peer/limits.go
@@ -0,0 +1,54 @@
+package peer
+
+import (
+	"net/http"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"github.com/hemlockdyke/hemlockdyke/internal/readlimit"
+)
+
+const (
+	// maxMessageBytes bounds one message. A snapshot of 31,000 teams has about 6 MB.
+	maxMessageBytes = 16 << 20
+	// maxBodyBytes bounds the body of a call that carries one message. Beyond maxMessageBytes
+	// package connect discards the rest of a message, which may have no end.
+	maxBodyBytes = maxMessageBytes + 4<<10
+	// maxForwardedPartBytes bounds one part of a forwarded answer. Data comes in parts of 8 KiB, and the
+	// header of a target's answer has less than 1 MiB.
+	maxForwardedPartBytes = 1 << 20
+	// maxForwardedBytes bounds a forwarded answer. Targets' answers that are no streams have at most
+	// 16 MiB, and a stream of 100,000 events has about as much.
+	maxForwardedBytes = 20 << 20
+	// maxHeldBytes bounds the requests that a server holds at once, and the answers that a client
+	// reads at once. The smallest VM has 184 MB.
+	maxHeldBytes = 24 << 20
+	// maxHeadBytes bounds the header of a request or an answer. Package net/http adds 4 KiB.
+	maxHeadBytes = 32 << 10
+	// maxReceiveWindow bounds the bytes of one call that a connection holds before they are read, and
+	// maxConnectionWindow those of all calls on it.
+	maxReceiveWindow    = 1 << 20
+	maxConnectionWindow = 4 << 20
+	// headTimeout bounds the arrival of a request's header over HTTP/1.
+	headTimeout = 5 * time.Second
+)
+
+// NewServer returns a server of the peer service that bounds what it reads.
+func NewServer(handler http.Handler) *http.Server {
+	return &http.Server{
+		Handler:   readlimit.Handler(handler, maxBodyBytes, readlimit.NewBudget(maxHeldBytes)),
+		Protocols: Protocols(), MaxHeaderBytes: maxHeadBytes, ReadHeaderTimeout: headTimeout,
+	}
+}
+
+// withoutGzip are options of a client that accepts no compressed answers, which could expand to
+// any size. Large answers are compressed by the application, which bounds them.
+func withoutGzip(maxBytes int) []connect.ClientOption {
+	return []connect.ClientOption{connect.WithReadMaxBytes(maxBytes), connect.WithAcceptCompression("gzip", nil, nil)}
+}
+
+// bounded returns a client that bounds the body of each answer, and all that are read at once.
+func bounded(c *http.Client, maxBytes int64, budget *readlimit.Budget) *http.Client {
+	return &http.Client{Transport: &readlimit.Transport{Base: c.Transport, Limit: maxBytes, Budget: budget}}
+}
--- a/internal/adapter/peer/peer.go
+++ b/internal/adapter/peer/peer.go
@@ -15,11 +15,9 @@
 	peerv1 "github.com/hemlockdyke/hemlockdyke/gen/hemlockdyke/peer/v1"
 	"github.com/hemlockdyke/hemlockdyke/gen/hemlockdyke/peer/v1/peerv1connect"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/code"
+	"github.com/hemlockdyke/hemlockdyke/internal/readlimit"
 )
 
-// maxMessageBytes bounds one message. A snapshot of 31,000 teams has about 6 MB.
-const maxMessageBytes = 32 << 20
-
 // A connection that has received nothing for sendPingTimeout is pinged, and closed if the ping is
 // not answered within pingTimeout. Without these HTTP/2 pings, each call to a peer would run into
 // its timeout after a middlebox has dropped the connection, although a new connection would work.
@@ -44,9 +42,9 @@
 	return peerv1connect.NewPeerServiceHandler(&server{h}, append(options, connect.WithReadMaxBytes(maxMessageBytes))...)
 }
 
-// WithoutCompression returns an option for a handler whose large replies are compressed already.
-// It avoids a second compression.
-func WithoutCompression() connect.HandlerOption { return connect.WithCompressMinBytes(maxMessageBytes) }
+// WithoutCompression returns an option for a handler whose large replies are compressed already. It
+// avoids a second compression, and refuses compressed requests, which could expand to any size.
+func WithoutCompression() connect.HandlerOption { return connect.WithCompression("gzip", nil, nil) }
 
 // Protocols returns the HTTP versions that a server of the peer service accepts: HTTP/1 and
 // HTTP/2 without TLS.
@@ -140,7 +138,7 @@
 // NewClient returns a Client for the routers at the given addresses, by id. Each call is bounded
 // by timeout. wrap is called for each new connection, to count its traffic.
 func NewClient(addresses map[uint32]string, timeout time.Duration, wrap func(net.Conn) net.Conn) *Client {
-	client := newHTTPClient(timeout, 0, wrap)
+	client := bounded(newHTTPClient(timeout, 0, wrap), maxBodyBytes, readlimit.NewBudget(maxHeldBytes))
 	c := &Client{clients: make(map[uint32]peerv1connect.PeerServiceClient), timeout: timeout}
 	for id, address := range addresses {
 		c.clients[id] = peerv1connect.NewPeerServiceClient(client, "http://"+address, connect.WithReadMaxBytes(maxMessageBytes))
@@ -162,7 +160,11 @@
 		},
 		IdleConnTimeout: idleTimeout,
 		Protocols:       unencryptedHTTP2(),
-		HTTP2:           &http.HTTP2Config{SendPingTimeout: sendPingTimeout, PingTimeout: pingTimeout},
+		HTTP2: &http.HTTP2Config{
+			SendPingTimeout: sendPingTimeout, PingTimeout: pingTimeout,
+			MaxReceiveBufferPerStream: maxReceiveWindow, MaxReceiveBufferPerConnection: maxConnectionWindow,
+		},
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}}
 }
 
--- a/internal/app/gateway/copies.go
+++ b/internal/app/gateway/copies.go
@@ -21,7 +21,7 @@
 	minPackBytes = 4 << 10
 	// maxUnpackedBytes bounds the uncompressed size of a copy to what a router can spare in memory.
 	// A desired state with 31,000 teams has about 6 MB.
-	maxUnpackedBytes = 32 << 20
+	maxUnpackedBytes = 16 << 20
 )
 
 // copyServer answers copy requests from other routers. A large copy is packed, that is compressed,
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -169,7 +169,7 @@
 		{g.settings.CallerAddress, &http.Server{Handler: callerServer, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: g.callerConnections.OnStateChange},
 			func(l net.Listener) net.Listener { return g.callerConnections.Wrap(g.loadGate.Wrap(l)) }},
 		{g.settings.ReadinessAddress, &http.Server{Handler: callerServer.ReadinessHandler(g.settings.ReadinessPath)}, nil},
-		{g.settings.Gateway.Address, &http.Server{Handler: peerMux, Protocols: peer.Protocols()},
+		{g.settings.Gateway.Address, peer.NewServer(peerMux),
 			func(l net.Listener) net.Listener { return peer.CoalesceWrites(reporter.servedCopies.WrapListener(l)) }},
 		{g.settings.MetricsAddress, &http.Server{Handler: m.Handler(g.control.Status)}, nil},
 	} {
--- a/internal/daemon/router.go
+++ b/internal/daemon/router.go
@@ -70,7 +70,7 @@
 	}
 	peerMux := http.NewServeMux()
 	peerMux.Handle(peer.NewHandler(burn))
-	r.peersServer = &http.Server{Handler: peerMux, Protocols: peer.Protocols()}
+	r.peersServer = peer.NewServer(peerMux)
 	r.adminServer = &http.Server{Handler: r.adminHandler()}
 	if err := r.startServers(); err != nil {
 		stop()
--- a/internal/readlimit/readlimit.go
+++ b/internal/readlimit/readlimit.go
@@ -44,15 +44,16 @@
 // Body is the body of a message. Its bytes are held in a Budget until Release is called.
 type Body struct {
 	io.ReadCloser
+	limit  int64
 	left   int64
 	held   atomic.Int64
 	budget *Budget
 }
 
 // NewBody returns a Body that fails with ErrTooLarge after limit bytes, and with ErrBudgetExhausted if
-// the budget has no room.
+// the budget has no room. A nil budget has room for all.
 func NewBody(body io.ReadCloser, limit int64, budget *Budget) *Body {
-	return &Body{ReadCloser: body, left: limit, budget: budget}
+	return &Body{ReadCloser: body, limit: limit, left: limit, budget: budget}
 }
 
 // Read reads from the body.
@@ -61,8 +62,11 @@
 		p = p[:b.left+1] // one byte more shows whether the message is too large
 	}
 	n, err := b.ReadCloser.Read(p)
-	b.held.Add(int64(n))
-	hasRoom := b.budget.take(int64(n))
+	hasRoom := true
+	if b.budget != nil {
+		b.held.Add(int64(n))
+		hasRoom = b.budget.take(int64(n))
+	}
 	if b.left -= int64(n); b.left < 0 {
 		b.left = 0
 		return 0, ErrTooLarge
@@ -74,7 +78,11 @@
 }
 
 // Release returns the bytes to the budget. The caller no longer holds the message then.
-func (b *Body) Release() { b.budget.held.Add(-b.held.Swap(0)) }
+func (b *Body) Release() {
+	if b.budget != nil {
+		b.budget.held.Add(-b.held.Swap(0))
+	}
+}
 
 // releasedOnClose is a Body that is released when it is closed.
 type releasedOnClose struct{ *Body }
@@ -102,12 +110,25 @@
 	return resp, nil
 }
 
+// requestBody is the body of a request to a server. Its errors beyond a bound are an http.MaxBytesError,
+// as those of http.MaxBytesReader.
+type requestBody struct{ *Body }
+
+// Read reads from the body.
+func (b requestBody) Read(p []byte) (int, error) {
+	n, err := b.Body.Read(p)
+	if errors.Is(err, ErrTooLarge) || errors.Is(err, ErrBudgetExhausted) {
+		return n, &http.MaxBytesError{Limit: b.limit}
+	}
+	return n, err
+}
+
 // Handler returns a handler that bounds the bodies of requests. A body counts until next returns.
 func Handler(next http.Handler, limit int64, budget *Budget) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		body := NewBody(r.Body, limit, budget)
 		defer body.Release()
-		r.Body = body
+		r.Body = requestBody{body}
 		next.ServeHTTP(w, r)
 	})
 }
