Show the memory of a router in its metrics and log, with what holds it

A process that is killed for its memory writes nothing, so its end could not be told from a panic or another kill: no metric and no line showed its memory. Now gauges show the memory that the runtime holds, its limit, the open requests of callers and the bytes of their bodies. A memory line is written when 0.6, 0.7, 0.8 or 0.9 of the limit is passed, with the same figures, and one when the memory is below all of them again.

--- a/internal/adapter/metrics/gateway.go
+++ b/internal/adapter/metrics/gateway.go
@@ -38,6 +38,9 @@
 	series        int // counters added; from maxSeries on, new label values share one counter
 	latencies     map[latencyKey]*latency
 	serviceLevels *burn.Tracker
+
+	memoryLimit int64
+	holder      func() Holder
 }
 
 type latencyKey struct{ name, route, class string }
@@ -160,6 +163,7 @@
 	r.HandleFunc("/metrics", func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "text/plain; version=0.0.4")
 		writeStatus(w, status())
+		g.writeMemory(w)
 		g.write(w)
 	})
 	return r
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -111,12 +111,17 @@
 	g.loadGate = gatewayhttp.NewLoadGate(g.control.AliveRouters, m.CountClosedUnread, func(limited bool) { log.Line(eventlog.Overload).Bool("limited", limited).Msg("") })
 	g.callerConnections = gatewayhttp.NewConnTracker(g.loadGate.RecordBegun)
 	callerServer := gatewayhttp.New(proxy, g.control, p.HeaderCodec, time.Now, m.CountRefusal)
-	if err := g.startServers(callerServer, m, reporter); err != nil {
+	load := newCallerLoad()
+	m.SetMemory(s.MemoryBytes, load.holder)
+	if err := g.startServers(callerServer, load, m, reporter); err != nil {
 		stop()
 		return nil, err
 	}
 	reporter.status = g.control.Status
 	go reporter.run(ctx)
+	if s.MemoryBytes > 0 {
+		go (&memoryReporter{limit: s.MemoryBytes, read: metrics.ReadMemory, holder: load.holder, log: log}).run(ctx)
+	}
 	go g.loadGate.Run(ctx)
 	go g.receiveDigests(ctx)
 	go g.control.Run(ctx)
@@ -158,7 +163,7 @@
 }
 
 // startServers opens the listeners and starts the servers.
-func (g *Gateway) startServers(callerServer *gatewayhttp.Server, m *metrics.Gateway, reporter *linkReporter) error {
+func (g *Gateway) startServers(callerServer *gatewayhttp.Server, load *callerLoad, m *metrics.Gateway, reporter *linkReporter) error {
 	peerMux := http.NewServeMux()
 	peerMux.Handle(peer.NewHandler(g, peer.WithoutCompression()))
 	for _, entry := range []struct {
@@ -166,7 +171,7 @@
 		server  *http.Server
 		wrap    func(net.Listener) net.Listener
 	}{
-		{g.settings.CallerAddress, &http.Server{Handler: callerServer, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: g.callerConnections.OnStateChange},
+		{g.settings.CallerAddress, &http.Server{Handler: load.count(callerServer), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: g.callerConnections.OnStateChange},
 			func(l net.Listener) net.Listener { return g.callerConnections.Wrap(g.loadGate.Wrap(l)) }},
 		{g.settings.ReadinessAddress, &http.Server{Handler: callerServer.ReadinessHandler(g.settings.ReadinessPath)}, nil},
 		{g.settings.Gateway.Address, peer.NewServer(peerMux),
--- a/internal/eventlog/kinds.go
+++ b/internal/eventlog/kinds.go
@@ -61,6 +61,7 @@
 	TableCopyRefused      = Kind{"copy_refused", zerolog.InfoLevel, 50, "another router refused a table copy, since its link is busy; a different router is asked"}
 	TableCopied           = Kind{"copied", zerolog.InfoLevel, 50, "another router sent a table copy: the table, its version, whether it is complete, its size, and how long it took"}
 	LinkUse               = Kind{"link", zerolog.InfoLevel, 1, "how many bytes of messages between routers this VM's link carried since the last such line, and how many routers this one receives digests from"}
+	MemoryShare           = Kind{"memory", zerolog.WarnLevel, 5, "the memory of this process passed a share of its limit, or is below all such shares again: with what is known to hold it"}
 	RouterListFailed      = Kind{"list_failed", zerolog.WarnLevel, 20, "the store's list of routers could not be read or written"}
 	SuspectStoreFailed    = Kind{"keep_failed", zerolog.WarnLevel, 20, "the suspected requests in the store could not be read or written"}
 	PeerUp                = Kind{"peer_up", zerolog.InfoLevel, 100, "another router is alive: seen for the first time, or again"}
@@ -88,7 +89,7 @@
 	return []Kind{
 		TicketRefused, Placed, AttemptFailed, RetryDenied, NotAdmitted, PrefillWait, PoisonRefused, Forwarded, NotForwarded, Forwarding, StreamRefused, Finished, Failed,
 		Started, Stopping, Stopped, Reloaded, ReloadRejected, RequestsCut, ReadyChanged, StaleChanged, DesiredState, Evacuation, TargetCold, TargetBrittle, TargetLoadIgnored,
-		DesiredStateRejected, TargetsChanged, TargetRejected, TargetRestarted, TargetDeparted, StoreChanged, StoreReadFailed, TableCopyFailed, TableCopyRefused, TableCopied, LinkUse, RouterListFailed, SuspectStoreFailed,
+		DesiredStateRejected, TargetsChanged, TargetRejected, TargetRestarted, TargetDeparted, StoreChanged, StoreReadFailed, TableCopyFailed, TableCopyRefused, TableCopied, LinkUse, MemoryShare, RouterListFailed, SuspectStoreFailed,
 		PeerUp, PeerDown, PeerUnlisted, PathChanged, Overload, RoleChanged, TargetSuspended, TargetNotice, TargetExited, PoisonChanged, PeerCallFailed, ListenerFailed,
 		ChangeAccepted, PlannedChangeProgress, PlannedChangeFailed, ClaimUnsettled, BurnIncomplete, LinesDropped,
 	}
