--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -114,12 +114,19 @@
 	g.loadGate = gatewayhttp.NewLoadGate(g.control.AliveRouters, m.CountClosedUnread, func() { m.CountRefusal(code.Overloaded) }, func(limited bool) { log.Line(eventlog.Overload).Bool("limited", limited).Msg("") })
 	g.callerConnections = gatewayhttp.NewConnTracker(g.loadGate.RecordBegun)
 	callerServer := gatewayhttp.New(proxy, g.control, p.HeaderCodec, m, log, time.Now)
-	if err := g.startServers(callerServer, m, reporter); err != nil {
+	load := newCallerLoad()
+	m.SetMemory(s.MemoryBytes, load.holder)
+	if err := g.startServers(callerServer, load, m, reporter); err != nil {
 		stop()
 		return nil, err
 	}
 	reporter.status = g.control.Status
 	log.GoOrEnd("link", func() { reporter.run(ctx) })
+	if s.MemoryBytes > 0 {
+		log.GoOrEnd("memory", func() {
+			(&memoryReporter{limit: s.MemoryBytes, read: metrics.ReadMemory, holder: load.holder, log: log}).run(ctx)
+		})
+	}
 	log.GoOrEnd("load_gate", func() { g.loadGate.Run(ctx) })
 	log.GoOrEnd("digests", func() { g.receiveDigests(ctx) })
 	log.GoOrEnd("control", func() { g.control.Run(ctx) })
@@ -161,7 +168,7 @@
 }
 
 // startServers opens the listeners and starts the servers.
-func (g *Gateway) startServers(callerServer *gatewayhttp.Server, m *metrics.Gateway, reporter *linkReporter) error {
+func (g *Gateway) startServers(callerServer *gatewayhttp.Server, load *callerLoad, m *metrics.Gateway, reporter *linkReporter) error {
 	peerMux := http.NewServeMux()
 	peerMux.Handle(peer.NewHandler(g, peer.WithoutCompression(), recordPeerPanics(g.log)))
 	for _, entry := range []struct {
@@ -170,10 +177,10 @@
 		server  *http.Server
 		wrap    func(net.Listener) net.Listener
 	}{
-		{"callers", g.settings.CallerAddress, &http.Server{Handler: g.callerConnections.Handler(callerServer), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: g.callerConnections.OnStateChange, ConnContext: g.callerConnections.ConnContext},
+		{"callers", g.settings.CallerAddress, &http.Server{Handler: g.callerConnections.Handler(load.count(callerServer)), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: g.callerConnections.OnStateChange, ConnContext: g.callerConnections.ConnContext},
 			func(l net.Listener) net.Listener { return g.callerConnections.Wrap(g.loadGate.Wrap(l)) }},
 		{"readiness", g.settings.ReadinessAddress, &http.Server{Handler: recovery.Handler(g.log, "readiness", callerServer.ReadinessHandler(g.settings.ReadinessPath))}, nil},
-		{"peers", g.settings.Gateway.Address, &http.Server{Handler: peerMux, Protocols: peer.Protocols()},
+		{"peers", g.settings.Gateway.Address, peer.NewServer(peerMux),
 			func(l net.Listener) net.Listener { return peer.CoalesceWrites(reporter.servedCopies.WrapListener(l)) }},
 		{"metrics", g.settings.MetricsAddress, &http.Server{Handler: recovery.Handler(g.log, "metrics", m.Handler(g.control.Status))}, nil},
 	} {
--- a/internal/daemon/router.go
+++ b/internal/daemon/router.go
@@ -71,7 +71,7 @@
 	}
 	peerMux := http.NewServeMux()
 	peerMux.Handle(peer.NewHandler(burn, recordPeerPanics(log)))
-	r.peersServer = &http.Server{Handler: peerMux, Protocols: peer.Protocols()}
+	r.peersServer = peer.NewServer(peerMux)
 	r.adminServer = &http.Server{Handler: recovery.Handler(log, "admin", r.adminHandler())}
 	if err := r.startServers(); err != nil {
 		stop()
