A read beside the handler that times out no longer cancels the request

Callers saw a connection closed without an answer although they had not left: net/http cancels a request on each error of the read beside its handler, a timeout included. Read deadlines are set while a connection is idle, by the server and by the tracker of a stopping router, and one that is set just before a handler begins ended its request.

While a handler runs, the tracker's Read lifts the deadline and reads on. The server's own interruption comes after the handler has returned and passes as before. A caller that leaves is still noticed (test).

--- a/internal/adapter/gatewayhttp/connections.go
+++ b/internal/adapter/gatewayhttp/connections.go
@@ -82,9 +82,22 @@
 	}
 }
 
+// liftDeadlineIfHandling lifts the read deadline if a handler runs, and reports whether one does. The
+// server cancels a request if the read beside its handler times out, as if the caller had left. Such a
+// deadline was set for the connection while it was idle.
+func (c *connection) liftDeadlineIfHandling() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.handling {
+		return false
+	}
+	c.readsInterrupted = false
+	return c.SetReadDeadline(time.Time{}) == nil
+}
+
 // Handler returns a handler that tells the tracker when next runs. The server's own states don't: it
 // reports a request as active before it decides whether to handle it, and one that was read together with
-// the request before it not at all.
+// the request before it not at all. The server must have no ReadTimeout: it would not bound bodies.
 func (c *ConnTracker) Handler(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if tracked, ok := r.Context().Value(connectionKey{}).(*connection); ok {
@@ -115,6 +128,9 @@
 		n, err = c.readArrived(p)
 		c.setDrainingRead(false)
 	}
+	for n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.liftDeadlineIfHandling() {
+		n, err = c.Conn.Read(p)
+	}
 	c.recordRead(n, err)
 	if n > 0 {
 		c.markRequestBegun()
--- a/internal/adapter/gatewayhttp/read_error_test.go
+++ b/internal/adapter/gatewayhttp/read_error_test.go
@@ -130,6 +130,28 @@
 		Eventually(done, 3*time.Second).Should(Receive(BeNil()))
 	})
 
+	// Guards against a request that is cancelled as if its caller had left, as a deadline that was set
+	// while its connection was idle ends the read beside its handler.
+	It("is answered if the read beside its handler times out", func() {
+		accepted := make(chan net.Conn, 1)
+		s := startCallerServer(answerOrGone(begun, release), func(c net.Conn) net.Conn { accepted <- c; return c })
+		c := s.dial()
+		reader := bufio.NewReader(c)
+		sendRequest(c, "1")
+		Eventually(begun).Should(Receive())
+		conn := <-accepted
+		for range 2 {
+			Expect(conn.SetReadDeadline(time.Unix(1, 0))).To(Succeed())
+			time.Sleep(50 * time.Millisecond)
+		}
+		release <- struct{}{}
+		expectWhole(reader)
+		sendRequest(c, "2") // the connection is kept
+		Eventually(begun).Should(Receive())
+		Expect(c.Close()).To(Succeed())
+		Eventually(s.lines.String).Should(MatchRegexp(`"request":"2","why":"caller_left"`), "a caller that leaves is noticed")
+	})
+
 	// Guards against a request that a stopping router has read and drops: net/http reports a connection as
 	// active, and then closes it if the server has begun to shut down meanwhile.
 	DescribeTable("is answered if its router stops between its header and its handler", func(kept bool) {
