--- a/internal/adapter/gatewayhttp/read_error_test.go
+++ b/internal/adapter/gatewayhttp/read_error_test.go
@@ -185,8 +185,7 @@
 		Eventually(done, 3*time.Second).Should(Receive(BeNil()))
 	}, Entry("on a new connection", false), Entry("on a kept connection", true))
 
-	// Guards against a caller's early answer deadline: one that the server sets for the header must not
-	// outlast it.
+	// Guards against a request that is cancelled by the deadline that the server sets for its header.
 	It("is answered after the time for its header has passed", func() {
 		s := startCallerServer(answerOrGone(begun, release), nil, func(s *callerServer) {
 			s.server.ReadHeaderTimeout, s.server.IdleTimeout = 50*time.Millisecond, 100*time.Millisecond
@@ -203,7 +202,7 @@
 	})
 
 	// A caller that closes only its writing half can't be told from one that left before something is
-	// written. Callers of the platform keep both halves open.
+	// written.
 	It("is taken for one whose caller left if that closed its writing half", func() {
 		s := startCallerServer(answerOrGone(begun, release), nil)
 		c := s.dial()
