--- a/internal/app/gateway/run.go
+++ b/internal/app/gateway/run.go
@@ -299,13 +299,19 @@
 	line.Msg("")
 }
 
-// makeAttempt makes a placed attempt and records its outcome.
+// makeAttempt makes a placed attempt and records its outcome, also if it panics: its target would count it
+// as open for ever.
 func (r *openRequest) makeAttempt(t *targetAttempt) attempt.Action {
+	defer r.recordEnd(t)
+	return t.make()
+}
+
+// recordEnd records the outcome of an attempt that has ended.
+func (r *openRequest) recordEnd(t *targetAttempt) {
 	p := r.proxy
 	if t.trial {
 		defer func() { p.traffic.poisonGuard.endTrial(p.now(), r.contents) }()
 	}
-	action := t.make()
 	if t.overlapTimer != nil {
 		t.overlapTimer.Stop()
 	}
@@ -320,7 +326,6 @@
 		p.traffic.path.logLastSeen(r.logLine(eventlog.AttemptFailed), p.now(), r.match.pool).Int("attempt", t.number).Str("target", t.choice.Target.ID).
 			Str("why", t.failure).AnErr("error", t.err).Int("events", t.events).Strs("parts", r.match.call.PromptParts).Dur("after", took).Msg("")
 	}
-	return action
 }
 
 // recordFailure records what the failure of an attempt means for the request.
