The end of an answer of known length needs no memory

A whole answer whose end comes in a read of its own, as that of each forwarded one does, asked for a byte more than its length. Without memory left it failed, though all of it had been read.

The test of the reader failed before with "memory for answers is used up" and passes after; it also checks that an answer longer than it declares fails. A test on the rig checks that the memory is returned after answers of seven kinds on four kinds of route; it passed before, too.

--- a/internal/app/gateway/answer_body.go
+++ b/internal/app/gateway/answer_body.go
@@ -27,6 +27,9 @@
 	maxPieceBytes = memory.FreeBytes
 )
 
+// errLengthMismatch means that an answer is longer than its header declares.
+var errLengthMismatch = errors.New("answer is longer than it declares")
+
 // errBodyTooLarge means that an answer has more bytes than are buffered.
 var errBodyTooLarge = errors.New("answer is too large")
 
@@ -62,8 +65,11 @@
 	}
 	size := int64(minPieceBytes)
 	for {
-		if declared >= 0 {
-			size = max(declared-b.length, 1) // one more byte after the last one reads the end
+		if b.length == declared {
+			return readEnd(answer)
+		}
+		if declared > 0 {
+			size = declared - b.length
 		}
 		piece, err := b.addPiece(min(size, maxPieceBytes))
 		if err != nil {
@@ -84,6 +90,18 @@
 	}
 }
 
+// readEnd reads the end of an answer of which all declared bytes have been read.
+func readEnd(r io.Reader) error {
+	switch n, err := fill(r, make([]byte, 1)); {
+	case n > 0:
+		return errLengthMismatch
+	case errors.Is(err, io.EOF):
+		return nil
+	default:
+		return err
+	}
+}
+
 // fill reads until p is full. Unlike io.ReadFull it returns the reader's own error, which tells a
 // complete answer from a truncated one.
 func fill(r io.Reader, p []byte) (int, error) {
--- a/internal/app/gateway/answer_body_test.go
+++ b/internal/app/gateway/answer_body_test.go
@@ -108,6 +108,23 @@
 		}
 	})
 
+	// Guards against whole answers that fail as their last read brings only their end, while no memory is
+	// left.
+	It("needs no memory for the end of an answer of known length", func() {
+		for _, length := range []int64{2 * memory.FreeBytes, 0} {
+			other, r := budget.Reserve(), budget.Reserve()
+			Expect(other.Grow(context.Background(), 2*bodyLimit-length)).To(Succeed())
+			b, err := readWithin(&r, newAnswer(bytes.NewReader(make([]byte, length)), length))
+			Expect(err).NotTo(HaveOccurred())
+			Expect(b.length).To(Equal(length))
+			r.Release()
+			_, err = readWithin(&r, newAnswer(bytes.NewReader(make([]byte, length+1)), length))
+			Expect(err).To(MatchError(errLengthMismatch))
+			r.Release()
+			other.Release()
+		}
+	})
+
 	// Guards against a router whose memory is taken by many answers without end, and that refuses small ones.
 	It("fails without memory, and small answers don't", func() {
 		large := budget.Reserve()
