Bound requests to the ports for readiness checks and metrics

Connections to these ports that send half a request stayed open for ever, each with a descriptor that callers may need, and a header had up to 1 MB. A header now has at most 12 KiB, a request arrives within 5 s, and an idle connection is closed after 60 s; the platform checks each second, metrics are read each 5 s. Bodies are not read.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -173,10 +173,10 @@
 	}{
 		{g.settings.CallerAddress, &http.Server{Handler: load.count(callerServer), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: g.callerConnections.OnStateChange},
 			func(l net.Listener) net.Listener { return g.callerConnections.Wrap(g.loadGate.Wrap(l)) }},
-		{g.settings.ReadinessAddress, &http.Server{Handler: callerServer.ReadinessHandler(g.settings.ReadinessPath)}, nil},
+		{g.settings.ReadinessAddress, newStatusServer(callerServer.ReadinessHandler(g.settings.ReadinessPath)), nil},
 		{g.settings.Gateway.Address, peer.NewServer(peerMux),
 			func(l net.Listener) net.Listener { return peer.CoalesceWrites(reporter.servedCopies.WrapListener(l)) }},
-		{g.settings.MetricsAddress, &http.Server{Handler: m.Handler(g.control.Status)}, nil},
+		{g.settings.MetricsAddress, newStatusServer(m.Handler(g.control.Status)), nil},
 	} {
 		listener, err := listen(entry.address)
 		if err != nil {
--- a/internal/daemon/router.go
+++ b/internal/daemon/router.go
@@ -71,7 +71,7 @@
 	peerMux := http.NewServeMux()
 	peerMux.Handle(peer.NewHandler(burn))
 	r.peersServer = peer.NewServer(peerMux)
-	r.adminServer = &http.Server{Handler: r.adminHandler()}
+	r.adminServer = newStatusServer(r.adminHandler())
 	if err := r.startServers(); err != nil {
 		stop()
 		return nil, err
--- a/internal/daemon/server.go
+++ b/internal/daemon/server.go
@@ -34,3 +34,22 @@
 	case <-ctx.Done():
 	}
 }
+
+const (
+	// maxStatusHeadBytes bounds the header of a request to a status server. Package net/http adds 4 KiB.
+	maxStatusHeadBytes = 8 << 10
+	// statusTimeout bounds the arrival of a request to a status server, its body included, and the wait
+	// for the next one.
+	statusTimeout = 5 * time.Second
+	// statusIdleTimeout is above the interval of checks and of reads of metrics.
+	statusIdleTimeout = 60 * time.Second
+)
+
+// newStatusServer returns a server for requests of the platform and operators that have no body:
+// readiness checks and metrics.
+func newStatusServer(handler http.Handler) *http.Server {
+	return &http.Server{
+		Handler: handler, MaxHeaderBytes: maxStatusHeadBytes,
+		ReadHeaderTimeout: statusTimeout, ReadTimeout: statusTimeout, IdleTimeout: statusIdleTimeout,
+	}
+}
