--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -179,10 +179,10 @@
 	}{
 		{"callers", g.settings.CallerAddress, &http.Server{Handler: g.callerConnections.Handler(load.count(callerServer)), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: g.callerConnections.OnStateChange, ConnContext: g.callerConnections.ConnContext},
 			func(l net.Listener) net.Listener { return g.callerConnections.Wrap(g.loadGate.Wrap(l)) }},
-		{"readiness", g.settings.ReadinessAddress, &http.Server{Handler: recovery.Handler(g.log, "readiness", callerServer.ReadinessHandler(g.settings.ReadinessPath))}, nil},
+		{"readiness", g.settings.ReadinessAddress, newStatusServer(recovery.Handler(g.log, "readiness", callerServer.ReadinessHandler(g.settings.ReadinessPath))), nil},
 		{"peers", g.settings.Gateway.Address, peer.NewServer(peerMux),
 			func(l net.Listener) net.Listener { return peer.CoalesceWrites(reporter.servedCopies.WrapListener(l)) }},
-		{"metrics", g.settings.MetricsAddress, &http.Server{Handler: recovery.Handler(g.log, "metrics", m.Handler(g.control.Status))}, nil},
+		{"metrics", g.settings.MetricsAddress, newStatusServer(recovery.Handler(g.log, "metrics", m.Handler(g.control.Status))), nil},
 	} {
 		listener, err := listen(entry.address)
 		if err != nil {
