--- a/internal/app/gateway/hedge.go
+++ b/internal/app/gateway/hedge.go
@@ -23,7 +23,7 @@
 	for silent.silence.isSilent() && silent.ctx.Err() == nil {
 		if t := r.placeHedge(silent); t != nil {
 			if action := r.makeAttempt(t); action.Kind != attempt.None {
-				r.hedgeActions <- action
+				r.hedgeResult() <- action
 				return
 			}
 			continue
@@ -54,14 +54,24 @@
 // awaitHedge waits for the hedge that is the last open attempt, and returns what to do after it.
 func (r *openRequest) awaitHedge() attempt.Action {
 	select {
-	case action := <-r.hedgeActions:
+	case action := <-r.hedgeResult():
 		return action
 	case <-r.ctx.Done():
 	}
 	if action := r.endEarly(); action.Kind != attempt.None {
 		return action
 	}
-	return <-r.hedgeActions // the hedge has finished the request
+	return <-r.hedgeResult() // the hedge has finished the request
+}
+
+// hedgeResult returns the channel for the action after the last open hedge.
+func (r *openRequest) hedgeResult() chan attempt.Action {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.hedgeActions == nil {
+		r.hedgeActions = make(chan attempt.Action, 1)
+	}
+	return r.hedgeActions
 }
 
 // startOverlap bounds the time for which a hedge and the silent attempt work on the same stream. It is
--- a/internal/app/gateway/proxy.go
+++ b/internal/app/gateway/proxy.go
@@ -223,7 +223,6 @@
 	}
 	r := &openRequest{
 		proxy: p, match: m, body: body, responder: responder, deadline: m.startedAt.Add(timeout), contents: m.contents(body),
-		hedgeActions: make(chan attempt.Action, 1),
 		machine: attempt.New(attempt.Spec{
 			Idempotent: m.route.AllowsRetry(), MaxAttempts: max(m.route.MaxAttempts, 1), MaxNotExecuted: maxNotExecuted,
 		}),
--- a/internal/app/gateway/run.go
+++ b/internal/app/gateway/run.go
@@ -37,9 +37,11 @@
 
 	// mu guards machine and what follows while a hedge is open, as two attempts run then.
 	mu       sync.Mutex
-	attempts []*targetAttempt // open attempts, two at most
-	hedges   sync.WaitGroup
-	// hedgeActions receives what to do after a hedge that was the last open attempt.
+	attempts []*targetAttempt // open attempts, and abandoned ones that have not ended yet
+	// attemptBuffer saves an allocation for each request without more attempts.
+	attemptBuffer [2]*targetAttempt
+	hedges        sync.WaitGroup
+	// hedgeActions receives what to do after a hedge that was the last open attempt; nil until it is needed.
 	hedgeActions chan attempt.Action
 
 	retries     int
@@ -92,6 +94,9 @@
 func (r *openRequest) addAttempt(t *targetAttempt) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.attempts == nil {
+		r.attempts = r.attemptBuffer[:0]
+	}
 	r.attempts = append(r.attempts, t)
 	if !r.machine.IsOpen(t.number) { // the silent target has gone on meanwhile
 		t.cancel(errOvertaken)
