Bound the rows that a table copy decodes to

A copy of empty rows decodes to more than fifty times its size, so one answer of 16 MiB could take all memory of a router. A message between routers now has at most 100,000 elements, and so has the content of a packed copy; the largest table known has 4,100 targets.

--- a/internal/adapter/peer/copier.go
+++ b/internal/adapter/peer/copier.go
@@ -33,7 +33,7 @@
 func (c *CopyClient) RequestCopy(ctx context.Context, address string, req *peerv1.CopyRequest) (*peerv1.CopyResponse, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
-	client := peerv1connect.NewPeerServiceClient(c.client, "http://"+address, withoutGzip(maxMessageBytes)...)
+	client := peerv1connect.NewPeerServiceClient(c.client, "http://"+address, readLimits(maxMessageBytes)...)
 	resp, err := client.Copy(ctx, connect.NewRequest(req))
 	if err != nil {
 		return nil, err
--- a/internal/adapter/peer/forwarding.go
+++ b/internal/adapter/peer/forwarding.go
@@ -42,7 +42,7 @@
 // Forward asks the router at an address to send an attempt. The end of ctx ends the attempt; its
 // deadline is passed on.
 func (c *ForwardClient) Forward(ctx context.Context, address string, req *peerv1.ForwardRequest) (gateway.ForwardStream, error) {
-	client := peerv1connect.NewPeerServiceClient(c.streams, "http://"+address, withoutGzip(maxForwardedPartBytes)...)
+	client := peerv1connect.NewPeerServiceClient(c.streams, "http://"+address, readLimits(maxForwardedPartBytes)...)
 	stream, err := client.Forward(ctx, connect.NewRequest(req))
 	if err != nil {
 		return nil, markNotForwarded(err)
@@ -52,7 +52,7 @@
 
 // FindStreams asks the router at an address at which software versions streams began.
 func (c *ForwardClient) FindStreams(ctx context.Context, address string, req *peerv1.FindStreamsRequest) (*peerv1.FindStreamsResponse, error) {
-	client := peerv1connect.NewPeerServiceClient(c.calls, "http://"+address, withoutGzip(maxForwardedPartBytes)...)
+	client := peerv1connect.NewPeerServiceClient(c.calls, "http://"+address, readLimits(maxForwardedPartBytes)...)
 	resp, err := client.FindStreams(ctx, connect.NewRequest(req))
 	if err != nil {
 		return nil, err
@@ -62,7 +62,7 @@
 
 // ClaimRead asks the router at an address to have a target read a prompt prefix.
 func (c *ForwardClient) ClaimRead(ctx context.Context, address string, req *peerv1.ClaimReadRequest) (*peerv1.ClaimReadResponse, error) {
-	client := peerv1connect.NewPeerServiceClient(c.calls, "http://"+address, withoutGzip(maxForwardedPartBytes)...)
+	client := peerv1connect.NewPeerServiceClient(c.calls, "http://"+address, readLimits(maxForwardedPartBytes)...)
 	resp, err := client.ClaimRead(ctx, connect.NewRequest(req))
 	if err != nil {
 		return nil, err
--- a/internal/adapter/peer/limits.go
+++ b/internal/adapter/peer/limits.go
@@ -42,10 +42,10 @@
 	}
 }
 
-// withoutGzip are options of a client that accepts no compressed answers, which could expand to
-// any size. Large answers are compressed by the application, which bounds them.
-func withoutGzip(maxBytes int) []connect.ClientOption {
-	return []connect.ClientOption{connect.WithReadMaxBytes(maxBytes), connect.WithAcceptCompression("gzip", nil, nil)}
+// readLimits are options of a client that bounds its messages. It accepts no compressed answers, which
+// could expand to any size: large answers are compressed by the application, which bounds them.
+func readLimits(maxBytes int) []connect.ClientOption {
+	return []connect.ClientOption{connect.WithReadMaxBytes(maxBytes), connect.WithAcceptCompression("gzip", nil, nil), connect.WithCodec(codec{})}
 }
 
 // bounded returns a client that bounds the body of each answer, and all that are read at once.
--- a/internal/adapter/peer/peer.go
+++ b/internal/adapter/peer/peer.go
@@ -39,7 +39,7 @@
 
 // NewHandler returns the path and the HTTP handler of the peer service.
 func NewHandler(h Handler, options ...connect.HandlerOption) (string, http.Handler) {
-	return peerv1connect.NewPeerServiceHandler(&server{h}, append(options, connect.WithReadMaxBytes(maxMessageBytes))...)
+	return peerv1connect.NewPeerServiceHandler(&server{h}, append(options, connect.WithReadMaxBytes(maxMessageBytes), connect.WithCodec(codec{}))...)
 }
 
 // WithoutCompression returns an option for a handler whose large replies are compressed already. It
--- a/internal/app/gateway/copies.go
+++ b/internal/app/gateway/copies.go
@@ -13,6 +13,7 @@
 
 	peerv1 "github.com/hemlockdyke/hemlockdyke/gen/hemlockdyke/peer/v1"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/fleet"
+	"github.com/hemlockdyke/hemlockdyke/internal/readlimit"
 )
 
 const (
@@ -22,6 +23,8 @@
 	// maxUnpackedBytes bounds the uncompressed size of a copy to what a router can spare in memory.
 	// A desired state with 31,000 teams has about 6 MB.
 	maxUnpackedBytes = 16 << 20
+	// maxUnpackedRows bounds the rows of a copy: decoded, an empty one takes more than a hundred bytes.
+	maxUnpackedRows = 100_000
 )
 
 // copyServer answers copy requests from other routers. A large copy is packed, that is compressed,
@@ -133,6 +136,9 @@
 	case len(data) > maxUnpackedBytes:
 		return nil, errors.Newf("unpack copy: content is larger than %d bytes", maxUnpackedBytes)
 	}
+	if err := readlimit.CheckElements(data, maxUnpackedRows); err != nil {
+		return nil, errors.Wrap(err, "unpack copy")
+	}
 	var rows peerv1.CopyResponse
 	if err := proto.Unmarshal(data, &rows); err != nil {
 		return nil, errors.Wrap(err, "decode copy")
--- a/internal/app/gateway/copies_test.go
+++ b/internal/app/gateway/copies_test.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"bytes"
+	"compress/gzip"
 	"math/rand/v2"
 	"strings"
 	"time"
@@ -78,6 +80,17 @@
 		}
 	})
 
+	// Guards against a router that is killed for its memory, when a packed list decodes to many times its size.
+	It("is not unpacked if it has more rows than any table", func() {
+		var packed bytes.Buffer
+		w := gzip.NewWriter(&packed)
+		_, err := w.Write(bytes.Repeat([]byte{0x1a, 0}, 7<<20))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(w.Close()).To(Succeed())
+		_, err = unpack(&peerv1.CopyResponse{Version: 7, Packed: packed.Bytes()})
+		Expect(err).To(MatchError(ContainSubstring("more elements")))
+	})
+
 	// Load: 59 routers request the same large copy at once and retry every 100 ms while they are
 	// refused. The link carries 1.25 MB/s.
 	It("are refused when the copy budget is exhausted, except small ones", func() {
