Bound what the router outside the platform reads of targets

A header had up to 10 MB, and a target's status and the answer to an order were not bounded. A header now has at most 64 KiB, interim answers included, a status or an answer to an order 1 MiB; bodies of services had 16 MiB already.

--- a/internal/adapter/target/orders.go
+++ b/internal/adapter/target/orders.go
@@ -9,15 +9,23 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/hemlockdyke/hemlockdyke/internal/readlimit"
 )
 
 // OrderClient reads the state of model engines and sends them the orders of planned changes, such
 // as a drain.
 type OrderClient struct{ client *http.Client }
 
+// maxStatusBytes bounds the status of a target, which has an entry for each action of an order.
+const maxStatusBytes = 1 << 20
+
 // NewOrderClient returns an OrderClient whose calls are bounded by timeout.
 func NewOrderClient(timeout time.Duration) *OrderClient {
-	return &OrderClient{client: &http.Client{Timeout: timeout}}
+	return &OrderClient{client: &http.Client{Timeout: timeout, Transport: &readlimit.Transport{
+		Base:  &http.Transport{DisableCompression: true, MaxResponseHeaderBytes: maxHeadBytes, IdleConnTimeout: idleTimeout},
+		Limit: maxStatusBytes,
+	}}}
 }
 
 // ErrStaleOrder means that a target refused an order because it has accepted one with a higher
--- a/internal/adapter/target/target.go
+++ b/internal/adapter/target/target.go
@@ -80,14 +80,19 @@
 // maxIdlePerTarget covers the concurrent streams of one router at one target.
 const maxIdlePerTarget = 32
 
+// maxHeadBytes bounds the status line and the header of an answer, interim answers included.
+const maxHeadBytes = 64 << 10
+
 // New returns a Client.
 func New(s Settings) *Client {
 	dialer := &net.Dialer{Timeout: s.DialTimeout}
 	pooled := &http.Transport{
 		DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxIdlePerTarget,
-		IdleConnTimeout: idleTimeout, DisableCompression: true,
+		IdleConnTimeout: idleTimeout, DisableCompression: true, MaxResponseHeaderBytes: maxHeadBytes,
+	}
+	fresh := &http.Transport{
+		DialContext: dialer.DialContext, DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: maxHeadBytes,
 	}
-	fresh := &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true, DisableCompression: true}
 	return &Client{settings: s, pooled: pooled, fresh: fresh}
 }
 
