Forwarded answers that nobody reads no longer stop the others of their forwarder

What callers saw: while 16 to 20 answers through one forwarder were not taken (slow callers, answers that wait for memory), every other answer through it stood still; its target and the forwarder were blamed as silent.

Change: 64 KiB a stream, and room for the 256 answers that a router forwards at once in the connection's window.

Shown: found by the reviewer; "arrives while other answers of the connection are not read" fails with the old windows (nothing within 3 s behind 40 unread answers) and passes, with -race.

--- a/internal/adapter/peer/forwarding.go
+++ b/internal/adapter/peer/forwarding.go
@@ -23,7 +23,10 @@
 	forwardIdleTimeout = 3 * time.Second
 	// forwardWindowBytes limits what a connection holds of an answer whose caller does not take it. The
 	// default of net/http is 4 MiB an answer, which many answers at once must not take.
-	forwardWindowBytes = 256 << 10
+	forwardWindowBytes = 64 << 10
+	// forwardConnectionBytes has room for all answers that a router forwards at once: one whose caller takes
+	// nothing must not stop the others.
+	forwardConnectionBytes = 256 * forwardWindowBytes
 )
 
 // ForwardClient asks other routers to send attempts to targets, which streams they know, and which target
@@ -37,6 +40,7 @@
 func NewForwardClient() *ForwardClient {
 	transport := newTransport(forwardDialTimeout, forwardIdleTimeout, func(c net.Conn) net.Conn { return c })
 	transport.HTTP2.MaxReceiveBufferPerStream = forwardWindowBytes
+	transport.HTTP2.MaxReceiveBufferPerConnection = forwardConnectionBytes
 	client := &http.Client{Transport: transport}
 	return &ForwardClient{
 		streams: bounded(client, maxForwardedBytes, nil),
--- a/internal/adapter/peer/forwarding_test.go
+++ b/internal/adapter/peer/forwarding_test.go
@@ -22,8 +22,14 @@
 	return nil, context.Canceled
 }
 
-func (f *endlessForwarder) Forward(_ context.Context, _ *peerv1.ForwardRequest, send func(*peerv1.ForwardResponse) error) error {
+// smallURI is the URI of the requests whose answers have one part.
+const smallURI = "/small"
+
+func (f *endlessForwarder) Forward(_ context.Context, r *peerv1.ForwardRequest, send func(*peerv1.ForwardResponse) error) error {
 	part := &peerv1.ForwardResponse{Part: &peerv1.ForwardResponse_Data{Data: make([]byte, 8<<10)}}
+	if r.GetUri() == smallURI {
+		return send(part)
+	}
 	for {
 		if err := send(part); err != nil {
 			return err
@@ -32,20 +38,26 @@
 	}
 }
 
+// startEndlessForwarder serves the peer service at the returned address.
+func startEndlessForwarder() (*endlessForwarder, string) {
+	f := &endlessForwarder{}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	handlers := http.NewServeMux()
+	handlers.Handle(peer.NewHandler(f, peer.WithoutCompression()))
+	server := &http.Server{Handler: handlers, Protocols: peer.Protocols()}
+	DeferCleanup(server.Close)
+	go func() { _ = server.Serve(listener) }()
+	return f, listener.Addr().String()
+}
+
 var _ = Describe("a forwarded answer", func() {
 	// Guards against a router whose memory is taken by forwarded answers that no caller takes.
 	It("stops at its forwarder while it is not read, and goes on once it is", func() {
-		f := &endlessForwarder{}
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		Expect(err).NotTo(HaveOccurred())
-		handlers := http.NewServeMux()
-		handlers.Handle(peer.NewHandler(f, peer.WithoutCompression()))
-		server := &http.Server{Handler: handlers, Protocols: peer.Protocols()}
-		DeferCleanup(server.Close)
-		go func() { _ = server.Serve(listener) }()
+		f, address := startEndlessForwarder()
 		ctx, cancel := context.WithCancel(context.Background())
 		defer cancel()
-		stream, err := peer.NewForwardClient().Forward(ctx, listener.Addr().String(), &peerv1.ForwardRequest{})
+		stream, err := peer.NewForwardClient().Forward(ctx, address, &peerv1.ForwardRequest{})
 		Expect(err).NotTo(HaveOccurred())
 		time.Sleep(300 * time.Millisecond)
 		GinkgoWriter.Println("bytes sent while nothing was read:", f.sent.Load())
@@ -57,4 +69,26 @@
 		cancel()
 		_ = stream.Close()
 	})
+
+	// Guards against answers whose callers take nothing, and that stop all others of the same forwarder.
+	It("arrives while other answers of the connection are not read", func() {
+		_, address := startEndlessForwarder()
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		client := peer.NewForwardClient()
+		for range 40 {
+			_, err := client.Forward(ctx, address, &peerv1.ForwardRequest{})
+			Expect(err).NotTo(HaveOccurred())
+		}
+		time.Sleep(300 * time.Millisecond)
+		arrived := make(chan error, 1)
+		go func() {
+			stream, err := client.Forward(ctx, address, &peerv1.ForwardRequest{Uri: smallURI})
+			if err == nil {
+				_, err = stream.Receive()
+			}
+			arrived <- err
+		}()
+		Eventually(arrived, 3*time.Second).Should(Receive(BeNil()))
+	})
 })
