The only large answer waits for memory too

An answer of more than 64 KiB that was the only large one failed at once where small ones held the rest for a moment: it counted as having its share. Found by the reviewer; the new test fails before (ErrExhausted at once) and passes.

--- a/internal/memory/budget.go
+++ b/internal/memory/budget.go
@@ -95,10 +95,10 @@
 
 func (r *Reservation) isLarge() bool { return r.bytes > FreeBytes }
 
-// hasShare reports whether the reservation is at least as large as the large ones are on average. The
-// largest one always is. The mutex of the budget must be held.
+// hasShare reports whether there are other large reservations, and this one is at least as large as they are
+// on average. The mutex of the budget must be held.
 func (r *Reservation) hasShare() bool {
-	return r.isLarge() && r.bytes >= r.budget.largeHeld/r.budget.large
+	return r.isLarge() && r.budget.large > 1 && r.bytes >= r.budget.largeHeld/r.budget.large
 }
 
 // Grow adds n bytes, and waits until they are available. It fails with ErrExhausted, at once if the
--- a/internal/memory/budget_test.go
+++ b/internal/memory/budget_test.go
@@ -45,6 +45,18 @@
 		Expect(b.Held()).To(BeZero())
 	})
 
+	// Guards against the only large answer failing at once for what small answers are about to return.
+	It("is granted to the only large answer once small ones have ended", func() {
+		large, small := b.Reserve(), make([]memory.Reservation, limit/memory.FreeBytes-2)
+		for i := range small {
+			small[i] = b.Reserve()
+			Expect(small[i].TryGrow(memory.FreeBytes)).To(BeTrue())
+		}
+		Expect(large.Grow(ctx, 2*memory.FreeBytes)).To(Succeed())
+		time.AfterFunc(maxWait/5, small[0].Release)
+		Expect(large.Grow(ctx, memory.FreeBytes)).To(Succeed())
+	})
+
 	// Guards against requests that wait for ever.
 	It("is refused after a bounded wait, or with the end of the request, or if it can't be granted", func() {
 		first, second := b.Reserve(), b.Reserve()
