Hedges: panics reach the handler, an error in hand is not kept back, one warning a silence

The end of a hedge, panics included, is passed to the handler's goroutine, which panics again and answers. - A target's 500 that the hedge brought was kept until the deadline (3.06 s of 3 s) for a target that is never heard again.

--- a/internal/app/gateway/answer.go
+++ b/internal/app/gateway/answer.go
@@ -86,9 +86,27 @@
 		return t.forwardAnswer(answer, body)
 	}
 	r.setTargetError(&bufferedAnswer{status: answer.Status, header: answer.Header, body: body, memory: t.memory.Move()})
+	if t.hedges {
+		time.AfterFunc(maxSilenceTimeout, r.endSilentAttempts)
+	}
 	return r.step(attempt.ConnectionFailed{Attempt: t.number})
 }
 
+// endSilentAttempts cancels the attempts whose targets have not answered, as another target's error is there to
+// be sent to the caller.
+func (r *openRequest) endSilentAttempts() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.targetError == nil || r.machine.State() == attempt.Answering || r.stream.events > 0 {
+		return
+	}
+	for _, t := range r.attempts {
+		if t.silence.isSilent() {
+			t.cancel(errOvertaken)
+		}
+	}
+}
+
 // forwardAnswer sends a complete answer to the caller, unless another attempt has answered.
 func (t *targetAttempt) forwardAnswer(answer *upstream.Answer, body [][]byte) attempt.Action {
 	r := t.request
@@ -294,7 +312,7 @@
 	}
 	if r.match.route.AllowsRetry() {
 		r.hedges.Add(1)
-		r.proxy.log.Go("hedge", func() { r.hedge(t) })
+		go r.hedge(t)
 	}
 }
 
--- a/internal/app/gateway/hedge.go
+++ b/internal/app/gateway/hedge.go
@@ -20,10 +20,17 @@
 // on, and the second attempt may be denied, find no target or fail.
 func (r *openRequest) hedge(silent *targetAttempt) {
 	defer r.hedges.Done()
+	defer func() {
+		if value := recover(); value != nil {
+			r.proxy.log.RecordPanic(whereHedge, value, r.match.call.ID)
+			r.endHedge(hedgeEnd{panicked: value})
+		}
+	}()
+	denied := false
 	for silent.silence.isSilent() && silent.ctx.Err() == nil {
-		if t := r.placeHedge(silent); t != nil {
+		if t := r.placeHedge(silent, &denied); t != nil {
 			if action := r.makeAttempt(t); action.Kind != attempt.None {
-				r.hedgeResult() <- action
+				r.endHedge(hedgeEnd{action: action})
 				return
 			}
 			continue
@@ -36,14 +43,19 @@
 }
 
 // placeHedge places an attempt beside a silent one. It returns nil if the request may not be sent again now.
-func (r *openRequest) placeHedge(silent *targetAttempt) *targetAttempt {
+// denied tells whether the budget has denied it before, which is logged once.
+func (r *openRequest) placeHedge(silent *targetAttempt, denied *bool) *targetAttempt {
 	p := r.proxy
 	now := p.now()
 	if !now.Before(r.deadline) || r.step(attempt.Silent{Attempt: silent.number}).Kind != attempt.RequestTicket {
 		return nil
 	}
 	if headroom := p.traffic.retryHeadroom(now, r.match.pool); !headroom.AllowsRetry() {
-		r.logRetryDenied(headroom)
+		if !*denied {
+			r.logRetryDenied(headroom)
+		}
+		*denied = true
+		r.setRetryDenied()
 	} else if t, _ := r.place(now, 0, silent); t != nil {
 		return t
 	}
@@ -54,30 +66,67 @@
 // awaitHedge waits for the hedge that is the last open attempt, and returns what to do after it.
 func (r *openRequest) awaitHedge() attempt.Action {
 	select {
-	case action := <-r.hedgeResult():
-		return action
+	case end := <-r.hedgeResult():
+		return end.take()
 	case <-r.ctx.Done():
 	}
 	if action := r.endEarly(); action.Kind != attempt.None {
 		return action
 	}
-	return <-r.hedgeResult() // the hedge has finished the request
+	end := <-r.hedgeResult() // the hedge has finished the request
+	return end.take()
+}
+
+// hedgeEnd is how a hedge ended that was the last open attempt, or that panicked.
+type hedgeEnd struct {
+	action   attempt.Action
+	panicked any // the recovered value; nil if the hedge did not panic
+}
+
+// take returns the action. It panics on the goroutine of the handler if the hedge panicked, so that the caller
+// gets the handler's answer to that.
+func (e hedgeEnd) take() attempt.Action {
+	if e.panicked != nil {
+		panic(e.panicked)
+	}
+	return e.action
+}
+
+// endHedge passes on how a hedge ended. After the first end, others tell nothing more.
+func (r *openRequest) endHedge(end hedgeEnd) {
+	select {
+	case r.hedgeResult() <- end:
+	default:
+	}
+}
+
+// whereHedge names the goroutines of hedges in the lines and counts of panics.
+const whereHedge = "hedge"
+
+func (r *openRequest) setRetryDenied() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.retryDenied = true
 }
 
-// hedgeResult returns the channel for the action after the last open hedge.
-func (r *openRequest) hedgeResult() chan attempt.Action {
+// hedgeResult returns the channel for the end of the last open hedge.
+func (r *openRequest) hedgeResult() chan hedgeEnd {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.hedgeActions == nil {
-		r.hedgeActions = make(chan attempt.Action, 1)
+	if r.hedgeEnds == nil {
+		r.hedgeEnds = make(chan hedgeEnd, 1)
 	}
-	return r.hedgeActions
+	return r.hedgeEnds
 }
 
 // startOverlap bounds the time for which a hedge and the silent attempt work on the same stream. It is
 // called when the hedge is sent.
 func (t *targetAttempt) startOverlap() {
-	if t.hedges && t.request.match.route.Kind == route.Stream && t.overlapTimer == nil {
+	switch {
+	case !t.hedges || t.request.match.route.Kind != route.Stream:
+	case t.overlapTimer != nil: // another forwarder is asked
+		t.overlapTimer.Reset(maxStreamOverlap)
+	default:
 		t.overlapTimer = time.AfterFunc(maxStreamOverlap, func() { t.request.step(attempt.OverlapEnded{Attempt: t.number}) })
 	}
 }
--- a/internal/app/gateway/run.go
+++ b/internal/app/gateway/run.go
@@ -41,8 +41,8 @@
 	// attemptBuffer saves an allocation for each request without more attempts.
 	attemptBuffer [2]*targetAttempt
 	hedges        sync.WaitGroup
-	// hedgeActions receives what to do after a hedge that was the last open attempt; nil until it is needed.
-	hedgeActions chan attempt.Action
+	// hedgeEnds receives the end of a hedge that was the last open attempt; nil until it is needed.
+	hedgeEnds chan hedgeEnd
 
 	retries     int
 	retryDenied bool
@@ -178,7 +178,7 @@
 	t, refused := r.place(now, preferred, nil)
 	if t == nil {
 		if refused.notAdmitted {
-			r.retryAfter, r.retryAfterSpread = refused.retryAfter, refused.retryAfterSpread
+			r.setRetryAfter(refused.retryAfter, refused.retryAfterSpread)
 		}
 		if refused.minRetryAfter > 0 {
 			r.minRetryAfter = refused.minRetryAfter
@@ -188,6 +188,12 @@
 	return r.makeAttempt(t)
 }
 
+func (r *openRequest) setRetryAfter(after time.Duration, spread bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.retryAfter, r.retryAfterSpread = after, spread
+}
+
 // placementRefusal is why a request can't be sent to a target now.
 type placementRefusal struct {
 	code             code.Code
@@ -278,6 +284,7 @@
 	software        lineage.Software
 	attempts        int
 	events          int // events of a stream that were sent to the caller
+	lastEventID     string
 	mayHaveExecuted bool
 }
 
@@ -289,7 +296,7 @@
 	}
 	return requestProgress{
 		excluded: r.machine.Excluded(), software: r.stream.software, attempts: r.machine.Attempts(), events: r.stream.events,
-		mayHaveExecuted: r.machine.MayHaveExecuted(),
+		lastEventID: r.stream.lastEventID, mayHaveExecuted: r.machine.MayHaveExecuted(),
 	}
 }
 
@@ -361,7 +368,7 @@
 // answer, and records the result.
 func (r *openRequest) finish(c code.Code) {
 	p := r.proxy
-	defer r.discardTargetError()
+	defer r.setTargetError(nil)
 	switch {
 	case c == code.OK:
 	case r.firstByteAt.IsZero() && r.targetError != nil:
@@ -392,7 +399,7 @@
 	res := Result{
 		Route: r.match.route.Name, Pool: r.match.pool, Team: r.match.teamName(), Class: r.match.teamClass(),
 		Code: c, Status: r.status, Objective: r.match.route.Objective,
-		Attempts: r.machine.Attempts(), Retries: r.retries, RetryDenied: r.retryDenied, TotalTime: now.Sub(r.match.startedAt),
+		Attempts: r.machine.Attempts(), Retries: r.retries, RetryDenied: r.retryDenied && c != code.OK, TotalTime: now.Sub(r.match.startedAt),
 	}
 	if !r.firstByteAt.IsZero() {
 		res.FirstByteTime = r.firstByteAt.Sub(r.match.startedAt)
@@ -463,5 +470,5 @@
 		Stringer("fingerprint", r.contents[0]).Str("target", c.Target.ID).Str("rule", string(c.Rule)).Int("open", c.Open).Float64("bound", c.Bound).
 		Str("source", c.CacheSource).Dur("loads_age", loadReportAge).Uint64("version", r.match.desiredVersion).
 		Uint64("targets_row", r.proxy.traffic.targetsRowVersion.Load()).
-		Str("software", c.Target.SoftwareVersion).Str("resume_from", r.stream.lastEventID).Str("resumes", r.match.call.ResumedID).Bool("trial", a.trial).Bool("hedge", a.hedges).Msg("")
+		Str("software", c.Target.SoftwareVersion).Str("resume_from", r.progress().lastEventID).Str("resumes", r.match.call.ResumedID).Bool("trial", a.trial).Bool("hedge", a.hedges).Msg("")
 }
--- a/internal/app/gateway/target_attempt.go
+++ b/internal/app/gateway/target_attempt.go
@@ -111,11 +111,11 @@
 	r := t.request
 	t.ctx, t.cancel = context.WithCancelCause(r.ctx)
 	defer t.cancel(nil)
-	r.addAttempt(t)
-	defer r.removeAttempt(t)
 	r.proxy.traffic.openAttempts.add(t)
 	defer r.proxy.traffic.openAttempts.remove(t)
 	t.silence = newSilenceTimer(r.proxy.now, t.onSilent)
+	r.addAttempt(t)
+	defer r.removeAttempt(t)
 	t.startSilenceTimer()
 	defer t.silence.stop()
 	t.memory = r.proxy.traffic.answerMemory.Reserve()
--- a/internal/core/attempt/hedge.go
+++ b/internal/core/attempt/hedge.go
@@ -110,6 +110,7 @@
 // of the other one.
 func (m *Machine) resumeSilentBefore() (abandoned int) {
 	abandoned = m.current
+	m.excluded = append(m.excluded, m.target)
 	m.earlierPastNoReturn = m.earlierPastNoReturn || m.pastNoReturn
 	m.resumeSilent()
 	return abandoned
