A target that declares much and is silent holds no memory of others

The length is reserved once the first piece, 64 KiB at most, has arrived. The new test fails before and passes; platform/'s tests of silence, bytes without end and the memory of answers pass with -race (149 s).

--- a/internal/app/gateway/answer_body.go
+++ b/internal/app/gateway/answer_body.go
@@ -58,16 +58,19 @@
 	if declared > b.limit {
 		return errBodyTooLarge
 	}
-	// All of a known length is reserved before the first byte: answers that have a part of their memory
-	// each would wait for each other.
-	if err := b.reserveMore(declared); err != nil {
-		return err
-	}
 	size := int64(minPieceBytes)
 	for {
 		if b.length == declared {
 			return readEnd(answer)
 		}
+		// All of a known length is reserved once its first piece has arrived: answers that have a part of their
+		// memory each would wait for each other, and a target that is silent after the header would hold the
+		// memory of others.
+		if b.length > 0 {
+			if err := b.reserveMore(declared - b.length); err != nil {
+				return err
+			}
+		}
 		if declared > 0 {
 			size = declared - b.length
 		}
--- a/internal/app/gateway/answer_body_test.go
+++ b/internal/app/gateway/answer_body_test.go
@@ -47,6 +47,22 @@
 	var budget *memory.Budget
 	BeforeEach(func() { budget = memory.NewBudget(2*bodyLimit, 0) })
 
+	// Guards against targets that declare much and are silent, and hold the memory of sound answers.
+	It("holds little for an answer that has sent nothing", func() {
+		body, send := io.Pipe()
+		r, ended := budget.Reserve(), make(chan error, 1)
+		go func() {
+			_, err := readWithin(&r, newAnswer(body, bodyLimit))
+			ended <- err
+		}()
+		Consistently(budget.Held, "50ms").Should(BeNumerically("<=", memory.FreeBytes))
+		_, err := send.Write(make([]byte, bodyLimit))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(send.Close()).To(Succeed())
+		Eventually(ended).Should(Receive(BeNil()))
+		Expect(r.Bytes()).To(BeEquivalentTo(bodyLimit))
+	})
+
 	// Guards against sound answers that are changed, cut or refused, and against memory that is not counted.
 	It("returns the whole body, however it arrives, and has its memory reserved", func() {
 		rapid.Check(GinkgoT(), func(t *rapid.T) {
