A hedge that admission refuses is not asked for again, and is no refused request in the log

A hedge was asked for each 250 ms, and each refusal by admission or by the poison detector wrote a line that says that the request was refused, which explain takes for the cause; pools scheduled by work counted it as offered work each time.

--- a/internal/app/gateway/hedge.go
+++ b/internal/app/gateway/hedge.go
@@ -28,13 +28,17 @@
 	}()
 	denied := false
 	for silent.silence.isSilent() && silent.ctx.Err() == nil {
-		if t := r.placeHedge(silent, &denied); t != nil {
+		t, askAgain := r.placeHedge(silent, &denied)
+		if t != nil {
 			if action := r.makeAttempt(t); action.Kind != attempt.None {
 				r.endHedge(hedgeEnd{action: action})
 				return
 			}
 			continue
 		}
+		if !askAgain {
+			return
+		}
 		select {
 		case <-time.After(hedgeInterval):
 		case <-silent.ctx.Done():
@@ -42,25 +46,31 @@
 	}
 }
 
-// placeHedge places an attempt beside a silent one. It returns nil if the request may not be sent again now.
-// denied tells whether the budget has denied it before, which is logged once.
-func (r *openRequest) placeHedge(silent *targetAttempt, denied *bool) *targetAttempt {
+// placeHedge places an attempt beside a silent one. It returns nil if the request may not be sent again now,
+// and whether to ask again during this silence. A refusal by admission is not asked again: it counts as
+// offered work each time. denied tells whether the budget has denied it before, which is logged once.
+func (r *openRequest) placeHedge(silent *targetAttempt, denied *bool) (t *targetAttempt, askAgain bool) {
 	p := r.proxy
 	now := p.now()
 	if !now.Before(r.deadline) || r.step(attempt.Silent{Attempt: silent.number}).Kind != attempt.RequestTicket {
-		return nil
+		return nil, true
 	}
+	askAgain = true
 	if headroom := p.traffic.retryHeadroom(now, r.match.pool); !headroom.AllowsRetry() {
 		if !*denied {
 			r.logRetryDenied(headroom)
 		}
 		*denied = true
 		r.setRetryDenied()
-	} else if t, _ := r.place(now, 0, silent); t != nil {
-		return t
+	} else {
+		placed, refused := r.place(now, 0, silent)
+		if placed != nil {
+			return placed, true
+		}
+		askAgain = !refused.notAdmitted
 	}
 	r.step(attempt.HedgeRefused{Attempt: silent.number})
-	return nil
+	return nil, askAgain
 }
 
 // awaitHedge waits for the hedge that is the last open attempt, and returns what to do after it.
--- a/internal/app/gateway/place.go
+++ b/internal/app/gateway/place.go
@@ -28,7 +28,9 @@
 	p := r.proxy
 	poisonDecision, confine := p.traffic.poisonGuard.admit(now, r.contents)
 	if poisonDecision.Refused {
-		r.logPoisonRefused(poisonDecision)
+		if beside == nil {
+			r.logPoisonRefused(poisonDecision)
+		}
 		return nil, placementRefusal{code: code.Poison, minRetryAfter: poisonDecision.RetryAfter}
 	}
 	endTrial := func() {
@@ -66,7 +68,9 @@
 		return nil, placementRefusal{code: c}
 	case decision.Code != code.OK:
 		endTrial()
-		r.logNotAdmitted(now, choice, decision, shed)
+		if beside == nil {
+			r.logNotAdmitted(now, choice, decision, shed)
+		}
 		return nil, placementRefusal{code: decision.Code, notAdmitted: true, retryAfter: decision.RetryAfter, retryAfterSpread: shed != nil}
 	}
 	t := &targetAttempt{
