A header that the limit cuts within a line is too large, not malformed

Where the 32 KiB ended within the name of a header line, the cut line was taken for a malformed one and the attempt was logged as broken. The new test cuts at each place of a line; it fails before and passes.

--- a/internal/adapter/upstream/endless_test.go
+++ b/internal/adapter/upstream/endless_test.go
@@ -119,6 +119,18 @@
 	)
 })
 
+var _ = Describe("a header without end that the limit cuts anywhere in a line", func() {
+	// Guards against a target that is not known for what it sends: a cut line looks like a malformed one.
+	It("is too large", func() {
+		for padding := range len("Name: v\r\n") {
+			target := newEndlessTarget("HTTP/1.1 200 OK\r\nA: "+strings.Repeat("a", padding)+"\r\n", "Name: v\r\n")
+			_, err := upstream.New(upstream.DefaultSettings(), time.Now, nil).Do(context.Background(), target.request())
+			Expect(errors.Is(err, upstream.ErrHeadTooLarge)).To(BeTrue(), "%d: %v", padding, err)
+			Expect(errors.Is(err, upstream.ErrConnectionBroken)).To(BeTrue())
+		}
+	})
+})
+
 var _ = Describe("a target whose answer has a long beginning", func() {
 	// Guards against bounds on endless bytes that end sound answers.
 	DescribeTable("is read",
--- a/internal/adapter/upstream/upstream.go
+++ b/internal/adapter/upstream/upstream.go
@@ -290,7 +290,7 @@
 	for mismatches := 0; ; {
 		resp, err := http.ReadResponse(a.conn.reader, &http.Request{Method: r.Method})
 		if err != nil {
-			return markHeadError(err)
+			return markHeadError(err, source.remaining <= 0)
 		}
 		if resp.StatusCode < http.StatusOK {
 			continue
@@ -317,9 +317,10 @@
 	}
 }
 
-// markHeadError marks the error of a header that could not be read.
-func markHeadError(err error) error {
-	if errors.Is(err, ErrHeadTooLarge) {
+// markHeadError marks the error of a header that could not be read. At the limit, the last line is cut and may be
+// taken for a malformed one.
+func markHeadError(err error, atLimit bool) error {
+	if atLimit || errors.Is(err, ErrHeadTooLarge) {
 		return errors.Mark(ErrHeadTooLarge, ErrConnectionBroken)
 	}
 	if text := err.Error(); len(text) > maxErrorBytes {
