--- a/review/standin/grace.go
+++ b/review/standin/grace.go
@@ -15,7 +15,7 @@
 const (
 	usualGrace   = 8 // GracePeriodS at the start
 	shorterGrace = 5 // after the settings file has changed
-	idleChannels = 300
+	idleChannels = 700
 	channelPause = 8 * time.Second // under four fifths of IdleTimeoutMs
 )
 
