--- a/review/standin/keys.go
+++ b/review/standin/keys.go
@@ -19,8 +19,8 @@
 const configurationMs = 2000
 
 type sentRequest struct {
-	key, status string
-	at          time.Time
+	key string
+	at  time.Time
 }
 
 func keysCase(c *caseRun) bool {
--- a/review/standin/rig.go
+++ b/review/standin/rig.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"os"
@@ -222,14 +221,12 @@
 type router struct {
 	name, ip, front, ready string
 	settings               string
-	firstStart             bool
 	memoryMb               int
 	log                    *os.File
 
 	mu     sync.Mutex
 	cmd    *exec.Cmd
 	exited chan struct{}
-	stop   bool
 }
 
 type machine struct {
@@ -391,8 +388,3 @@
 	n, _ := strconv.Atoi(fields[0])
 	return n
 }
-
-func drain(r io.Reader) int64 {
-	n, _ := io.Copy(io.Discard, r)
-	return n
-}
