--- a/review/standin-2/cases.go
+++ b/review/standin-2/cases.go
@@ -3,155 +3,135 @@
 package main
 
 import (
-	"strings"
+	"fmt"
 	"sync"
+	"sync/atomic"
+	"syscall"
 	"time"
 )
 
-var cases = map[string]func(*rig) int{
-	"last-key":   lastKey,
-	"big-bodies": bigBodies,
-}
+var cases = map[string]func(*rig) int{"gone-unread": goneUnread}
 
-// lastKey: the operator takes away the keys of both tenants, one after the other.
-func lastKey(g *rig) int {
-	for _, id := range []string{"i-1", "i-2", "i-3"} {
-		g.newWorker(id, "recall-api", 6)
-	}
-	state := func(first, second []string) desired {
-		return desired{
-			"Routes":   []any{newRoute("receipt", "unsafe", "recall-api", 1000, map[string]any{"MaxAttempts": 1})},
-			"Services": []any{service("recall-api", 110)},
-			"Tenants":  []any{map[string]any{"Name": "hule930", "ApiKeys": first}, map[string]any{"Name": "mira177", "ApiKeys": second}},
-		}
-	}
-	g.writeConfig(state([]string{"key-hule930"}, []string{"key-mira177"}))
-	for n := 1; n <= 3; n++ {
-		g.addRouter(n)
-	}
-	if !g.awaitReady() {
-		return exitNotRun
-	}
-	const never = "key-nobody-ever-held"
-	before := g.routers[0].send(call{path: "/receipt/1", key: "key-hule930"})
-	unknown := g.routers[0].send(call{path: "/receipt/2", key: never})
-	if before.status != 200 || unknown.status != 401 {
-		g.note("the deployment doesn't serve before the change")
-		return exitNotRun
-	}
-	if g.trouble {
-		g.writeConfig(state([]string{}, []string{"key-mira177"}))
-		time.Sleep(300 * time.Millisecond)
-		g.writeConfig(state([]string{}, []string{}))
-	}
-	time.Sleep(5 * time.Second) // ConfigurationMs is 2 s
-	code := exitHeld
-	for _, r := range g.routers {
-		for _, key := range []string{never, "key-hule930", "key-mira177", ""} {
-			if !g.trouble && key != never && key != "" {
-				continue // these keys are in force
-			}
-			res := r.send(call{path: "/receipt/3", key: key})
-			for _, run := range g.allRuns() {
-				if run.id == res.id {
-					g.note("BROKEN: request %s with key %q, which no desired state in force holds, was run by %s as tenant %q", res.id, key, run.worker, run.header.Get("Hemlockdyke-Tenant"))
-					code = exitBroken
-				}
-			}
-		}
-	}
-	return code
-}
-
-// bigBodies: one tenant sends 7.5 times its usual, with bodies of the largest size that the desired state allows.
-func bigBodies(g *rig) int {
+// goneUnread: all routers that read the store are killed at once; at that moment a worker's entry is removed, as it
+// leaves without having reported that it drains.
+func goneUnread(g *rig) int {
 	const (
-		usualPerSecond = 2.0
-		hotTenant      = 7.5 // the largest x of hot_tenant in the site file
-		lasts          = 6500 * time.Millisecond
+		drainMs  = 2000 * time.Millisecond // of the settings
+		exitsAt  = drainMs + 60*time.Millisecond
+		work     = 30 * time.Millisecond
+		rounds   = 13
+		dark     = 3 * time.Second // for_s of herd_kill
+		inTouch  = 3 * time.Second // StabilityWindowMs
+		watching = 2800 * time.Millisecond
 	)
-	for _, id := range []string{"i-1", "i-2", "i-3", "i-4"} {
-		g.newWorker(id, "hemlock-pool", 64).answer = streamAnswer(42, 130*time.Millisecond)
+	for i := range 3 {
+		g.newWorker(fmt.Sprintf("i-%d", i), "recall-api", 6).answer = plainAnswer(work, "ok")
 	}
 	g.writeConfig(desired{
-		"Routes":   []any{newRoute("draft", "streaming", "hemlock-pool", 10000, map[string]any{"TargetLatencyMs": 600, "MaxAttempts": 1})},
-		"Services": []any{service("hemlock-pool", 370)},
+		"Routes":   []any{newRoute("receipt", "unsafe", "recall-api", 1000, map[string]any{"MaxAttempts": 1})},
+		"Services": []any{service("recall-api", 110)},
 		"Tenants":  []any{map[string]any{"Name": "hule930", "ApiKeys": []string{"key-hule930"}}},
 	})
-	for n := 1; n <= 2; n++ {
+	for n := 1; n <= 4; n++ {
 		g.addRouter(n)
 	}
 	if !g.awaitReady() {
 		return exitNotRun
 	}
-	r := g.routers[0] // of the tenant's client, by the platform's hash
-	limit := int64(g.memoryMb) << 20
-	most, killed := int64(0), false
-	stop := make(chan struct{})
-	var watch sync.WaitGroup
-	watch.Add(1)
-	go func() { // the platform: a process that exceeds MemoryMb is killed
-		defer watch.Done()
-		for {
-			select {
-			case <-stop:
-				return
-			case <-time.After(5 * time.Millisecond):
+	time.Sleep(inTouch + time.Second)
+	late, lost, played := 0, 0, 0
+	for round := 1; round <= rounds; round++ {
+		leaving := g.newWorker(fmt.Sprintf("leaving-%d", round), "recall-api", 6)
+		leaving.answer = plainAnswer(work, "ok")
+		time.Sleep(time.Second)
+		readers, calm := g.byReading()
+		if len(readers) != 3 || len(calm) != 1 {
+			g.note("round %d: %d routers read the store; not played", round, len(readers))
+			continue
+		}
+		played++
+		var stop atomic.Bool
+		var clients sync.WaitGroup
+		var mu sync.Mutex
+		var results []result
+		for _, r := range g.routers {
+			for range 2 {
+				clients.Add(1)
+				go func() {
+					defer clients.Done()
+					for !stop.Load() && !r.hasEnded() {
+						res := r.send(call{path: "/receipt/1", key: "key-hule930"})
+						mu.Lock()
+						results = append(results, res)
+						mu.Unlock()
+						time.Sleep(10 * time.Millisecond)
+					}
+				}()
 			}
-			n := r.residentBytes()
-			most = max(most, n)
-			if n > limit && !killed {
-				killed = true
-				g.note("platform: router 1 holds %d bytes, over MemoryMb = %d; it is killed", n, g.memoryMb)
-				_ = r.cmd.Process.Kill()
-				return
+		}
+		time.Sleep(500 * time.Millisecond)
+		if g.trouble {
+			for _, r := range readers {
+				r.signal(syscall.SIGKILL)
 			}
 		}
-	}()
-	perSecond := usualPerSecond
-	if g.trouble {
-		perSecond *= hotTenant
-	}
-	body := strings.Repeat("x", 4194304)
-	n := int(perSecond * lasts.Seconds())
-	results := make([]result, n)
-	var work sync.WaitGroup
-	sent := 0
-	for i := range n {
-		if r.hasEnded() {
-			break
+		g.store.remove("servers", leaving.id)
+		gone := time.Now()
+		g.note("round %d: the store has confirmed that %s is gone; router %d is in touch", round, leaving.id, calm[0].n)
+		time.Sleep(time.Until(gone.Add(exitsAt)))
+		leaving.exit()
+		g.note("round %d: %s has exited", round, leaving.id)
+		time.Sleep(time.Until(gone.Add(watching)))
+		stop.Store(true)
+		clients.Wait()
+		last := time.Duration(0)
+		lateIDs := make(map[string]bool)
+		for _, run := range leaving.runs {
+			at := run.at.Sub(gone)
+			last = max(last, at)
+			if at > drainMs {
+				lateIDs[run.id] = true
+			}
 		}
-		sent++
-		work.Add(1)
-		go func() {
-			defer work.Done()
-			results[i] = r.send(call{path: "/draft/1", key: "key-hule930", body: body, deadline: 10 * time.Second})
-		}()
-		time.Sleep(time.Duration(float64(time.Second) / perSecond))
-	}
-	work.Wait()
-	close(stop)
-	watch.Wait()
-	lost, served := 0, 0
-	ran := make(map[string]bool)
-	for _, run := range g.allRuns() {
-		ran[run.id] = true
-	}
-	for _, res := range results[:sent] {
-		switch {
-		case res.status == 200 && res.complete:
-			served++
-		case ran[res.id]:
-			lost++
+		lostHere := 0
+		for _, res := range results {
+			if lateIDs[res.id] && res.status != 200 {
+				lostHere++
+			}
 		}
+		late, lost = late+len(lateIDs), lost+lostHere
+		g.note("round %d: the last request reached %s %v after the confirmation; %d later than DrainMs, %d of them ran and were lost", round, leaving.id, last.Round(time.Millisecond), len(lateIDs), lostHere)
+		if g.trouble {
+			time.Sleep(time.Until(gone.Add(dark)))
+			for _, r := range readers {
+				<-r.done
+				r.start()
+			}
+			if !g.awaitReady() {
+				return exitNotRun
+			}
+		}
+		time.Sleep(2200 * time.Millisecond)
 	}
-	g.note("most resident memory of router 1: %d MB; of %d requests %d were served, %d ran and have no whole answer", most>>20, sent, served, lost)
-	if killed {
-		g.note("BROKEN: the process exceeded MemoryMb and ended, with no disturbance on its machine or links; %d requests that ran have no whole answer", lost)
+	g.note("%d rounds: %d requests reached a worker later than DrainMs, %d of them were lost", played, late, lost)
+	switch {
+	case late > 0:
+		g.note("BROKEN: DRAIN")
 		return exitBroken
-	}
-	if served < sent {
+	case played == 0:
 		return exitNotRun
 	}
 	return exitHeld
 }
+
+// byReading returns the routers that read the store, and the others.
+func (g *rig) byReading() (readers, others []*router) {
+	for _, r := range g.routers {
+		if r.metric("store_reading") == 1 {
+			readers = append(readers, r)
+		} else {
+			others = append(others, r)
+		}
+	}
+	return readers, others
+}
--- a/review/standin-2/rig.go
+++ b/review/standin-2/rig.go
@@ -178,6 +178,11 @@
 }
 
 func (r *router) start() {
+	if r.cmd != nil { // the whole system starts for the first time only once
+		text, err := os.ReadFile(r.settings)
+		check(err)
+		check(os.WriteFile(r.settings, bytes.ReplaceAll(text, []byte("FirstStart = true"), []byte("FirstStart = false")), 0o600))
+	}
 	words := runWords()
 	log, err := os.OpenFile(filepath.Join(r.rig.dir, fmt.Sprintf("router-%d.log", r.n)), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	check(err)
@@ -216,21 +221,6 @@
 	}
 }
 
-// residentBytes returns the resident memory of the process, without its program file.
-func (r *router) residentBytes() int64 {
-	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", r.cmd.Process.Pid))
-	if err != nil {
-		return 0
-	}
-	for _, line := range strings.Split(string(data), "\n") {
-		if v, ok := strings.CutPrefix(line, "RssAnon:"); ok {
-			kb, _ := strconv.ParseInt(strings.Fields(v)[0], 10, 64)
-			return kb << 10
-		}
-	}
-	return 0
-}
-
 // metric returns the value of one of the router's metrics, -1 if there is none.
 func (r *router) metric(name string) float64 {
 	client := http.Client{Timeout: time.Second}
--- a/review/standin-2/worker.go
+++ b/review/standin-2/worker.go
@@ -149,31 +149,13 @@
 	}
 }
 
-// allRuns returns what all workers have run.
-func (g *rig) allRuns() []*run {
-	var out []*run
-	for _, w := range g.workers {
-		w.mu.Lock()
-		out = append(out, w.runs...)
-		w.mu.Unlock()
-	}
-	return out
-}
-
-// streamAnswer answers with a stream of events, with a pause between them.
-func streamAnswer(events int, pause time.Duration) func(*worker, net.Conn, *run) bool {
-	return func(_ *worker, c net.Conn, r *run) bool {
-		if _, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nHemlockdyke-Request-Id: %s\r\n%sContent-Type: text/event-stream\r\nKeep-Alive: timeout=5\r\nTransfer-Encoding: chunked\r\n\r\n", r.id, seal); err != nil {
-			return false
-		}
-		for i := 1; i <= events; i++ {
-			text := fmt.Sprintf("id: %d\ndata: t%d\n\n", i, i)
-			if _, err := fmt.Fprintf(c, "%x\r\n%s\r\n", len(text), text); err != nil {
-				return false
-			}
-			time.Sleep(pause)
-		}
-		_, err := io.WriteString(c, "0\r\n\r\n")
-		return err == nil
+// exit ends the worker as the end of its process does: its port refuses channels, and the open ones are closed.
+func (w *worker) exit() {
+	_ = w.listener.Close()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for c := range w.conns {
+		_ = c.(*net.TCPConn).SetLinger(0)
+		_ = c.Close()
 	}
 }
