--- a/Makefile
+++ b/Makefile
@@ -10,12 +10,13 @@
 	./scripts/demo.sh
 
 # Many simulated routers run without the race detector. The separate processes come last and alone: they wait for
-# real time.
+# real time, and the memory of those in ./platform is measured.
 test:
 	$(GO) test -race -count=1 -timeout 20m ./cmd/... ./internal/... ./platform/...
 	$(GO) test -count=1 ./internal/core/fleet -ginkgo.focus "many routers"
 	$(GO) test -count=1 ./internal/core/shedding -ginkgo.focus "short of capacity"
 	$(GO) test -race -count=1 ./e2e
+	$(GO) test -count=1 ./platform -ginkgo.label-filter=alone
 
 tools:
 	cd tools && $(GO) build -o ../.bin/ google.golang.org/protobuf/cmd/protoc-gen-go connectrpc.com/connect/cmd/protoc-gen-connect-go honnef.co/go/tools/cmd/staticcheck
--- a/internal/testkit/testkit.go
+++ b/internal/testkit/testkit.go
@@ -16,6 +16,10 @@
 // rapidSeed is the seed of all property tests. rapid prints the seed when a test fails.
 const rapidSeed = "20261202"
 
+// Alone is the label of specs that run only if the flag -ginkgo.label-filter names it: they start processes and
+// measure them, so that nothing else may run beside them. The Makefile runs them.
+const Alone = "alone"
+
 // Run runs the Ginkgo specs of a package as a suite with the given name. Flags of rapid on the
 // command line take precedence over the defaults that are set here.
 func Run(t *testing.T, name string) {
@@ -31,6 +35,9 @@
 	setDefault("rapid.shrinktime", "3s")
 	suite, reporter := ginkgo.GinkgoConfiguration()
 	suite.RandomSeed = 1
+	if suite.LabelFilter == "" {
+		suite.LabelFilter = "!" + Alone
+	}
 	suite.SkipStrings = append(suite.SkipStrings, knownFailures()...)
 	ginkgo.RunSpecs(t, name, suite, reporter)
 }
