--- a/internal/adapter/gatewayhttp/connections.go
+++ b/internal/adapter/gatewayhttp/connections.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/hemlockdyke/hemlockdyke/internal/memory"
 )
 
 // ConnTracker closes the callers' connections of a server on a graceful shutdown without losing
@@ -16,16 +18,23 @@
 // header of a request. On a VM that is short of processor time it closes connections whose next
 // request has been read in part. The caller gets no answer and can't know whether the request was
 // executed. ConnTracker is safe for concurrent use.
+//
+// It also bounds the open connections, and counts their memory.
 type ConnTracker struct {
-	begun func() // called for the first request of each connection
+	begun    func() // called for the first request of each connection
+	memory   *memory.Account
+	turnAway func(net.Conn)
 
-	mu   sync.Mutex
-	open map[*connection]struct{}
+	mu      sync.Mutex
+	open    map[*connection]struct{}
+	maxOpen int // 0: no limit
+	closing int // open connections that were made to close
 }
 
-// NewConnTracker returns an empty ConnTracker. It calls begun for the first request of each connection.
-func NewConnTracker(begun func()) *ConnTracker {
-	return &ConnTracker{begun: begun, open: make(map[*connection]struct{})}
+// NewConnTracker returns an empty ConnTracker. It calls begun for the first request of each connection, and turnAway, which
+// must close it, for each connection for which there is no room.
+func NewConnTracker(memory *memory.Account, begun func(), turnAway func(net.Conn)) *ConnTracker {
+	return &ConnTracker{begun: begun, memory: memory, turnAway: turnAway, open: make(map[*connection]struct{})}
 }
 
 // connection is a caller's connection.
@@ -41,6 +50,14 @@
 	handling         bool      // a handler runs
 	requestBegunAt   time.Time // of a request whose handler has not begun yet, or zero
 	readError        ReadError // how the last read ended
+	silentSince      time.Time // when the connection was accepted, or its last answer ended
+	isClosing        bool      // it was made to close, to have room for others
+	isClosed         bool
+	readingBody      bool             // a handler reads the body of its request
+	bodyBytesRead    int64            // since that began
+	headBytes        int64            // of the header that is being read
+	head             *memory.Transfer // of a header that is not short; nil if there is none
+	held             memory.Reservation
 }
 
 // Wrap returns a listener whose connections are tracked.
@@ -52,15 +69,16 @@
 }
 
 func (l *listener) Accept() (net.Conn, error) {
-	inner, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+	for {
+		inner, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if c := l.tracker.track(inner); c != nil {
+			return c, nil
+		}
+		l.tracker.turnAway(inner)
 	}
-	c := &connection{Conn: inner, tracker: l.tracker}
-	l.tracker.mu.Lock()
-	defer l.tracker.mu.Unlock()
-	l.tracker.open[c] = struct{}{}
-	return c, nil
 }
 
 // OnStateChange is to be set as the ConnState hook of the server, along with ConnContext and Handler.
@@ -73,7 +91,7 @@
 	defer tracked.mu.Unlock()
 	switch state {
 	case http.StateIdle:
-		tracked.idle, tracked.requestBegunAt = true, time.Time{}
+		tracked.idle, tracked.requestBegunAt, tracked.silentSince = true, time.Time{}, time.Now()
 	case http.StateActive:
 		if !tracked.hasBegun {
 			tracked.hasBegun = true
@@ -88,7 +106,7 @@
 func (c *connection) liftDeadlineIfHandling() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.handling {
+	if !c.handling || c.readingBody {
 		return false
 	}
 	c.readsInterrupted = false
@@ -112,6 +130,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.handling, c.requestBegunAt = handling, time.Time{}
+	c.discardHead()
 	if handling && c.readsInterrupted {
 		c.readsInterrupted = false
 		_ = c.SetReadDeadline(time.Time{}) // fails if the connection is closed already
@@ -134,6 +153,10 @@
 	c.recordRead(n, err)
 	if n > 0 {
 		c.markRequestBegun()
+		if !c.holdRead(int64(n)) {
+			c.refuseHead()
+			return 0, errNoMemory
+		}
 	}
 	return n, err
 }
@@ -189,9 +212,7 @@
 }
 
 func (c *connection) Close() error {
-	c.tracker.mu.Lock()
-	delete(c.tracker.open, c)
-	c.tracker.mu.Unlock()
+	c.tracker.forget(c)
 	return c.Conn.Close()
 }
 
@@ -205,12 +226,17 @@
 		return c.idle // the server would close it: it read the request together with the one before
 	}
 	if c.idle && !c.drainingRead {
-		c.readsInterrupted = true
-		_ = c.SetReadDeadline(time.Unix(1, 0)) // fails if the connection is closed already
+		c.interruptReads()
 	}
 	return c.idle || now.Sub(c.requestBegunAt) < requestBeginTimeout
 }
 
+// interruptReads makes the server close the connection, unless bytes of a request have arrived. c.mu must be held.
+func (c *connection) interruptReads() {
+	c.readsInterrupted = true
+	_ = c.SetReadDeadline(time.Unix(1, 0)) // fails if the connection is closed already
+}
+
 // shutdownPollInterval is the time between two checks of the connections. They are checked
 // repeatedly, since the server may set another read deadline when a connection becomes idle.
 const shutdownPollInterval = 20 * time.Millisecond
--- a/internal/adapter/gatewayhttp/connections_test.go
+++ b/internal/adapter/gatewayhttp/connections_test.go
@@ -87,7 +87,7 @@
 	serve := func(delay time.Duration) (address string, shutDown func(context.Context) error) {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		Expect(err).NotTo(HaveOccurred())
-		connections := gatewayhttp.NewConnTracker(func() {})
+		connections := gatewayhttp.NewConnTracker(newAccount(), func() {}, closeConn)
 		s := &http.Server{
 			ConnState: connections.OnStateChange, ConnContext: connections.ConnContext,
 			Handler: connections.Handler(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "whole") })),
@@ -133,7 +133,7 @@
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		Expect(err).NotTo(HaveOccurred())
 		gated := gatedListener{l, make(chan struct{}, 10), make(chan struct{}), &atomic.Bool{}, make(chan struct{}), &sync.Once{}}
-		connections := gatewayhttp.NewConnTracker(func() {})
+		connections := gatewayhttp.NewConnTracker(newAccount(), func() {}, closeConn)
 		answer := make(chan struct{}, 2)
 		s := &http.Server{
 			ConnContext: connections.ConnContext,
--- a/internal/adapter/gatewayhttp/gatewayhttp.go
+++ b/internal/adapter/gatewayhttp/gatewayhttp.go
@@ -4,16 +4,18 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/gorilla/mux"
 
+	"github.com/hemlockdyke/hemlockdyke/internal/adapter/upstream"
 	"github.com/hemlockdyke/hemlockdyke/internal/app/gateway"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/code"
 	"github.com/hemlockdyke/hemlockdyke/internal/eventlog"
+	"github.com/hemlockdyke/hemlockdyke/internal/memory"
 	"github.com/hemlockdyke/hemlockdyke/internal/wire"
 )
 
@@ -27,8 +29,8 @@
 type Proxy interface {
 	// Match finds the route and team of a request. If the code is not code.OK, there is no match.
 	Match(call *gateway.Call) (*gateway.MatchedRequest, code.Code)
-	// Serve forwards a matched request and answers the caller. ctx ends when the caller disconnects.
-	Serve(ctx context.Context, m *gateway.MatchedRequest, body []byte, responder gateway.Responder)
+	// Serve forwards a matched request, whose body comes in pieces, and answers the caller. ctx ends when the caller disconnects.
+	Serve(ctx context.Context, m *gateway.MatchedRequest, body [][]byte, responder gateway.Responder)
 }
 
 // Lifecycle tells whether the router accepts requests.
@@ -54,17 +56,32 @@
 	now      func() time.Time
 	observer Observer
 	log      *eventlog.Log
+	memory   *memory.Account
+	framing  framingMeter
+	// linkBytesPerSecond is the bandwidth of the VM's link; 0 if unknown.
+	linkBytesPerSecond int64
+	lingering          atomic.Int64 // connections in linger
 	// writeTimeout bounds each write to a caller, see callerWriteTimeout.
 	writeTimeout time.Duration
 }
 
-// New returns a Server.
-func New(proxy Proxy, control Lifecycle, decoder Decoder, observer Observer, log *eventlog.Log, now func() time.Time) *Server {
-	return &Server{proxy: proxy, control: control, decoder: decoder, now: now, observer: observer, log: log, writeTimeout: callerWriteTimeout}
+// Resources are what a Server may use of its VM.
+type Resources struct {
+	// Memory counts what callers make the process hold.
+	Memory *memory.Account
+	// Cores is the capacity of the processor; 0 if unknown.
+	Cores float64
+	// LinkBytesPerSecond is the bandwidth of the link in each direction; 0 if unknown.
+	LinkBytesPerSecond int64
 }
 
-// defaultMaxBodyBytes applies if the desired state sets no limit.
-const defaultMaxBodyBytes = 4 << 20
+// New returns a Server.
+func New(proxy Proxy, control Lifecycle, decoder Decoder, observer Observer, resources Resources, log *eventlog.Log, now func() time.Time) *Server {
+	return &Server{
+		proxy: proxy, control: control, decoder: decoder, now: now, observer: observer, log: log, writeTimeout: callerWriteTimeout,
+		memory: resources.Memory, framing: newFramingMeter(resources.Cores), linkBytesPerSecond: resources.LinkBytesPerSecond,
+	}
+}
 
 // ServeHTTP forwards one request. It does not use a mux, which would redirect paths that are not in
 // canonical form, whereas targets get the path unchanged.
@@ -74,7 +91,10 @@
 		// once, requests that are already on their way would be lost.
 		w.Header().Set("Connection", "close")
 	}
-	out := &responder{w: w, controller: http.NewResponseController(w), now: s.now, writeTimeout: s.writeTimeout}
+	held := s.memory.Reserve(memory.Request, "")
+	defer held.Release()
+	out := &responder{w: w, controller: http.NewResponseController(w), now: s.now, writeTimeout: s.writeTimeout, held: &held}
+	defer out.endTransfer()
 	// The server writes what is buffered, and the end of a body without a length, after this function.
 	defer out.extendDeadline()
 	id := ""
@@ -87,23 +107,22 @@
 	id = call.ID
 	match, refusal := s.proxy.Match(call)
 	if refusal != code.OK {
-		s.refuse(out, call, refusal)
+		s.refuse(out, r, call, refusal)
 		return
 	}
-	limit := match.MaxBodyBytes
-	if limit == 0 {
-		limit = defaultMaxBodyBytes
-	}
-	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
-	switch {
-	case err != nil:
-		s.refuse(out, call, code.BadBody)
+	if held.Grow(r.Context(), requestBytes+headerMemory(r.Header)) != nil {
+		s.refuse(out, r, call, code.NoMemory)
 		return
-	case int64(len(body)) > limit:
-		s.refuse(out, call, code.BodyTooLarge)
+	}
+	body := s.memory.Reserve(memory.Body, match.Team())
+	defer body.Release()
+	pieces, refusal := s.receiveBody(r, match, &body)
+	if refusal != code.OK {
+		body.Release()
+		s.refuse(out, r, call, refusal)
 		return
 	}
-	s.proxy.Serve(r.Context(), match, body, out)
+	s.proxy.Serve(r.Context(), match, pieces, out)
 	if out.aborted || out.writeError != nil {
 		s.logIncomplete(r, call.ID, out)
 	}
@@ -112,11 +131,6 @@
 	}
 }
 
-func (s *Server) refuse(out *responder, call *gateway.Call, c code.Code) {
-	s.observer.CountRefusal(c)
-	out.SendError(c, gateway.RetryAfter(c, call.Timeout))
-}
-
 // ReadinessHandler returns the handler of the balancer's readiness check at a path.
 func (s *Server) ReadinessHandler(path string) http.Handler {
 	r := mux.NewRouter()
@@ -143,6 +157,9 @@
 	status       int   // that was sent; 0 if none
 	bodyBytes    int64 // of the body that were written
 	writeError   error // of the first write that failed
+	// held is the memory of the request, and transfer the answer that the caller takes; nil before its first part.
+	held     *memory.Reservation
+	transfer *memory.Transfer
 }
 
 // callerWriteTimeout bounds each write to a caller, after which the caller counts as
@@ -178,17 +195,35 @@
 // Write sends a part of the body. It flushes each part of a body without a known length.
 func (o *responder) Write(p []byte) error {
 	o.extendDeadline()
+	o.beginTransfer()
 	n, err := o.w.Write(p)
 	o.bodyBytes += int64(n)
 	if err == nil && o.streaming {
 		err = o.controller.Flush()
 	}
+	o.transfer.Pause()
 	if o.writeError == nil {
 		o.writeError = err
 	}
 	return err
 }
 
+// beginTransfer records that the process waits for the caller to take a part of the answer.
+func (o *responder) beginTransfer() {
+	if o.transfer != nil {
+		o.transfer.Resume()
+		return
+	}
+	o.transfer = o.held.BeginAnswer(upstream.ReceiveBufferBytes, func() { _ = o.controller.SetWriteDeadline(time.Unix(1, 0)) })
+}
+
+// endTransfer must follow the last Write.
+func (o *responder) endTransfer() {
+	if o.transfer != nil {
+		o.transfer.Done()
+	}
+}
+
 // extendDeadline gives the next write writeTimeout from now.
 func (o *responder) extendDeadline() {
 	_ = o.controller.SetWriteDeadline(o.now().Add(o.writeTimeout)) // fails if the connection is closed already
--- a/internal/adapter/gatewayhttp/overload.go
+++ b/internal/adapter/gatewayhttp/overload.go
@@ -84,12 +84,12 @@
 		if err != nil || l.gate.accept() {
 			return c, err
 		}
-		l.gate.turnAway(c)
+		l.gate.TurnAway(c)
 	}
 }
 
-// turnAway answers and closes a connection that is not accepted.
-func (g *LoadGate) turnAway(c net.Conn) {
+// TurnAway answers and closes a connection that is not accepted.
+func (g *LoadGate) TurnAway(c net.Conn) {
 	arrived := refuseArrived(c)
 	if arrived == wholeArrived {
 		g.mu.Lock()
--- a/internal/adapter/gatewayhttp/overload_test.go
+++ b/internal/adapter/gatewayhttp/overload_test.go
@@ -20,7 +20,7 @@
 		var closed, handled atomic.Int64
 		var limited atomic.Bool
 		gate := gatewayhttp.NewLoadGate(func() int { return 8 }, func(bool) { closed.Add(1) }, func() {}, limited.Store)
-		tracker := gatewayhttp.NewConnTracker(gate.RecordBegun)
+		tracker := gatewayhttp.NewConnTracker(newAccount(), gate.RecordBegun, gate.TurnAway)
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		Expect(err).NotTo(HaveOccurred())
 		server := &httptest.Server{Listener: tracker.Wrap(gate.Wrap(l)), Config: &http.Server{
--- a/internal/adapter/gatewayhttp/read_error.go
+++ b/internal/adapter/gatewayhttp/read_error.go
@@ -69,10 +69,16 @@
 	return ctx
 }
 
+// trackedConnection returns the connection of a request; nil if it is not tracked.
+func trackedConnection(r *http.Request) *connection {
+	c, _ := r.Context().Value(connectionKey{}).(*connection)
+	return c
+}
+
 // lastReadError returns how the last read of the request's connection ended.
 func lastReadError(r *http.Request) ReadError {
-	c, ok := r.Context().Value(connectionKey{}).(*connection)
-	if !ok {
+	c := trackedConnection(r)
+	if c == nil {
 		return ReadOK
 	}
 	c.mu.Lock()
--- a/internal/adapter/gatewayhttp/refuse.go
+++ b/internal/adapter/gatewayhttp/refuse.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"sync"
 	"syscall"
+	"time"
 
 	"golang.org/x/sys/unix"
 
@@ -21,8 +22,6 @@
 	// maxRefusedRequestBytes bounds a request that is answered at accept time. Longer ones, whose bodies
 	// cost more to read, are closed unread.
 	maxRefusedRequestBytes = 16 << 10
-	// maxLingering bounds the refused connections that are kept open until the answer has arrived.
-	maxLingering = 64
 )
 
 // arrival is what had arrived on a new connection.
@@ -88,20 +87,26 @@
 // overloadAnswer returns the answer to a request at accept time. It promises that the request was not
 // executed: nothing else has seen it.
 func overloadAnswer() []byte {
-	retryAfter := gateway.RetryAfter(code.Overloaded, 0)
-	return fmt.Appendf(nil, "HTTP/1.1 %d %s\r\nContent-Type: application/json\r\nRetry-After: %.3f\r\nConnection: close\r\nContent-Length: %d\r\n\r\n%s",
-		overloadStatus, http.StatusText(overloadStatus), retryAfter.Seconds(), len(overloadBody), overloadBody)
+	return refusalAnswer(code.Overloaded, gateway.RetryAfter(code.Overloaded, 0), true)
 }
 
-var overloadStatus = code.Overloaded.Lookup().Status
-
-var overloadBody = func() []byte {
-	body, err := json.Marshal(wire.NewErrorBody(code.New(code.Overloaded, "request not served")))
+// refusalAnswer returns a whole answer with a result code, after which the connection is closed.
+func refusalAnswer(c code.Code, retryAfter time.Duration, withBody bool) []byte {
+	body, err := json.Marshal(wire.NewErrorBody(code.New(c, "request not served")))
 	if err != nil {
 		panic(err) // a struct of strings and numbers
 	}
-	return body
-}()
+	status := c.Lookup().Status
+	out := fmt.Appendf(nil, "HTTP/1.1 %d %s\r\nContent-Type: application/json\r\nConnection: close\r\nContent-Length: %d\r\n", status, http.StatusText(status), len(body))
+	if retryAfter > 0 {
+		out = fmt.Appendf(out, "Retry-After: %.3f\r\n", retryAfter.Seconds())
+	}
+	out = append(out, "\r\n"...)
+	if withBody {
+		out = append(out, body...)
+	}
+	return out
+}
 
 // lingering keeps refused connections open for a moment: bytes that arrive on a closed one reset it, and
 // a reset can take away the answer. It is not safe for concurrent use.
--- a/internal/adapter/gatewayhttp/server_test.go
+++ b/internal/adapter/gatewayhttp/server_test.go
@@ -19,18 +19,27 @@
 	"github.com/hemlockdyke/hemlockdyke/internal/app/gateway"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/code"
 	"github.com/hemlockdyke/hemlockdyke/internal/eventlog"
+	"github.com/hemlockdyke/hemlockdyke/internal/memory"
 )
 
+// stubTimeout is the timeout of the requests in these tests.
+const stubTimeout = 10 * time.Second
+
+// newAccount returns an account with the memory of a small VM.
+func newAccount() *memory.Account { return memory.NewAccount(48<<20, time.Second, time.Now) }
+
+func closeConn(c net.Conn) { _ = c.Close() }
+
 // stubProxy serves each request with a function.
 type stubProxy struct {
 	serve func(ctx context.Context, responder gateway.Responder)
 }
 
 func (p stubProxy) Match(*gateway.Call) (*gateway.MatchedRequest, code.Code) {
-	return &gateway.MatchedRequest{}, code.OK
+	return &gateway.MatchedRequest{Deadline: time.Now().Add(stubTimeout)}, code.OK
 }
 
-func (p stubProxy) Serve(ctx context.Context, _ *gateway.MatchedRequest, _ []byte, responder gateway.Responder) {
+func (p stubProxy) Serve(ctx context.Context, _ *gateway.MatchedRequest, _ [][]byte, responder gateway.Responder) {
 	p.serve(ctx, responder)
 }
 
@@ -102,14 +111,19 @@
 // startCallerServer starts a server whose requests are served by a function. wrap, if set, wraps the
 // connections below the tracker. configure is called before the server starts.
 func startCallerServer(serve func(context.Context, gateway.Responder), wrap func(net.Conn) net.Conn, configure ...func(*callerServer)) *callerServer {
+	return startServer(stubProxy{serve}, newAccount(), wrap, configure...)
+}
+
+// startServer is startCallerServer with a proxy and an account of memory.
+func startServer(proxy gatewayhttp.Proxy, account *memory.Account, wrap func(net.Conn) net.Conn, configure ...func(*callerServer)) *callerServer {
 	s := &callerServer{closed: make(chan struct{})}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
 	s.address = l.Addr().String()
 	log := eventlog.New(zerolog.New(&s.lines), time.Now)
 	log.OnPanic(func(where string) { s.counts.add("panic at " + where) })
-	s.tracker = gatewayhttp.NewConnTracker(func() {})
-	s.handler = gatewayhttp.New(stubProxy{serve}, alwaysReady{}, pathDecoder{}, &s.counts, log, time.Now)
+	s.tracker = gatewayhttp.NewConnTracker(account, func() {}, closeConn)
+	s.handler = gatewayhttp.New(proxy, alwaysReady{}, pathDecoder{}, &s.counts, gatewayhttp.Resources{Memory: account}, log, time.Now)
 	s.server = &http.Server{
 		Handler: s.tracker.Handler(s.handler),
 		ConnState: func(c net.Conn, state http.ConnState) {
--- a/internal/adapter/metrics/gateway.go
+++ b/internal/adapter/metrics/gateway.go
@@ -39,7 +39,7 @@
 	latencies     map[latencyKey]*latency
 	serviceLevels *burn.Tracker
 
-	memoryLimit int64
+	memoryLimit func() int64
 	holder      func() Holder
 }
 
@@ -196,7 +196,7 @@
 		{"feed_age_seconds", s.FeedAge.Seconds()}, {"suspects", float64(s.Suspects)}, {"evacuated_data_centres", float64(s.EvacuatedDataCentres)},
 		{"cold_targets", float64(s.ColdTargets)}, {"cut_pools", float64(s.CutPools)}, {"forwarding", float64(s.Forwarding)}, {"known_streams", float64(s.KnownStreams)},
 		{"prefill_claims", float64(s.PrefillClaims)}, {"prefill_waiting", float64(s.PrefillWaiting)},
-		{"answer_memory_bytes", float64(s.AnswerMemory)},
+		{"caller_memory_bytes", float64(s.CallerMemory)}, {"answer_memory_bytes", float64(s.AnswerMemory)},
 	} {
 		fmt.Fprintf(w, "%s%s %g\n", prefix, gauge.name, gauge.value)
 	}
--- a/internal/adapter/metrics/memory.go
+++ b/internal/adapter/metrics/memory.go
@@ -36,22 +36,22 @@
 	BodyBytes    int64 // of the bodies of these requests
 }
 
-// SetMemory sets the memory limit of this process in bytes, 0 if unknown, and the function that returns what
+// SetMemory sets the functions that return the memory limit of this process in bytes, 0 if unknown, and what
 // holds memory. It is called before the metrics are served.
-func (g *Gateway) SetMemory(limit int64, holder func() Holder) {
+func (g *Gateway) SetMemory(limit func() int64, holder func() Holder) {
 	g.memoryLimit, g.holder = limit, holder
 }
 
 func (g *Gateway) writeMemory(w io.Writer) {
-	m, held := ReadMemory(), Holder{}
+	m, held, limit := ReadMemory(), Holder{}, int64(0)
 	if g.holder != nil {
-		held = g.holder()
+		held, limit = g.holder(), g.memoryLimit()
 	}
 	for _, gauge := range []struct {
 		name  string
 		value int64
 	}{
-		{"memory_bytes", m.Total}, {"memory_heap_bytes", m.Heap}, {"memory_stack_bytes", m.Stacks}, {"memory_limit_bytes", g.memoryLimit},
+		{"memory_bytes", m.Total}, {"memory_heap_bytes", m.Heap}, {"memory_stack_bytes", m.Stacks}, {"memory_limit_bytes", limit},
 		{"caller_requests", held.OpenRequests}, {"caller_body_bytes", held.BodyBytes},
 	} {
 		fmt.Fprintf(w, "%s%s %d\n", prefix, gauge.name, gauge.value)
--- a/internal/adapter/peer/limits.go
+++ b/internal/adapter/peer/limits.go
@@ -6,6 +6,7 @@
 
 	"connectrpc.com/connect"
 
+	"github.com/hemlockdyke/hemlockdyke/internal/memory"
 	"github.com/hemlockdyke/hemlockdyke/internal/readlimit"
 )
 
@@ -34,10 +35,19 @@
 	headTimeout = 5 * time.Second
 )
 
-// NewServer returns a server of the peer service that bounds what it reads.
-func NewServer(handler http.Handler) *http.Server {
+// requestCopies is how often a request is copied until its body is sent to a target: the encoded message, whose buffer may
+// be twice as large, and the message.
+const requestCopies = 3
+
+// NewServer returns a server of the peer service that bounds what it reads. What requests take counts in account, as
+// callers' bodies are forwarded; nil stands for none.
+func NewServer(handler http.Handler, account *memory.Account) *http.Server {
+	budget := readlimit.NewBudget(maxHeldBytes)
+	if account != nil {
+		budget = budget.CountIn(account, requestCopies)
+	}
 	return &http.Server{
-		Handler:   readlimit.Handler(handler, maxBodyBytes, readlimit.NewBudget(maxHeldBytes)),
+		Handler:   readlimit.Handler(handler, maxBodyBytes, budget),
 		Protocols: Protocols(), MaxHeaderBytes: maxHeadBytes, ReadHeaderTimeout: headTimeout,
 	}
 }
--- a/internal/adapter/peer/limits_test.go
+++ b/internal/adapter/peer/limits_test.go
@@ -187,7 +187,7 @@
 		mux.Handle(peer.NewHandler(handlerFunc(func(proto.Message) (proto.Message, error) { return reply, nil }), peer.WithoutCompression()))
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		Expect(err).NotTo(HaveOccurred())
-		server := peer.NewServer(mux)
+		server := peer.NewServer(mux, nil)
 		go func() { _ = server.Serve(listener) }()
 		DeferCleanup(server.Close)
 		return listener.Addr().String()
--- a/internal/adapter/upstream/conn.go
+++ b/internal/adapter/upstream/conn.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"net"
+	"sync"
 	"syscall"
 	"time"
 
@@ -19,6 +20,18 @@
 	// usableUntil is the time after which the idle connection is no longer reused, since the target
 	// may close it then. Answer.Close sets it.
 	usableUntil time.Time
+	close       sync.Once
+	onClose     func()
+}
+
+// Close closes the connection. It may be called more than once.
+func (c *conn) Close() error {
+	err := net.ErrClosed
+	c.close.Do(func() {
+		err = c.Conn.Close()
+		c.onClose()
+	})
+	return err
 }
 
 // Limits after which the kernel breaks a dead connection. A connection can go silent without a
@@ -47,13 +60,16 @@
 // setOptions makes each close a reset, whether by this process or by the kernel at its end, so that
 // bytes which were not delivered are discarded. After an orderly close the kernel goes on delivering
 // them: a request that was given up during a partition would be executed after it.
+//
+// The receive buffer is fixed, so that the kernel keeps no more of an answer that its caller does not take.
 func setOptions(raw syscall.RawConn) error {
-	var timeoutErr, lingerErr error
+	var timeoutErr, lingerErr, bufferErr error
 	err := raw.Control(func(fd uintptr) {
 		timeoutErr = setUserTimeout(fd, userTimeout)
 		lingerErr = unix.SetsockoptLinger(int(fd), unix.SOL_SOCKET, unix.SO_LINGER, &unix.Linger{Onoff: 1, Linger: 0})
+		bufferErr = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, ReceiveBufferBytes)
 	})
-	return errors.Join(err, timeoutErr, lingerErr)
+	return errors.Join(err, timeoutErr, lingerErr, bufferErr)
 }
 
 // setUserTimeout sets TCP_USER_TIMEOUT; 0 turns it off.
@@ -61,15 +77,20 @@
 	return unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(d.Milliseconds()))
 }
 
-func dial(ctx context.Context, d *net.Dialer, address string) (*conn, error) {
+// dial opens a connection. onClose is called when it is closed.
+func dial(ctx context.Context, d *net.Dialer, address string, onClose func()) (*conn, error) {
 	c, err := d.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
 	source := &limitedReader{reader: c, remaining: unlimited}
-	return &conn{Conn: c, source: source, reader: bufio.NewReaderSize(source, readBufferBytes)}, nil
+	return &conn{Conn: c, source: source, reader: bufio.NewReaderSize(source, readBufferBytes), onClose: onClose}, nil
 }
 
+// ReceiveBufferBytes is how much of an answer the kernel keeps for a connection, about: it also counts its
+// bookkeeping. It lets a target in another region send a megabyte in a second.
+const ReceiveBufferBytes = 64 << 10
+
 // readBufferBytes is enough for the header and the first events of an answer.
 const readBufferBytes = 4 << 10
 
--- a/internal/adapter/upstream/upstream.go
+++ b/internal/adapter/upstream/upstream.go
@@ -31,6 +31,9 @@
 	// ErrAnswerMismatch means that the connection carried the answer to another request, and that
 	// no answer to this request could be read after it.
 	ErrAnswerMismatch = errors.New("answer belongs to another request")
+	// ErrTooManyConnections means that the client has as many connections as it may have, all in use. The error is
+	// an ErrNotSent as well.
+	ErrTooManyConnections = errors.New("too many connections to targets")
 	// ErrHeadTooLarge means that the target sent more bytes before the end of the answer's header than an
 	// answer may have. The error is an ErrConnectionBroken as well.
 	ErrHeadTooLarge = errors.New("header of the answer is too large")
@@ -67,7 +70,7 @@
 	URI       string // as the caller sent it
 	Host      string
 	Header    http.Header
-	Body      []byte
+	Body      [][]byte // in pieces
 	// IsAnswer reports whether an answer with this header belongs to this request. Nil accepts
 	// any.
 	IsAnswer func(http.Header) bool
@@ -90,6 +93,9 @@
 
 	mu   sync.Mutex
 	idle map[uint64][]*conn // by UID of the target's lifetime, the last used last
+	// open is the number of connections, idle ones and those that are being opened included. maxOpen bounds it; 0
+	// means no limit.
+	open, maxOpen int
 }
 
 // New returns a Client. It calls beforeDial before each new connection.
@@ -97,6 +103,54 @@
 	return &Client{settings: s, dialer: newDialer(s.DialTimeout), now: now, onDial: beforeDial, idle: make(map[uint64][]*conn)}
 }
 
+// SetMaxConnections bounds the connections that are open at once; 0 means no limit. Those beyond a lower bound stay open
+// until their requests end.
+func (c *Client) SetMaxConnections(n int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.maxOpen = n
+}
+
+// acquireConnection reports whether another connection may be opened. It closes the idle connection that is unusable
+// first if there are too many.
+func (c *Client) acquireConnection() bool {
+	c.mu.Lock()
+	var discarded *conn
+	if c.maxOpen > 0 && c.open >= c.maxOpen {
+		if discarded = c.removeOldestIdle(); discarded == nil {
+			c.mu.Unlock()
+			return false
+		}
+	}
+	c.open++
+	c.mu.Unlock()
+	if discarded != nil {
+		_ = discarded.Close()
+	}
+	return true
+}
+
+// removeOldestIdle removes the idle connection that is unusable first; nil if none is idle. c.mu must be held.
+func (c *Client) removeOldestIdle() *conn {
+	var oldest *conn
+	var target uint64
+	for uid, conns := range c.idle {
+		if len(conns) > 0 && (oldest == nil || conns[0].usableUntil.Before(oldest.usableUntil)) {
+			oldest, target = conns[0], uid
+		}
+	}
+	if oldest != nil {
+		c.idle[target] = c.idle[target][1:]
+	}
+	return oldest
+}
+
+func (c *Client) releaseConnection() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.open--
+}
+
 // Answer is a target's answer. Its header has been read, its body has not. The reader of the body
 // must call Close.
 type Answer struct {
@@ -168,14 +222,21 @@
 		}
 		_ = cn.Close()
 	}
+	if !c.acquireConnection() {
+		return nil, ErrTooManyConnections
+	}
 	if c.onDial != nil {
 		c.onDial()
 	}
-	cn, err := dial(ctx, c.dialer, c.dialAddress(r.Address))
-	if err == nil && r.OnConnect != nil {
+	cn, err := dial(ctx, c.dialer, c.dialAddress(r.Address), c.releaseConnection)
+	if err != nil {
+		c.releaseConnection()
+		return nil, err
+	}
+	if r.OnConnect != nil {
 		r.OnConnect()
 	}
-	return cn, err
+	return cn, nil
 }
 
 func (c *Client) dialAddress(address string) string {
@@ -220,6 +281,12 @@
 // Prune closes idle connections whose idle timeout has passed, and those to lifetimes for which
 // isUsed returns false.
 func (c *Client) Prune(isUsed func(uid uint64) bool) {
+	for _, cn := range c.removeUnusable(isUsed) {
+		_ = cn.Close()
+	}
+}
+
+func (c *Client) removeUnusable(isUsed func(uid uint64) bool) (unusable []*conn) {
 	now := c.now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -229,7 +296,7 @@
 			if isUsed(uid) && now.Before(cn.usableUntil) {
 				usable = append(usable, cn)
 			} else {
-				_ = cn.Close()
+				unusable = append(unusable, cn)
 			}
 		}
 		c.idle[uid] = usable
@@ -237,6 +304,7 @@
 			delete(c.idle, uid)
 		}
 	}
+	return unusable
 }
 
 // backgroundWriteBytes is the body size from which a request is written in the background while
@@ -250,18 +318,26 @@
 	if err := r.Header.Write(&b); err != nil {
 		return err
 	}
-	if len(r.Body) > 0 || (r.Method != http.MethodGet && r.Method != http.MethodHead) {
-		b.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
+	length := 0
+	for _, piece := range r.Body {
+		length += len(piece)
+	}
+	if length > 0 || (r.Method != http.MethodGet && r.Method != http.MethodHead) {
+		b.WriteString("Content-Length: " + strconv.Itoa(length) + "\r\n")
 	}
 	b.WriteString("\r\n")
-	b.Write(r.Body)
-	if len(r.Body) < backgroundWriteBytes {
+	if length < backgroundWriteBytes {
+		for _, piece := range r.Body {
+			b.Write(piece)
+		}
 		_, err := a.conn.Write(b.Bytes())
 		return err
 	}
 	a.writeDone = make(chan error, 1)
 	go func() {
-		_, err := a.conn.Write(b.Bytes())
+		// The pieces are not copied: other attempts may write them as well.
+		parts := append(net.Buffers{b.Bytes()}, r.Body...)
+		_, err := parts.WriteTo(a.conn.Conn)
 		a.writeDone <- err
 	}()
 	return nil
--- a/internal/adapter/upstream/upstream_test.go
+++ b/internal/adapter/upstream/upstream_test.go
@@ -5,8 +5,11 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
+	"strings"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 	"golang.org/x/sys/unix"
@@ -32,7 +35,7 @@
 	client := upstream.New(upstream.DefaultSettings(), time.Now, nil)
 	done := make(chan error, 1)
 	go func() {
-		_, err := client.Do(ctx, upstream.Request{TargetUID: 1, Address: l.Addr().String(), Method: http.MethodPost, URI: "/", Host: "h", Header: http.Header{}, Body: make([]byte, bodyBytes)})
+		_, err := client.Do(ctx, upstream.Request{TargetUID: 1, Address: l.Addr().String(), Method: http.MethodPost, URI: "/", Host: "h", Header: http.Header{}, Body: [][]byte{make([]byte, bodyBytes)}})
 		done <- err
 	}()
 	return done
@@ -92,3 +95,43 @@
 		Eventually(done, 5*time.Second).Should(Receive(BeNil()))
 	})
 })
+
+var _ = Describe("a client with as many connections as it may have", func() {
+	// Guards against connections to targets that take the descriptors of all others, and against idle ones that keep out
+	// those that are needed.
+	It("closes an idle one for a new one, and refuses a request without sending it if none is idle", func() {
+		held, begun := make(chan struct{}), make(chan struct{}, 2)
+		target := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == "/held" {
+				begun <- struct{}{}
+				<-held
+			}
+		}))
+		defer target.Close()
+		defer close(held)
+		client := upstream.New(upstream.DefaultSettings(), time.Now, nil)
+		client.SetMaxConnections(2)
+		do := func(uid uint64, path string) (*upstream.Answer, error) {
+			return client.Do(context.Background(), upstream.Request{
+				TargetUID: uid, Address: strings.TrimPrefix(target.URL, "http://"), Method: http.MethodGet, URI: path, Host: "h", Header: http.Header{},
+			})
+		}
+		finish := func(a *upstream.Answer, err error) {
+			GinkgoHelper()
+			Expect(err).NotTo(HaveOccurred())
+			_, err = io.Copy(io.Discard, a)
+			Expect(err).NotTo(HaveOccurred())
+			a.Close()
+		}
+		for uid := range uint64(5) { // each has an idle connection then
+			finish(do(uid, "/"))
+		}
+		for range 2 {
+			go func() { _, _ = do(7, "/held") }()
+			Eventually(begun).Should(Receive())
+		}
+		_, err := do(8, "/")
+		Expect(err).To(MatchError(upstream.ErrTooManyConnections))
+		Expect(errors.Is(err, upstream.ErrNotSent)).To(BeTrue())
+	})
+})
--- a/internal/adapter/upstream/watch_test.go
+++ b/internal/adapter/upstream/watch_test.go
@@ -28,7 +28,7 @@
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		Expect(err).NotTo(HaveOccurred())
 		DeferCleanup(l.Close)
-		c, err := dial(context.Background(), newDialer(time.Second), l.Addr().String())
+		c, err := dial(context.Background(), newDialer(time.Second), l.Addr().String(), func() {})
 		Expect(err).NotTo(HaveOccurred())
 		DeferCleanup(c.Close)
 		userTimeoutMs := func() int { return c.option(unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT) }
--- a/internal/app/gateway/answer.go
+++ b/internal/app/gateway/answer.go
@@ -27,7 +27,7 @@
 	switch {
 	case r.ctx.Err() != nil && err != nil:
 		return t.endByContext()
-	case errors.IsAny(err, errBodyTooLarge, memory.ErrExhausted):
+	case errors.IsAny(err, memory.ErrTooLarge, memory.ErrExhausted):
 		t.recordCut(err)
 	case err != nil:
 		t.recordBrokenConnection("truncated", err)
--- a/internal/app/gateway/answer_cut.go
+++ b/internal/app/gateway/answer_cut.go
@@ -27,7 +27,7 @@
 	case errors.Is(err, errEventTooLarge):
 		part = PartEvent
 		t.recordFailure("event_too_large", err)
-	case errors.Is(err, errBodyTooLarge):
+	case errors.Is(err, memory.ErrTooLarge):
 		part = PartBody
 		t.recordFailure("too_large", err)
 	case errors.Is(err, memory.ErrExhausted):
@@ -66,7 +66,6 @@
 
 // readBody reads an answer into pieces.
 func (t *targetAttempt) readBody(answer *upstream.Answer) ([][]byte, error) {
-	b := bodyReader{reserve: t.reserveMemory, limit: min(maxBufferedBody, t.request.proxy.traffic.answerMemory.Limit()/2)}
-	err := b.read(answer)
-	return b.pieces, err
+	b := memory.PieceReader{Reserve: t.reserveMemory, Limit: min(maxBufferedBody, t.request.proxy.traffic.memory.Limit()/3)}
+	return b.Read(answer, answer.Length)
 }
--- a/internal/app/gateway/control.go
+++ b/internal/app/gateway/control.go
@@ -90,7 +90,7 @@
 			retryLimits:  retry.Limits{Ratio: s.RetryRatio, Slack: s.RetrySlack, Routers: initialSlackSharers(s.FirstStart)},
 			openAttempts: newAttemptRegistry(), path: newPathState(rand.New(rand.NewPCG(incarnation, 2))), poisonGuard: newPoisonGuard(s.Address, s.FirstStart),
 			streams: newStreamRegistry(peers, log, now), prefill: newPrefillState(s.Address), shedding: newSheddingState(s.ScheduleByWork),
-			answerMemory: newAnswerMemory(s.MemoryBytes),
+			memory: s.account(now),
 		},
 		suspectsChanged: make(chan struct{}, 1),
 		inbox:           make(chan func(time.Time), inboxSize), stopped: make(chan struct{}),
--- a/internal/app/gateway/forward.go
+++ b/internal/app/gateway/forward.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net/http"
@@ -36,6 +37,10 @@
 	errTargetUnreachable = errors.New("target unreachable for forwarders")
 )
 
+// forwardCopies is how many copies of its body a request needs while another router gets it: one in the message, one
+// of the encoded message.
+const forwardCopies = 2
+
 // minUnreachable is how many forwarders must fail to connect to a target for it to count as
 // unreachable: a single one may have lost its own path.
 const minUnreachable = 2
@@ -49,6 +54,11 @@
 	unreachable := 0
 	none := ""
 	t.forwarder.Store(&none)
+	copies := int64(forwardCopies * t.request.bodyLength())
+	if err := t.reserveMemory(copies); err != nil {
+		return nil, errors.Mark(err, ErrNotForwarded)
+	}
+	defer t.memory.Shrink(copies)
 	for len(query.Excluded) < maxForwarders && t.ctx.Err() == nil {
 		address, ok := p.traffic.path.chooseForwarder(p.now(), query)
 		if !ok {
@@ -124,7 +134,7 @@
 	call := t.request.match.call
 	out := &peerv1.ForwardRequest{
 		Protocol: fleet.Protocol, Pool: t.request.match.pool, Target: t.choice.Target.UID, Method: call.Method, Uri: call.URI, Host: call.Host,
-		Header: encodeHeader(t.header()), Body: t.request.body, RequestId: call.ID, Fingerprint: uint64(t.request.contents[0]),
+		Header: encodeHeader(t.header()), Body: bytes.Join(t.request.body, nil), RequestId: call.ID, Fingerprint: uint64(t.request.contents[0]),
 	}
 	for _, part := range t.request.contents[1:] {
 		out.PartFingerprint = append(out.PartFingerprint, uint64(part))
--- a/internal/app/gateway/forwarding.go
+++ b/internal/app/gateway/forwarding.go
@@ -131,7 +131,7 @@
 	call := &Call{ID: q.GetRequestId()}
 	return upstream.Request{
 		TargetUID: f.target.UID, Address: f.target.Address,
-		Method: q.GetMethod(), URI: q.GetUri(), Host: q.GetHost(), Header: decodeHeader(q.GetHeader()), Body: q.GetBody(),
+		Method: q.GetMethod(), URI: q.GetUri(), Host: q.GetHost(), Header: decodeHeader(q.GetHeader()), Body: [][]byte{q.GetBody()},
 		IsAnswer:  func(h http.Header) bool { return p.codec.MatchesCall(call, h) },
 		OnConnect: func() { p.traffic.path.recordConnection(p.now(), q.GetPool()) },
 		OnHeader: func(status int, h http.Header) {
@@ -157,6 +157,9 @@
 	case errors.Is(err, upstream.ErrWithdrawn):
 		out.Kind = peerv1.ForwardFailureKind_FORWARD_FAILURE_KIND_CLOSED
 		return out
+	case errors.Is(err, upstream.ErrTooManyConnections):
+		out.Kind = peerv1.ForwardFailureKind_FORWARD_FAILURE_KIND_REFUSED
+		return out
 	case errors.Is(err, upstream.ErrNotSent):
 		kind, out.Kind = reach.NoConnection, peerv1.ForwardFailureKind_FORWARD_FAILURE_KIND_UNREACHABLE
 		f.proxy.checkRefusedConnection(f.request.GetPool(), f.target, err)
--- a/internal/app/gateway/proxy.go
+++ b/internal/app/gateway/proxy.go
@@ -106,8 +106,13 @@
 	desiredVersion uint64
 	// MaxBodyBytes bounds the body; 0 means no limit.
 	MaxBodyBytes int64
+	// Deadline is when the request must be answered.
+	Deadline time.Time
 }
 
+// Team returns the name of the request's team, or an empty string if it has none.
+func (m *MatchedRequest) Team() string { return m.teamName() }
+
 // teamName returns the team's name, or an empty string if the request has no team.
 func (m *MatchedRequest) teamName() string {
 	if m.team == nil {
@@ -117,9 +122,9 @@
 }
 
 // contents returns the fingerprints of what the request carries.
-func (m *MatchedRequest) contents(body []byte) poison.Contents {
+func (m *MatchedRequest) contents(body [][]byte) poison.Contents {
 	out := make(poison.Contents, 0, 1+len(m.call.PromptParts))
-	out = append(out, poison.FingerprintOf(m.teamName(), m.call.Method, m.call.Host, m.call.Path, body))
+	out = append(out, poison.FingerprintOf(m.teamName(), m.call.Method, m.call.Host, m.call.Path, body...))
 	for _, id := range m.call.PromptParts {
 		out = append(out, poison.FingerprintOfPart(m.pool, id))
 	}
@@ -177,6 +182,7 @@
 		hash = rendezvous.Hash(call.ID)
 	}
 	m.pool = rt.ChoosePool(hash)
+	m.Deadline = m.startedAt.Add(m.timeout())
 	return m, code.OK
 }
 
@@ -212,8 +218,8 @@
 	return time.Duration(float64(d) * (1 + 0.5*rand.Float64()))
 }
 
-// Serve forwards a matched request and answers the caller. ctx ends when the caller disconnects.
-func (p *Proxy) Serve(ctx context.Context, m *MatchedRequest, body []byte, responder Responder) {
+// timeout returns the timeout of the caller or the route, whichever is shorter.
+func (m *MatchedRequest) timeout() time.Duration {
 	timeout := m.call.Timeout
 	if t := m.route.Timeout; t > 0 && (timeout == 0 || t < timeout) {
 		timeout = t
@@ -221,8 +227,14 @@
 	if timeout == 0 {
 		timeout = defaultTimeout
 	}
+	return timeout
+}
+
+// Serve forwards a matched request, whose body comes in pieces, and answers the caller. ctx ends when the caller
+// disconnects.
+func (p *Proxy) Serve(ctx context.Context, m *MatchedRequest, body [][]byte, responder Responder) {
 	r := &openRequest{
-		proxy: p, match: m, body: body, responder: responder, deadline: m.startedAt.Add(timeout), contents: m.contents(body),
+		proxy: p, match: m, body: body, responder: responder, deadline: m.Deadline, contents: m.contents(body),
 		machine: attempt.New(attempt.Spec{
 			Idempotent: m.route.AllowsRetry(), MaxAttempts: max(m.route.MaxAttempts, 1), MaxNotExecuted: maxNotExecuted,
 		}),
--- a/internal/app/gateway/run.go
+++ b/internal/app/gateway/run.go
@@ -23,7 +23,7 @@
 type openRequest struct {
 	proxy     *Proxy
 	match     *MatchedRequest
-	body      []byte
+	body      [][]byte // in pieces
 	responder Responder
 	// machine decides on retries. Its tickets come from the owner of a pool; the gateway has no
 	// owners, so it grants them itself, after placement and admission.
@@ -59,6 +59,14 @@
 	contents    poison.Contents
 }
 
+// bodyLength returns the length of the request's body.
+func (r *openRequest) bodyLength() (n int) {
+	for _, piece := range r.body {
+		n += len(piece)
+	}
+	return n
+}
+
 // bufferedAnswer is a complete answer.
 type bufferedAnswer struct {
 	status int
--- a/internal/app/gateway/settings.go
+++ b/internal/app/gateway/settings.go
@@ -1,6 +1,10 @@
 package gateway
 
-import "time"
+import (
+	"time"
+
+	"github.com/hemlockdyke/hemlockdyke/internal/memory"
+)
 
 // Settings configures a gateway.
 type Settings struct {
@@ -38,6 +42,6 @@
 	ScheduleByWork bool
 	// LinkBytesPerSecond is the bandwidth of the VM's link in each direction; 0 if unknown.
 	LinkBytesPerSecond int64
-	// MemoryBytes is the memory limit of the process; 0 if unknown.
-	MemoryBytes int64
+	// Memory counts what callers make the process hold; nil stands for an account of defaultMemory.
+	Memory *memory.Account
 }
--- a/internal/app/gateway/status.go
+++ b/internal/app/gateway/status.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"github.com/hemlockdyke/hemlockdyke/internal/memory"
 	"time"
 
 	"github.com/hemlockdyke/hemlockdyke/internal/core/fleet"
@@ -27,7 +28,8 @@
 	KnownStreams         int            // number of streams whose software version this router knows
 	PrefillClaims        int            // number of prefixes that targets read, as this router has registered
 	PrefillWaiting       int            // number of requests that wait for a target to read their prefix
-	AnswerMemory         int64          // bytes of targets' answers that this router holds
+	CallerMemory         int64          // bytes that callers make this router hold, by its account
+	AnswerMemory         int64          // of these, what targets' answers take
 	OpenRequests         map[string]int // open requests of the fleet by target ID
 	// TargetLoads are the loads of the targets that reported theirs to this router, by target ID.
 	TargetLoads    map[string]placement.TargetLoad
@@ -53,7 +55,7 @@
 	s.CutPools, s.Forwarding = len(c.traffic.path.cutPools()), int(c.traffic.path.forwarding.Load())
 	s.KnownStreams = c.traffic.streams.count()
 	s.PrefillClaims, s.PrefillWaiting = c.traffic.prefill.count(c.now())
-	s.AnswerMemory = c.traffic.answerMemory.Held()
+	s.CallerMemory, s.AnswerMemory = c.traffic.memory.Held(), c.traffic.memory.HeldBy(memory.Answer)
 	c.traffic.mu.Lock()
 	defer c.traffic.mu.Unlock()
 	s.ColdTargets = c.traffic.balancer.CountCold(c.now())
--- a/internal/app/gateway/target_attempt.go
+++ b/internal/app/gateway/target_attempt.go
@@ -118,7 +118,7 @@
 	defer r.removeAttempt(t)
 	t.startSilenceTimer()
 	defer t.silence.stop()
-	t.memory = r.proxy.traffic.answerMemory.Reserve()
+	t.memory = r.proxy.traffic.memory.ReservePrepaid(memory.Answer, AnswerBytes)
 	defer t.memory.Release()
 	answer, err := t.send()
 	if t.acquired {
@@ -201,6 +201,10 @@
 		t.failure = failureWithdrawn
 		return r.step(attempt.NotSent{Attempt: t.number})
 	}
+	if errors.Is(err, upstream.ErrTooManyConnections) {
+		t.failure, t.err, t.outcome = "no_connection_left", err, placement.Neutral
+		return r.step(attempt.NotSent{Attempt: t.number})
+	}
 	if errors.Is(err, upstream.ErrNotSent) {
 		t.recordFailure("not_sent", err)
 		t.outcome = placement.Unreachable
--- a/internal/app/gateway/view.go
+++ b/internal/app/gateway/view.go
@@ -23,8 +23,8 @@
 // and finishing a request takes 2 us with 12 targets and 8 us with 120 (see
 // BenchmarkPlace of package placement).
 type trafficState struct {
-	// answerMemory bounds the answers of targets that this router holds.
-	answerMemory *memory.Budget
+	// memory bounds what callers make this router hold.
+	memory       *memory.Account
 	table        atomic.Pointer[route.Table]
 	shuttingDown atomic.Bool
 	// shutdownDeadline is the time by which all requests must end. It is set when the load balancer
--- a/internal/capacity/wire.go
+++ b/internal/capacity/wire.go
@@ -46,7 +46,7 @@
 	}
 	mux := http.NewServeMux()
 	mux.Handle(peer.NewHandler(stub{reply}))
-	s := peer.NewServer(mux)
+	s := peer.NewServer(mux, nil)
 	go func() { _ = s.Serve(peer.CoalesceWrites(server.WrapListener(l))) }()
 	defer s.Close()
 	caller := peer.NewClient(map[uint32]string{1: l.Addr().String()}, time.Second, client.WrapConn)
--- a/internal/core/admission/retryafter.go
+++ b/internal/core/admission/retryafter.go
@@ -7,8 +7,8 @@
 )
 
 const (
-	// stoppingRetryAfter is for callers of a router that is stopping or has more work than its
-	// processor can do: they retry at once, since another router serves them.
+	// stoppingRetryAfter is for callers of a router that is stopping, or has more work than its
+	// processor can do or than its memory holds: they retry at once, since another router serves them.
 	stoppingRetryAfter = 20 * time.Millisecond
 	// startingRetryAfter is for callers of a router that has just started, lags behind or lacks their streams: other
 	// routers serve at once, and this one is ready within milliseconds of the first digest from a
@@ -24,7 +24,7 @@
 // objective in either case.
 func RetryAfter(c code.Code, remaining time.Duration) time.Duration {
 	switch c {
-	case code.ShuttingDown, code.Overloaded:
+	case code.ShuttingDown, code.Overloaded, code.NoMemory:
 		return stoppingRetryAfter
 	case code.NotReady, code.StaleConfig, code.UnknownStream:
 		return startingRetryAfter
--- a/internal/core/code/code.go
+++ b/internal/core/code/code.go
@@ -45,6 +45,7 @@
 	KeyReused        Code = 1006
 	NotFound         Code = 1007
 	UnknownKey       Code = 1008
+	RequestTooSlow   Code = 1009
 	NotReady         Code = 2001
 	QueueFull        Code = 2002
 	DeadlineTooShort Code = 2003
@@ -62,6 +63,7 @@
 	UnknownStream    Code = 2015
 	NoSuchVersion    Code = 2016
 	Overloaded       Code = 2017
+	NoMemory         Code = 2018
 
 	AttemptsSpent   Code = 3001
 	DeadlinePassed  Code = 3002
@@ -106,6 +108,7 @@
 	KeyReused:        {"key_reused", 422, NotExecuted, "Use a new Idempotency-Key for a different request."},
 	NotFound:         {"not_found", 404, NotExecuted, "Correct the path."},
 	UnknownKey:       {"unknown_key", 401, NotExecuted, "Send a key that a team of the desired state holds."},
+	RequestTooSlow:   {"request_too_slow", 408, NotExecuted, "Send the request sooner, or allow more time: it can't be complete before its deadline."},
 	NotReady:         {"not_ready", 503, NotExecuted, "Wait for the router to load its configuration."},
 	QueueFull:        {"queue_full", 503, NotExecuted, "Come back after Retry-After; add targets if it lasts."},
 	DeadlineTooShort: {"deadline_too_short", 503, NotExecuted, "Come back after Retry-After or allow more time."},
@@ -123,6 +126,7 @@
 	UnknownStream:    {"unknown_stream", 503, NotExecuted, "Begin the stream anew; no router knows which software version began it."},
 	NoSuchVersion:    {"no_such_version", 503, NotExecuted, "Begin the stream anew; no target runs the software version that began it."},
 	Overloaded:       {"overloaded", 503, NotExecuted, "Come back after Retry-After; this router has more work than its processor can do."},
+	NoMemory:         {"no_memory", 503, NotExecuted, "Come back after Retry-After; this router has no memory left for the request."},
 	AttemptsSpent:    {"attempts_spent", 502, Executed, "Ask again; every attempt failed."},
 	DeadlinePassed:   {"deadline_passed", 504, Executed, "Ask again with a later deadline."},
 	StreamCut:        {"stream_cut", 502, Executed, "Ask again; the stream ended before its end marker."},
--- a/internal/core/poison/fingerprint.go
+++ b/internal/core/poison/fingerprint.go
@@ -29,8 +29,8 @@
 // FingerprintOf returns the fingerprint of a request's whole content. Requests of one caller with the
 // same method, host, path and body have the same, whatever their ids and queries. The caller is identified by a name that it
 // can't choose: otherwise a team could have requests of another team refused by sending the same
-// content. The hash is collision-resistant for the same reason.
-func FingerprintOf(caller, method, host, path string, body []byte) Fingerprint {
+// content. The hash is collision-resistant for the same reason. The body may come in pieces.
+func FingerprintOf(caller, method, host, path string, body ...[]byte) Fingerprint {
 	return hashOf(body, caller, method, host, path)
 }
 
@@ -41,7 +41,7 @@
 
 // hashOf hashes fields and a rest. No ID of a part contains the bytes of a length, so parts and whole
 // contents don't collide.
-func hashOf(rest []byte, fields ...string) Fingerprint {
+func hashOf(rest [][]byte, fields ...string) Fingerprint {
 	h := sha256.New()
 	var size [8]byte
 	for _, field := range fields {
@@ -49,7 +49,9 @@
 		h.Write(size[:])
 		h.Write([]byte(field))
 	}
-	h.Write(rest)
+	for _, piece := range rest {
+		h.Write(piece)
+	}
 	var sum [sha256.Size]byte
 	return Fingerprint(max(binary.BigEndian.Uint64(h.Sum(sum[:0])), 1))
 }
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -10,6 +10,7 @@
 	"google.golang.org/protobuf/proto"
 
 	peerv1 "github.com/hemlockdyke/hemlockdyke/gen/hemlockdyke/peer/v1"
+	"github.com/hemlockdyke/hemlockdyke/internal/adapter/connlimit"
 	"github.com/hemlockdyke/hemlockdyke/internal/adapter/gatewayhttp"
 	"github.com/hemlockdyke/hemlockdyke/internal/adapter/metrics"
 	"github.com/hemlockdyke/hemlockdyke/internal/adapter/peer"
@@ -18,6 +19,7 @@
 	"github.com/hemlockdyke/hemlockdyke/internal/app/gateway"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/code"
 	"github.com/hemlockdyke/hemlockdyke/internal/eventlog"
+	"github.com/hemlockdyke/hemlockdyke/internal/memory"
 )
 
 // GatewaySettings are the settings of a gateway process.
@@ -27,6 +29,7 @@
 	ReadinessPath    string
 	MetricsAddress   string
 	MemoryBytes      int64 // memory limit of the process; 0 if unknown
+	FileDescriptors  int   // limit of the process; 0 if unknown
 	// GracePeriod is the time between SIGTERM and the kill of the process.
 	GracePeriod time.Duration
 	Gateway     gateway.Settings
@@ -54,12 +57,6 @@
 	idleTimeout   = 60 * time.Second
 	// maxHeaderBytes is twice the header size that the platform allows to callers.
 	maxHeaderBytes = 32 << 10
-	// memoryLimitShare is the soft memory limit of the Go runtime as a share of MemoryBytes. Near
-	// this limit the garbage collector runs more often, and the heap grows less.
-	memoryLimitShare = 0.5
-	// gcPercent keeps the heap small. Memory has a price, and a collection of the few megabytes in
-	// use takes little processor time.
-	gcPercent = 50
 )
 
 // Gateway is a running gateway.
@@ -72,6 +69,8 @@
 	servers           []*http.Server // the first one serves the callers
 	callerConnections *gatewayhttp.ConnTracker
 	loadGate          *gatewayhttp.LoadGate
+	limits            limits
+	memoryReporter    *memoryReporter
 	failures          chan error
 	stop              context.CancelFunc
 }
@@ -90,9 +89,6 @@
 // StartGateway starts a gateway and returns once its ports are open.
 func StartGateway(s GatewaySettings, p Platform, m *metrics.Gateway, log *eventlog.Log) (*Gateway, error) {
 	debug.SetGCPercent(gcPercent)
-	if s.MemoryBytes > 0 {
-		debug.SetMemoryLimit(int64(memoryLimitShare * float64(s.MemoryBytes)))
-	}
 	log.OnPanic(m.CountPanic)
 	ctx, stop := context.WithCancel(context.Background())
 	g := &Gateway{settings: s, log: log, failures: make(chan error, 5), stop: stop}
@@ -107,26 +103,30 @@
 	targets := upstream.New(upstreamSettings, time.Now, m.CountDial)
 	reporter := &linkReporter{digests: digestSocket, capacity: s.Gateway.LinkBytesPerSecond, log: log, metrics: m}
 	peers := &peerClient{DigestSocket: digestSocket, CopyClient: peer.NewCopyClient(copyTimeout, reporter.fetchedCopies.WrapConn), ForwardClient: peer.NewForwardClient()}
-	s.Gateway.MemoryBytes = s.MemoryBytes
+	s.Gateway.Memory = memory.NewAccount(callerMemory(s.MemoryBytes), maxMemoryWait, time.Now)
 	g.control = gateway.NewControl(s.Gateway, p.Store, p.Decoder, peers, targets, log, time.Now)
 	proxy := gateway.NewProxy(g.control, p.HeaderCodec, targets, m, log, time.Now)
 	g.proxy = proxy
 	g.loadGate = gatewayhttp.NewLoadGate(g.control.AliveRouters, m.CountClosedUnread, func() { m.CountRefusal(code.Overloaded) }, func(limited bool) { log.Line(eventlog.Overload).Bool("limited", limited).Msg("") })
-	g.callerConnections = gatewayhttp.NewConnTracker(g.loadGate.RecordBegun)
-	callerServer := gatewayhttp.New(proxy, g.control, p.HeaderCodec, m, log, time.Now)
+	g.callerConnections = gatewayhttp.NewConnTracker(s.Gateway.Memory, g.loadGate.RecordBegun, g.loadGate.TurnAway)
+	g.limits = limits{
+		memory: s.Gateway.Memory, connections: g.callerConnections, targets: targets,
+		peers: connlimit.NewLimiter(time.Now), readiness: connlimit.NewLimiter(time.Now), metrics: connlimit.NewLimiter(time.Now),
+	}
+	g.limits.apply(s.MemoryBytes, s.FileDescriptors)
+	callerServer := gatewayhttp.New(proxy, g.control, p.HeaderCodec, m, gatewayhttp.Resources{
+		Memory: s.Gateway.Memory, Cores: float64(s.Gateway.Strength) / 1000, LinkBytesPerSecond: s.Gateway.LinkBytesPerSecond,
+	}, log, time.Now)
 	load := newCallerLoad()
-	m.SetMemory(s.MemoryBytes, load.holder)
+	g.memoryReporter = newMemoryReporter(s.MemoryBytes, load.holder, s.Gateway.Memory.Reclaim, log)
+	m.SetMemory(g.memoryReporter.limit.Load, load.holder)
 	if err := g.startServers(callerServer, load, m, reporter); err != nil {
 		stop()
 		return nil, err
 	}
 	reporter.status = g.control.Status
 	log.GoOrEnd("link", func() { reporter.run(ctx) })
-	if s.MemoryBytes > 0 {
-		log.GoOrEnd("memory", func() {
-			(&memoryReporter{limit: s.MemoryBytes, read: metrics.ReadMemory, holder: load.holder, log: log}).run(ctx)
-		})
-	}
+	log.GoOrEnd("memory", func() { g.memoryReporter.run(ctx) })
 	log.GoOrEnd("load_gate", func() { g.loadGate.Run(ctx) })
 	log.GoOrEnd("digests", func() { g.receiveDigests(ctx) })
 	log.GoOrEnd("control", func() { g.control.Run(ctx) })
@@ -174,23 +174,24 @@
 	for _, entry := range []struct {
 		port    string // for log lines
 		address string
+		listen  func(address string) (net.Listener, error)
 		server  *http.Server
 		wrap    func(net.Listener) net.Listener
 	}{
-		{"callers", g.settings.CallerAddress, &http.Server{Handler: g.callerConnections.Handler(load.count(callerServer)), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: g.callerConnections.OnStateChange, ConnContext: g.callerConnections.ConnContext},
+		{"callers", g.settings.CallerAddress, listenForCallers, &http.Server{Handler: g.callerConnections.Handler(load.count(callerServer)), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: g.callerConnections.OnStateChange, ConnContext: g.callerConnections.ConnContext},
 			func(l net.Listener) net.Listener { return g.callerConnections.Wrap(g.loadGate.Wrap(l)) }},
-		{"readiness", g.settings.ReadinessAddress, newStatusServer(recovery.Handler(g.log, "readiness", callerServer.ReadinessHandler(g.settings.ReadinessPath))), nil},
-		{"peers", g.settings.Gateway.Address, peer.NewServer(peerMux),
-			func(l net.Listener) net.Listener { return peer.CoalesceWrites(reporter.servedCopies.WrapListener(l)) }},
-		{"metrics", g.settings.MetricsAddress, newStatusServer(recovery.Handler(g.log, "metrics", m.Handler(g.control.Status))), nil},
+		{"readiness", g.settings.ReadinessAddress, listen, newStatusServer(recovery.Handler(g.log, "readiness", callerServer.ReadinessHandler(g.settings.ReadinessPath))), g.limits.readiness.Wrap},
+		{"peers", g.settings.Gateway.Address, listen, peer.NewServer(peerMux, g.limits.memory),
+			func(l net.Listener) net.Listener {
+				return peer.CoalesceWrites(reporter.servedCopies.WrapListener(g.limits.peers.Wrap(l)))
+			}},
+		{"metrics", g.settings.MetricsAddress, listen, newStatusServer(recovery.Handler(g.log, "metrics", m.Handler(g.control.Status))), g.limits.metrics.Wrap},
 	} {
-		listener, err := listen(entry.address)
+		listener, err := entry.listen(entry.address)
 		if err != nil {
 			return err
 		}
-		if entry.wrap != nil {
-			listener = entry.wrap(listener)
-		}
+		listener = entry.wrap(listener)
 		entry.server.ErrorLog = eventlog.NewServerLog(g.log, entry.port)
 		g.servers = append(g.servers, entry.server)
 		g.log.GoOrEnd("server", func() { serve(entry.server, listener, g.failures) })
@@ -206,6 +207,8 @@
 		return
 	}
 	g.control.ApplySettings(s.Gateway)
+	g.limits.apply(s.MemoryBytes, s.FileDescriptors)
+	g.memoryReporter.limit.Store(s.MemoryBytes)
 	g.log.Line(eventlog.Reloaded).Float64("retry_ratio", s.Gateway.RetryRatio).Float64("retry_slack", s.Gateway.RetrySlack).
 		Float64("load_multiple", s.Gateway.LoadMultiple).Msg("")
 }
--- a/internal/daemon/memory.go
+++ b/internal/daemon/memory.go
@@ -17,18 +17,24 @@
 const memoryPollInterval = 100 * time.Millisecond
 
 // memoryShares are the shares of the memory limit at which a line is logged, ascending. A process that is
-// killed for its memory writes no line of its own, so the last of these must tell. All are above
-// memoryLimitShare, from which on the garbage collector holds against growth.
+// killed for its memory writes no line of its own, so the last of these must tell.
 var memoryShares = []float64{0.6, 0.7, 0.8, 0.9}
 
 // memoryReporter logs a line when the memory of the process passes one of memoryShares, and one when it is below
 // all of them again.
 type memoryReporter struct {
-	limit  int64 // bytes
-	read   func() metrics.Memory
-	holder func() metrics.Holder
-	log    *eventlog.Log
-	passed int // number of memoryShares that the last line reported
+	limit   atomic.Int64 // bytes; 0 if unknown
+	read    func() metrics.Memory
+	holder  func() metrics.Holder
+	reclaim func() // called at each check
+	log     *eventlog.Log
+	passed  int // number of memoryShares that the last line reported
+}
+
+func newMemoryReporter(limit int64, holder func() metrics.Holder, reclaim func(), log *eventlog.Log) *memoryReporter {
+	r := &memoryReporter{read: metrics.ReadMemory, holder: holder, reclaim: reclaim, log: log}
+	r.limit.Store(limit)
+	return r
 }
 
 // run checks the memory every memoryPollInterval until ctx ends.
@@ -40,14 +46,19 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
+			r.reclaim()
 			r.check()
 		}
 	}
 }
 
 func (r *memoryReporter) check() {
+	limit := r.limit.Load()
+	if limit <= 0 {
+		return
+	}
 	m := r.read()
-	share, passed := float64(m.Total)/float64(r.limit), 0
+	share, passed := float64(m.Total)/float64(limit), 0
 	for passed < len(memoryShares) && share >= memoryShares[passed] {
 		passed++
 	}
@@ -56,7 +67,7 @@
 	}
 	r.passed = passed
 	held := r.holder()
-	r.log.Line(eventlog.MemoryShare).Float64("share", share).Int64("bytes", m.Total).Int64("limit", r.limit).Int64("heap", m.Heap).Int64("stacks", m.Stacks).
+	r.log.Line(eventlog.MemoryShare).Float64("share", share).Int64("bytes", m.Total).Int64("limit", limit).Int64("heap", m.Heap).Int64("stacks", m.Stacks).
 		Int("goroutines", runtime.NumGoroutine()).Int64("open", held.OpenRequests).Int64("bodies", held.BodyBytes).Msg("")
 }
 
--- a/internal/daemon/memory_test.go
+++ b/internal/daemon/memory_test.go
@@ -22,9 +22,8 @@
 	It("is logged when it passes a share of its limit, with what holds it", func() {
 		var logged bytes.Buffer
 		var memory metrics.Memory
-		r := &memoryReporter{limit: 1000, log: eventlog.New(zerolog.New(&logged), time.Now),
-			read:   func() metrics.Memory { return memory },
-			holder: func() metrics.Holder { return metrics.Holder{OpenRequests: 3, BodyBytes: 400} }}
+		r := newMemoryReporter(1000, func() metrics.Holder { return metrics.Holder{OpenRequests: 3, BodyBytes: 400} }, func() {}, eventlog.New(zerolog.New(&logged), time.Now))
+		r.read = func() metrics.Memory { return memory }
 		lines := func(total int64) int {
 			logged.Reset()
 			memory = metrics.Memory{Total: total, Heap: total - 100, Stacks: 20}
@@ -45,7 +44,7 @@
 
 	It("is a gauge, as are the open requests of callers and the bytes of their bodies", func() {
 		load, m := newCallerLoad(), metrics.NewGateway(time.Now)
-		m.SetMemory(184<<20, load.holder)
+		m.SetMemory(func() int64 { return 184 << 20 }, load.holder)
 		page := func() string {
 			w := httptest.NewRecorder()
 			m.Handler(func() gateway.Status { return gateway.Status{} }).ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/metrics", nil))
--- a/internal/daemon/router.go
+++ b/internal/daemon/router.go
@@ -71,7 +71,7 @@
 	}
 	peerMux := http.NewServeMux()
 	peerMux.Handle(peer.NewHandler(burn, recordPeerPanics(log)))
-	r.peersServer = peer.NewServer(peerMux)
+	r.peersServer = peer.NewServer(peerMux, nil)
 	r.adminServer = newStatusServer(recovery.Handler(log, "admin", r.adminHandler()))
 	if err := r.startServers(); err != nil {
 		stop()
--- a/internal/readlimit/readlimit.go
+++ b/internal/readlimit/readlimit.go
@@ -8,6 +8,8 @@
 	"sync/atomic"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/hemlockdyke/hemlockdyke/internal/memory"
 )
 
 // Errors of reads that go beyond a bound.
@@ -22,11 +24,20 @@
 type Budget struct {
 	limit      int64
 	held, peak atomic.Int64
+	account    *memory.Account // nil if there is none
+	copies     int64
 }
 
 // NewBudget returns a Budget of limit bytes.
 func NewBudget(limit int64) *Budget { return &Budget{limit: limit} }
 
+// CountIn counts the bytes of the requests of a Handler in an account as well, which may refuse them: each as often as it
+// is copied until the request has been decoded.
+func (b *Budget) CountIn(account *memory.Account, copies int64) *Budget {
+	b.account, b.copies = account, copies
+	return b
+}
+
 // Held returns the bytes that are held now.
 func (b *Budget) Held() int64 { return b.held.Load() }
 
@@ -48,6 +59,8 @@
 	left   int64
 	held   atomic.Int64
 	budget *Budget
+	// counted are the bytes that count in the account of the budget; nil if there is none.
+	counted *memory.Reservation
 }
 
 // NewBody returns a Body that fails with ErrTooLarge after limit bytes, and with ErrBudgetExhausted if
@@ -67,6 +80,9 @@
 		b.held.Add(int64(n))
 		hasRoom = b.budget.take(int64(n))
 	}
+	if b.counted != nil && n > 0 {
+		hasRoom = b.counted.TryGrow(b.budget.copies*int64(n)) && hasRoom
+	}
 	if b.left -= int64(n); b.left < 0 {
 		b.left = 0
 		return 0, ErrTooLarge
@@ -128,6 +144,11 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		body := NewBody(r.Body, limit, budget)
 		defer body.Release()
+		if budget != nil && budget.account != nil {
+			counted := budget.account.Reserve(memory.Request, "")
+			defer counted.Release()
+			body.counted = &counted
+		}
 		r.Body = requestBody{body}
 		next.ServeHTTP(w, r)
 	})
