--- a/internal/core/route/route.go
+++ b/internal/core/route/route.go
@@ -88,7 +88,9 @@
 	Version uint64
 	Routes  []Route
 	Pools   []Pool
-	Teams   []Team
+	// Teams are those that may send requests; nil if requests need no key. An empty list lets no request of a route
+	// that is not public pass.
+	Teams []Team
 	// MaxBodyBytes is the largest size of a request body; 0 means unset.
 	MaxBodyBytes int64
 }
@@ -101,6 +103,7 @@
 	pools        map[string]Pool
 	referenced   map[string]bool // pools that the state defines or a route refers to
 	byKey        map[string]*Team
+	requiresKey  bool
 }
 
 // Build derives a Table from a DesiredState.
@@ -108,7 +111,7 @@
 	t := &Table{
 		Version: s.Version, MaxBodyBytes: s.MaxBodyBytes,
 		byHost: make(map[string][]*Route), pools: make(map[string]Pool),
-		referenced: make(map[string]bool), byKey: make(map[string]*Team),
+		referenced: make(map[string]bool), byKey: make(map[string]*Team), requiresKey: s.Teams != nil,
 	}
 	for i := range s.Routes {
 		r := &s.Routes[i]
@@ -177,8 +180,8 @@
 	return strings.ToLower(host)
 }
 
-// RequiresKey reports whether requests need a key, which is so if any team has one.
-func (t *Table) RequiresKey() bool { return len(t.byKey) > 0 }
+// RequiresKey reports whether requests need a key. They need one even if no team has any.
+func (t *Table) RequiresKey() bool { return t.requiresKey }
 
 // TeamByKey returns the team that a key belongs to.
 func (t *Table) TeamByKey(key string) (*Team, bool) {
--- a/internal/core/route/route_test.go
+++ b/internal/core/route/route_test.go
@@ -50,6 +50,18 @@
 		Expect(ok).To(BeFalse())
 	})
 
+	// Guards against routes that are open to anybody once the last key is revoked.
+	DescribeTable("requires a key if it has teams, whether or not they have keys",
+		func(state route.DesiredState, required bool) {
+			Expect(route.Build(&state).RequiresKey()).To(Equal(required))
+		},
+		Entry("a team with a key", route.DesiredState{Teams: []route.Team{{Name: "t", Keys: []string{"k"}}}}, true),
+		Entry("a team without a key", route.DesiredState{Teams: []route.Team{{Name: "t"}}}, true),
+		Entry("a team with a key beside one without", route.DesiredState{Teams: []route.Team{{Name: "t"}, {Name: "u", Keys: []string{"k"}}}}, true),
+		Entry("an empty list of teams", route.DesiredState{Teams: []route.Team{}}, true),
+		Entry("no list of teams", route.DesiredState{}, false),
+	)
+
 	It("splits requests by weight and sends the same hash to the same pool", func() {
 		r := route.Route{Name: "r", Split: []route.WeightedPool{{Pool: "p", Weight: 90}, {Pool: "q", Weight: 10}}}
 		count := map[string]int{}
