--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"runtime/debug"
+	"sync/atomic"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -61,7 +62,8 @@
 
 // Gateway is a running gateway.
 type Gateway struct {
-	settings          GatewaySettings
+	settings          GatewaySettings // of the start
+	gracePeriod       atomic.Int64    // nanoseconds, of the newest settings
 	log               *eventlog.Log
 	control           *gateway.Control
 	proxy             *gateway.Proxy
@@ -92,6 +94,7 @@
 	log.OnPanic(m.CountPanic)
 	ctx, stop := context.WithCancel(context.Background())
 	g := &Gateway{settings: s, log: log, failures: make(chan error, 5), stop: stop}
+	g.gracePeriod.Store(int64(s.GracePeriod))
 	digestSocket, err := peer.ListenDigests(s.Gateway.Address)
 	if err != nil {
 		stop()
@@ -199,7 +202,8 @@
 	return nil
 }
 
-// Reload applies the bounds of changed settings. A changed address takes effect at the next start.
+// Reload applies the bounds of changed settings, and the grace period to a stop that begins later. A changed address takes
+// effect at the next start.
 // If err is not nil, Reload only logs it.
 func (g *Gateway) Reload(s GatewaySettings, err error) {
 	if err != nil {
@@ -207,6 +211,7 @@
 		return
 	}
 	g.control.ApplySettings(s.Gateway)
+	g.gracePeriod.Store(int64(s.GracePeriod))
 	g.limits.apply(s.MemoryBytes, s.FileDescriptors)
 	g.memoryReporter.limit.Store(s.MemoryBytes)
 	g.log.Line(eventlog.Reloaded).Float64("retry_ratio", s.Gateway.RetryRatio).Float64("retry_slack", s.Gateway.RetrySlack).
@@ -226,7 +231,7 @@
 	g.log.Line(eventlog.Stopping).Msg("")
 	g.control.BeginShutdown(ctx)
 	sleep(ctx, balancerLag)
-	deadline := startedAt.Add(g.settings.GracePeriod - graceMargin)
+	deadline := startedAt.Add(time.Duration(g.gracePeriod.Load()) - graceMargin)
 	graceCtx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
 	g.control.SetShutdownDeadline(deadline)
