--- a/internal/adapter/gatewayhttp/connections.go
+++ b/internal/adapter/gatewayhttp/connections.go
@@ -28,7 +28,9 @@
 	mu      sync.Mutex
 	open    map[*connection]struct{}
 	maxOpen int // 0: no limit
-	closing int // open connections that were made to close
+	// room is how many connections may still be opened in the place of those that were made to close at roomMadeAt.
+	room       int
+	roomMadeAt time.Time
 }
 
 // NewConnTracker returns an empty ConnTracker. It calls begun for the first request of each connection, and turnAway, which
@@ -51,7 +53,7 @@
 	requestBegunAt   time.Time // of a request whose handler has not begun yet, or zero
 	readError        ReadError // how the last read ended
 	silentSince      time.Time // when the connection was accepted, or its last answer ended
-	isClosing        bool      // it was made to close, to have room for others
+	closingAt        time.Time // when it was last made to close, to have room for others
 	isClosed         bool
 	readingBody      bool             // a handler reads the body of its request
 	bodyBytesRead    int64            // since that began
--- a/internal/adapter/gatewayhttp/crowd_test.go
+++ b/internal/adapter/gatewayhttp/crowd_test.go
@@ -214,6 +214,34 @@
 		Expect(got).To(Equal(200), "the last one is kept")
 	})
 
+	// Guards against connections that send a byte when they are made to close, and are then kept for ever.
+	It("closes those later that have said something just then", func() {
+		s := start()
+		conns := fill(s, "")
+		stop := make(chan struct{})
+		var senders sync.WaitGroup
+		for _, c := range conns {
+			senders.Go(func() {
+				for {
+					select {
+					case <-stop:
+						return
+					case <-time.After(2 * time.Millisecond):
+						if _, err := io.WriteString(c, "G"); err != nil {
+							return
+						}
+					}
+				}
+			})
+		}
+		Eventually(func() int {
+			got, _ := ask(s.dial(), post("/x", 1, "b"))
+			return got
+		}, "10s", "20ms").Should(Equal(200))
+		close(stop)
+		senders.Wait()
+	})
+
 	// Guards against callers that begin requests, to look busy, and keep others out.
 	DescribeTable("serves new ones though all have begun a request", func(beginning string) {
 		s := start()
--- a/internal/adapter/gatewayhttp/room.go
+++ b/internal/adapter/gatewayhttp/room.go
@@ -32,6 +32,9 @@
 	// they need not be looked through for each new one, and the part that may be open beyond the limit
 	// until they have closed.
 	closingShare = 32
+	// closingTime is the longest time in which a connection closes that was made to. One that is still open then has
+	// begun a request.
+	closingTime = 50 * time.Millisecond
 )
 
 // errNoMemory means that there is no memory for the header of a request.
@@ -70,17 +73,22 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.maxOpen == 0 || len(c.open) < c.maxOpen {
+		c.room = 0
 		return true
 	}
-	batch := c.maxOpen/closingShare + 1
-	if len(c.open) >= c.maxOpen+batch {
+	now, batch := time.Now(), c.maxOpen/closingShare+1
+	if c.room == 0 || now.Sub(c.roomMadeAt) > closingTime {
+		c.room, c.roomMadeAt = c.closeSome(batch, now), now
+	}
+	if c.room == 0 || len(c.open) >= c.maxOpen+batch {
 		return false
 	}
-	return len(c.open)-c.closing < c.maxOpen || c.closeSome(batch, time.Now())
+	c.room--
+	return true
 }
 
-// closeSome makes up to n connections close and reports whether there were any. c.mu must be held.
-func (c *ConnTracker) closeSome(n int, now time.Time) bool {
+// closeSome makes up to n connections close and returns how many. c.mu must be held.
+func (c *ConnTracker) closeSome(n int, now time.Time) int {
 	var candidates []silence
 	for tracked := range c.open {
 		if s, ok := tracked.silence(now); ok {
@@ -92,12 +100,14 @@
 	})
 	closed := 0
 	for _, s := range candidates[:min(n, len(candidates))] {
-		if s.connection.makeRoom() {
+		if s.connection.makeRoom(now) {
 			closed++
 		}
 	}
-	c.closing += closed
-	return closed > 0 || c.memory.EndLagging(n) > 0
+	if closed == 0 {
+		return c.memory.EndLagging(n)
+	}
+	return closed
 }
 
 // silence is since when a connection keeps the process waiting for a request, or for the rest of its header.
@@ -122,7 +132,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
-	case c.handling, c.isClosing, c.isClosed:
+	case c.handling, c.isClosed, now.Sub(c.closingAt) < closingTime:
 		return silence{}, false
 	case !c.requestBegunAt.IsZero():
 		return silence{c, c.requestBegunAt, true}, now.Sub(c.requestBegunAt) >= slowHeadTime
@@ -131,13 +141,13 @@
 }
 
 // makeRoom makes the connection close, unless a request has begun meanwhile.
-func (c *connection) makeRoom() bool {
+func (c *connection) makeRoom(now time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.handling {
 		return false
 	}
-	c.isClosing = true
+	c.closingAt = now
 	if !c.requestBegunAt.IsZero() {
 		c.refuse(code.RequestTooSlow)
 		_ = c.Conn.Close() // the server notices
@@ -218,9 +228,6 @@
 	c.discardHead()
 	c.isClosed = true
 	c.held.Release()
-	if c.isClosing {
-		t.closing--
-	}
 }
 
 // beginBody begins the reading of a request's body, which ends at a deadline. c may be nil.
--- a/internal/memory/account.go
+++ b/internal/memory/account.go
@@ -29,14 +29,15 @@
 // messages are not kept out by large ones.
 const SmallBytes = 64 << 10
 
-// The levels of the account up to which memory is granted, in eighths of its limit. A small answer may fill it. Large
-// answers may hold ownAnswerEighths up to ownAnswerLevel, which requests can't take from them.
+// The levels of the account up to which memory is granted, in eighths of its limit. A small answer may fill it. Beyond
+// largeLevel, large bodies and large answers may hold ownEighths each, which requests can't take from them, and a
+// single body may be larger.
 const (
-	levels           = 8
-	largeLevel       = 4
-	requestLevel     = 6
-	ownAnswerLevel   = 7
-	ownAnswerEighths = 1
+	levels       = 8
+	largeLevel   = 4
+	requestLevel = 6
+	ownBodyLevel = 7
+	ownEighths   = 1
 )
 
 // Account bounds the bytes of all reservations. Beyond SmallBytes, the bodies of one team together may hold at most as
@@ -130,17 +131,19 @@
 	switch {
 	case r.kind == Answer && !isLarge:
 		return a.limit
-	case r.kind == Answer && a.answersWith(r, n) <= a.level(ownAnswerEighths):
-		return a.level(ownAnswerLevel)
+	case r.kind == Answer && a.largeWith(r, n) <= a.level(ownEighths):
+		return a.limit
+	case r.kind == Body && isLarge && (a.isOnlyBody(r) || a.largeWith(r, n) <= a.level(ownEighths)):
+		return a.level(ownBodyLevel)
 	case r.kind != Request && isLarge:
 		return a.level(largeLevel)
 	}
 	return a.level(requestLevel)
 }
 
-// answersWith returns what large answers hold with n bytes more for r. a.mu must be held.
-func (a *Account) answersWith(r *Reservation, n int64) int64 {
-	others := a.largeHeld[Answer]
+// largeWith returns what the large reservations of its kind hold with n bytes more for r. a.mu must be held.
+func (a *Account) largeWith(r *Reservation, n int64) int64 {
+	others := a.largeHeld[r.kind]
 	if r.isLarge() {
 		others -= r.bytes
 	}
@@ -152,8 +155,11 @@
 
 // isPossible reports whether n bytes more could be granted to r if nothing else were held. a.mu must be held.
 func (a *Account) isPossible(r *Reservation, n int64) bool {
-	if r.kind == Request {
+	switch r.kind {
+	case Request:
 		return r.bytes+n <= a.level(requestLevel)
+	case Body:
+		return r.bytes+n <= a.level(ownBodyLevel)
 	}
 	return r.bytes+n <= a.level(largeLevel)
 }
--- a/internal/memory/account_test.go
+++ b/internal/memory/account_test.go
@@ -85,6 +85,17 @@
 		Expect(large.Grow(ctx, 1)).To(MatchError(memory.ErrExhausted))
 	})
 
+	// Guards against large bodies that are refused because many small requests are open.
+	It("is left for a large body however many requests are open", func() {
+		r := b.Reserve(memory.Request, "")
+		Expect(r.TryGrow(requestLevel)).To(BeTrue())
+		first, second := b.Reserve(memory.Body, "a"), b.Reserve(memory.Body, "b")
+		Expect(first.TryGrow(limit / 8)).To(BeTrue())
+		Expect(second.TryGrow(limit / 8)).To(BeFalse())
+		first.Release()
+		Expect(second.TryGrow(limit / 8)).To(BeTrue())
+	})
+
 	// Guards against requests that wait for ever.
 	It("is refused after a bounded wait, or with the end of the request, or if it can't be granted", func() {
 		first, second := reserve(), reserve()
--- a/internal/memory/transfer_test.go
+++ b/internal/memory/transfer_test.go
@@ -139,7 +139,7 @@
 
 	// Guards against a limit that a single caller meets: the largest body that an operator allows.
 	It("is none for a single body that takes nearly all of it", func() {
-		Expect(reserve(memory.Body, "a").Grow(ctx, answerLevel)).To(Succeed())
+		Expect(reserve(memory.Body, "a").Grow(ctx, limit*7/8)).To(Succeed())
 	})
 
 	// Guards against answers that are lost after their requests were executed, for bodies that no target has yet.
