--- a/internal/app/gateway/control.go
+++ b/internal/app/gateway/control.go
@@ -18,10 +18,10 @@
 )
 
 const (
-	// retentionShare is the fraction of MaxDepartureDelay for which a target remains in use after
-	// its removal from the target list. The rest of the delay is left for the departure to reach
-	// all routers.
-	retentionShare = 0.35
+	// maxRetentionShare and minRetentionShare bound the fraction of MaxDepartureDelay for which a target remains in use
+	// after its removal from the target list, see removalRetention.
+	maxRetentionShare = 0.35
+	minRetentionShare = 0.1
 	// outageRetention is how long targets remain in use if they are removed from the target list
 	// during a store outage or just after it, since their entries may only have expired. It is also
 	// how long after the outage this applies: by then, the entries of running targets are back.
@@ -163,9 +163,17 @@
 	c.aliveRouters.Store(int64(c.core.AliveCount(now)))
 }
 
+// removalRetention returns how long targets remain in use after their removal from the target list. The rest of maxDelay
+// is left for the removal to reach all routers, and for the tick that ends their use.
+func removalRetention(maxDelay time.Duration) time.Duration {
+	left := maxDelay - fleet.MaxNoticeDelay - fleet.TickInterval
+	shortest, longest := minRetentionShare*float64(maxDelay), maxRetentionShare*float64(maxDelay)
+	return time.Duration(min(max(float64(left), shortest), longest))
+}
+
 // targetRetention returns how long targets remain in use after their removal from the target list.
 func (c *Control) targetRetention(now time.Time) placement.Retention {
-	retention := placement.Retention{AfterRemoval: time.Duration(retentionShare * float64(c.settings.MaxDepartureDelay))}
+	retention := placement.Retention{AfterRemoval: removalRetention(c.settings.MaxDepartureDelay)}
 	outage := c.core.InStoreOutage(now)
 	if outage {
 		start, end := c.core.LastOutage()
--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -19,6 +19,11 @@
 // which is about the margin that placement allows.
 const TickInterval = 100 * time.Millisecond
 
+// MaxNoticeDelay is the longest time from a change of a table until all routers know it, if all routers that read the store
+// are lost at that moment: another one notices at a tick after peerTimeout and reads the table, and the others learn of
+// the newer one from its next digest.
+const MaxNoticeDelay = peerTimeout + TickInterval + storeReadTime + TickInterval + copyTime
+
 const (
 	// heartbeatInterval is the longest time between two digests of a router.
 	heartbeatInterval = 400 * time.Millisecond
@@ -30,6 +35,10 @@
 	// targets. Outcomes in every digest would double its size when all targets of a large pool
 	// fail.
 	outcomesInterval = 300 * time.Millisecond
+	// storeReadTime is how long a read of a table takes, and copyTime how long a router takes to get a copy of it from
+	// another one, on a store and links that are not disturbed.
+	storeReadTime = 50 * time.Millisecond
+	copyTime      = 20 * time.Millisecond
 	// peerRetention is how long a silent router is remembered.
 	peerRetention = 60 * time.Second
 	// readerCount is how many routers read the store. Two may fail at the same time before a change
