--- a/internal/adapter/connlimit/connlimit_test.go
+++ b/internal/adapter/connlimit/connlimit_test.go
@@ -3,7 +3,6 @@
 import (
 	"io"
 	"net"
-	"sync"
 	"testing"
 	"time"
 
@@ -16,31 +15,13 @@
 
 func TestSuite(t *testing.T) { testkit.Run(t, "connlimit") }
 
-// manualClock is a clock that the test sets. It is safe for concurrent use.
-type manualClock struct {
-	mu  sync.Mutex
-	now time.Time
-}
-
-func (c *manualClock) read() time.Time {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.now
-}
-
-func (c *manualClock) advance(d time.Duration) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.now = c.now.Add(d)
-}
-
 var _ = Describe("a listener with a limit of its connections", func() {
 	const maxOpen = 3
-	var clock *manualClock
+	var clock *testkit.Clock
 	var dial func() net.Conn
 	BeforeEach(func() {
-		clock = &manualClock{now: time.Unix(1e9, 0)}
-		limiter := connlimit.NewLimiter(clock.read)
+		clock = testkit.NewClock()
+		limiter := connlimit.NewLimiter(clock.Now)
 		limiter.SetMax(maxOpen)
 		inner, err := net.Listen("tcp", "127.0.0.1:0")
 		Expect(err).NotTo(HaveOccurred())
@@ -68,7 +49,7 @@
 			case <-accepted:
 			case <-time.After(200 * time.Millisecond): // closed unread
 			}
-			clock.advance(time.Millisecond)
+			clock.Advance(time.Millisecond)
 			return c
 		}
 	})
@@ -96,10 +77,10 @@
 		conns := []net.Conn{dial(), dial(), dial()}
 		for _, c := range conns {
 			Expect(isOpen(c)).To(BeTrue())
-			clock.advance(time.Second)
+			clock.Advance(time.Second)
 		}
 		Expect(isOpen(dial())).To(BeFalse())
-		clock.advance(3 * time.Second)
+		clock.Advance(3 * time.Second)
 		Expect(isOpen(dial())).To(BeTrue())
 		Expect(isOpen(conns[0])).To(BeFalse())
 		Expect(isOpen(conns[2])).To(BeTrue())
--- a/internal/adapter/gatewayhttp/connections.go
+++ b/internal/adapter/gatewayhttp/connections.go
@@ -10,6 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/hemlockdyke/hemlockdyke/internal/core/code"
 	"github.com/hemlockdyke/hemlockdyke/internal/memory"
 )
 
@@ -156,7 +157,7 @@
 	if n > 0 {
 		c.markRequestBegun()
 		if !c.holdRead(int64(n)) {
-			c.refuseHead()
+			c.refuse(code.NoMemory)
 			return 0, errNoMemory
 		}
 	}
--- a/internal/adapter/gatewayhttp/hangup.go
+++ b/internal/adapter/gatewayhttp/hangup.go
@@ -32,9 +32,9 @@
 }
 
 // discardArrived discards a short body if all of it has arrived, so that its connection can be kept. It reports whether
-// nothing of the body is left.
+// nothing of the body is left. A caller that waits for a go-ahead has not sent it.
 func discardArrived(r *http.Request) bool {
-	if r.ContentLength <= 0 || r.ContentLength > maxRefusedRequestBytes {
+	if r.ContentLength <= 0 || r.ContentLength > maxRefusedRequestBytes || r.Header.Get("Expect") != "" {
 		return r.ContentLength == 0
 	}
 	conn := trackedConnection(r)
--- a/internal/adapter/gatewayhttp/room.go
+++ b/internal/adapter/gatewayhttp/room.go
@@ -169,9 +169,6 @@
 // refusalWriteTimeout bounds the writing of an answer for which a new connection has room.
 const refusalWriteTimeout = 10 * time.Millisecond
 
-// refuseHead answers a request for whose header there is no memory.
-func (c *connection) refuseHead() { c.refuse(code.NoMemory) }
-
 // holdRead counts n bytes that were read. It reports false if they are of a header for which there is no memory.
 func (c *connection) holdRead(n int64) bool {
 	c.mu.Lock()
--- a/internal/app/gateway/place.go
+++ b/internal/app/gateway/place.go
@@ -56,7 +56,7 @@
 		Pool: r.match.pool, ChatHash: chatHash, PromptPrefixes: r.match.call.PromptPrefixes, PromptTokens: r.match.call.PromptTokens,
 		Objective: r.match.route.Objective, Excluded: progress.excluded, Software: progress.software, PreferredTarget: preferred,
 		MemoryTokens: demand.memoryTokens,
-	}, admission.Request{Team: r.match.teamName(), Priority: r.match.priority(), RoutePriority: r.match.route.Priority, Remaining: r.deadline.Sub(now), Objective: r.match.route.Objective},
+	}, admission.Request{Team: r.match.Team(), Priority: r.match.priority(), RoutePriority: r.match.route.Priority, Remaining: r.deadline.Sub(now), Objective: r.match.route.Objective},
 		sheddingRequest{route: r.match.route.Name, retry: progress.attempts > 0, slotTime: demand.slotTime, workPercentile: percentile, elapsed: now.Sub(r.match.startedAt)}, progress.mayHaveExecuted || progress.software != 0)
 	switch {
 	case !ok:
@@ -80,7 +80,7 @@
 	if !r.dispatch(t, beside) {
 		endTrial()
 		t.recordFirstEvent(false)
-		p.traffic.finishAttempt(p.now(), r.match.pool, r.match.teamName(), choice, placement.Neutral, 0, admission.InTime, shed)
+		p.traffic.finishAttempt(p.now(), r.match.pool, r.match.Team(), choice, placement.Neutral, 0, admission.InTime, shed)
 		return nil, placementRefusal{code: code.NoTarget}
 	}
 	r.logPlaced(t, p.traffic.loadReportAge(now))
--- a/internal/app/gateway/proxy.go
+++ b/internal/app/gateway/proxy.go
@@ -110,11 +110,8 @@
 	Deadline time.Time
 }
 
-// Team returns the name of the request's team, or an empty string if it has none.
-func (m *MatchedRequest) Team() string { return m.teamName() }
-
-// teamName returns the team's name, or an empty string if the request has no team.
-func (m *MatchedRequest) teamName() string {
+// Team returns the team's name, or an empty string if the request has no team.
+func (m *MatchedRequest) Team() string {
 	if m.team == nil {
 		return ""
 	}
@@ -124,7 +121,7 @@
 // contents returns the fingerprints of what the request carries.
 func (m *MatchedRequest) contents(body [][]byte) poison.Contents {
 	out := make(poison.Contents, 0, 1+len(m.call.PromptParts))
-	out = append(out, poison.FingerprintOf(m.teamName(), m.call.Method, m.call.Host, m.call.Path, body...))
+	out = append(out, poison.FingerprintOf(m.Team(), m.call.Method, m.call.Host, m.call.Path, body...))
 	for _, id := range m.call.PromptParts {
 		out = append(out, poison.FingerprintOfPart(m.pool, id))
 	}
--- a/internal/app/gateway/run.go
+++ b/internal/app/gateway/run.go
@@ -218,7 +218,7 @@
 	t.recordFirstEvent(false)
 	t.suspectPath()
 	took := p.now().Sub(t.startedAt)
-	if p.traffic.finishAttempt(p.now(), r.match.pool, r.match.teamName(), t.choice, t.placementOutcome(), took, t.admissionOutcome(took), t.shed) {
+	if p.traffic.finishAttempt(p.now(), r.match.pool, r.match.Team(), t.choice, t.placementOutcome(), took, t.admissionOutcome(took), t.shed) {
 		r.logLine(eventlog.TargetSuspended).Str("target", t.choice.Target.ID).Str("why", t.failure).Msg("")
 	}
 	if t.failure != "" {
@@ -284,7 +284,7 @@
 	}
 	now := p.now()
 	res := Result{
-		Route: r.match.route.Name, Pool: r.match.pool, Team: r.match.teamName(), Class: r.match.teamClass(),
+		Route: r.match.route.Name, Pool: r.match.pool, Team: r.match.Team(), Class: r.match.teamClass(),
 		Code: c, Status: r.status, Objective: r.match.route.Objective,
 		Attempts: r.machine.Attempts(), Retries: r.retries, RetryDenied: r.retryDenied && c != code.OK, TotalTime: now.Sub(r.match.startedAt),
 	}
@@ -353,7 +353,7 @@
 	if removedAt := c.Target.RemovedAt; !removedAt.IsZero() {
 		line.Dur("gone", a.startedAt.Sub(removedAt)).Dur("grace", time.Duration(r.proxy.traffic.retentionNanos.Load())).Bool("store_away", r.proxy.traffic.storeOutage.Load())
 	}
-	line.Int("attempt", a.number).Str("pool", r.match.pool).Str("team", r.match.teamName()).
+	line.Int("attempt", a.number).Str("pool", r.match.pool).Str("team", r.match.Team()).
 		Stringer("fingerprint", r.contents[0]).Str("target", c.Target.ID).Str("rule", string(c.Rule)).Int("open", c.Open).Float64("bound", c.Bound).
 		Str("source", c.CacheSource).Dur("loads_age", loadReportAge).Uint64("version", r.match.desiredVersion).
 		Uint64("targets_row", r.proxy.traffic.targetsRowVersion.Load()).
--- a/internal/app/gateway/streams.go
+++ b/internal/app/gateway/streams.go
@@ -51,7 +51,7 @@
 	if id == "" {
 		id = r.match.call.ID
 	}
-	return lineage.StreamOf(r.match.teamName(), id)
+	return lineage.StreamOf(r.match.Team(), id)
 }
 
 // bindStream records that a target is about to send events to the caller: the stream goes on at no
--- a/internal/app/gateway/target_attempt.go
+++ b/internal/app/gateway/target_attempt.go
@@ -160,7 +160,7 @@
 	r.mu.Unlock()
 	return r.proxy.codec.PrepareHeader(r.match.call, Attempt{
 		Remaining: r.deadline.Sub(r.proxy.now()), TargetID: t.choice.Target.ID, LastEventID: lastEventID,
-		CacheSource: t.choice.CacheSource, Team: r.match.teamName(), Priority: t.priority(),
+		CacheSource: t.choice.CacheSource, Team: r.match.Team(), Priority: t.priority(),
 	})
 }
 
--- a/internal/memory/transfer.go
+++ b/internal/memory/transfer.go
@@ -92,18 +92,18 @@
 	t.isPaused, t.lastAt = paused, now
 }
 
-// holdUnread counts the unread bytes of an answer, or no longer. Account.mu must be held.
+// holdUnread counts the unread bytes of an answer, or no longer. They count unless the transfer is paused. Account.mu must
+// be held.
 func (t *Transfer) holdUnread(hold bool) {
-	if t.unread == 0 || hold != t.isPaused {
-		return
-	}
-	a := t.reservation.account
-	if hold {
+	a, isHeld := t.reservation.account, !t.isPaused
+	switch {
+	case hold == isHeld:
+	case hold:
 		a.held += t.unread
-		return
+	default:
+		a.held -= t.unread
+		a.grant()
 	}
-	a.held -= t.unread
-	a.grant()
 }
 
 // HasEnded reports whether the transfer had to give way.
--- a/internal/memory/transfer_test.go
+++ b/internal/memory/transfer_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -10,26 +9,9 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/hemlockdyke/hemlockdyke/internal/memory"
+	"github.com/hemlockdyke/hemlockdyke/internal/testkit"
 )
 
-// manualClock is a clock that the test sets. It is safe for concurrent use.
-type manualClock struct {
-	mu  sync.Mutex
-	now time.Time
-}
-
-func (c *manualClock) read() time.Time {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.now
-}
-
-func (c *manualClock) advance(d time.Duration) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.now = c.now.Add(d)
-}
-
 // body is a caller's body, which releases its memory when it has to give way.
 type body struct {
 	memory.Reservation
@@ -41,17 +23,17 @@
 	const mb = 1 << 20
 	ctx := context.Background()
 	var a *memory.Account
-	var clock *manualClock
+	var clock *testkit.Clock
 	BeforeEach(func() {
-		clock = &manualClock{now: time.Unix(1e9, 0)}
-		a = memory.NewAccount(limit, time.Second, clock.read)
+		clock = testkit.NewClock()
+		a = memory.NewAccount(limit, time.Second, clock.Now)
 	})
 	// begin begins a body of total bytes that has n of them and 10 s left.
 	begin := func(team string, n, total int64) *body {
 		GinkgoHelper()
 		b := &body{Reservation: a.Reserve(memory.Body, team)}
 		Expect(b.TryGrow(n)).To(BeTrue())
-		b.Transfer = b.Begin(total, clock.read().Add(10*time.Second), func() {
+		b.Transfer = b.Begin(total, clock.Now().Add(10*time.Second), func() {
 			b.hasEnded.Store(true)
 			b.Release()
 		})
@@ -66,10 +48,10 @@
 	// Guards against callers that stop short of the end of their bodies, and keep those out that send theirs.
 	It("ends bodies that don't arrive for one that does, those first that are silent for longest", func() {
 		silent, slow := begin("a", mb, 2*mb), begin("b", mb, 2*mb)
-		clock.advance(300 * time.Millisecond)
+		clock.Advance(300 * time.Millisecond)
 		arriving := begin("c", mb, 2*mb)
 		for range 3 {
-			clock.advance(200 * time.Millisecond)
+			clock.Advance(200 * time.Millisecond)
 			slow.Moved(10) // would take hours
 			arriving.Moved(1 << 17)
 		}
@@ -86,7 +68,7 @@
 		steady, paused, chunked := begin("a", mb/2, mb), begin("b", mb/2, mb), begin("c", mb/2, -1)
 		paused.Pause()
 		for range 5 {
-			clock.advance(200 * time.Millisecond)
+			clock.Advance(200 * time.Millisecond)
 			steady.Moved(16 << 10) // 6.5 s for the rest
 			chunked.Moved(16 << 10)
 		}
@@ -103,7 +85,7 @@
 	// Guards against transfers that are ended without need.
 	It("is not there while memory is left", func() {
 		silent := begin("a", mb, 2*mb)
-		clock.advance(5 * time.Second)
+		clock.Advance(5 * time.Second)
 		Expect(reserve(memory.Body, "b").Grow(ctx, mb)).To(Succeed())
 		a.Reclaim()
 		Consistently(silent.hasEnded.Load, "50ms").Should(BeFalse())
@@ -159,7 +141,7 @@
 		startedAt := time.Now()
 		Expect(reserve(memory.Request, "").Grow(ctx, 1000)).To(MatchError(memory.ErrExhausted))
 		Expect(time.Since(startedAt)).To(BeNumerically("<", 500*time.Millisecond))
-		clock.advance(time.Second)
+		clock.Advance(time.Second)
 		Expect(reserve(memory.Request, "").Grow(ctx, 1000)).To(Succeed())
 		Expect(silent.hasEnded.Load()).To(BeTrue())
 	})
@@ -175,9 +157,9 @@
 		Expect(a.Held()).To(BeEquivalentTo(mb))
 		answer.Resume()
 		Expect(reserve(memory.Request, "").TryGrow(requestLevel - 2*mb)).To(BeTrue())
-		clock.advance(900 * time.Millisecond)
+		clock.Advance(900 * time.Millisecond)
 		Expect(reserve(memory.Request, "").Grow(ctx, 1000)).To(MatchError(memory.ErrExhausted))
-		clock.advance(200 * time.Millisecond)
+		clock.Advance(200 * time.Millisecond)
 		Expect(a.EndLagging(3)).To(Equal(1))
 		Eventually(hasEnded.Load).Should(BeTrue())
 		answer.Done()
