--- a/internal/adapter/gatewayhttp/body.go
+++ b/internal/adapter/gatewayhttp/body.go
@@ -39,7 +39,7 @@
 
 // receiveBody reads the body of a request, whose memory is held. It refuses a body that can't be complete before the
 // request's deadline, one that is too large, and one for which there is no memory.
-func (s *Server) receiveBody(r *http.Request, match *gateway.MatchedRequest, held *memory.Reservation) ([][]byte, code.Code) {
+func (s *Server) receiveBody(r *http.Request, match *gateway.MatchedRequest, held *memory.Reservation, out *responder) ([][]byte, code.Code) {
 	limit := match.MaxBodyBytes
 	if limit == 0 {
 		limit = defaultMaxBodyBytes
@@ -66,7 +66,9 @@
 		}
 		transfer.Pause()
 		defer transfer.Resume()
-		return s.awaitMemory(r.Context(), held, n, deadline)
+		err := s.awaitMemory(r.Context(), held, n, deadline)
+		out.hasWaited = err != nil
+		return err
 	}}
 	pieces, err := reader.Read(source, r.ContentLength)
 	return pieces, bodyCode(err, transfer.HasEnded())
--- a/internal/adapter/gatewayhttp/crowd_test.go
+++ b/internal/adapter/gatewayhttp/crowd_test.go
@@ -117,6 +117,18 @@
 		Entry("to a path that does not exist", post(refusedHere, 1<<29, ""), strings.Repeat("b", 32<<10), 404),
 	)
 
+	// Guards against callers that send a whole legal body before they read, and get a reset for their refusal.
+	It("gets the refusal after all of a legal body that waited for memory in vain", func() {
+		s := startCrowdServer(4<<20, 400*time.Millisecond)
+		other := s.account.Reserve(memory.Body, "other")
+		Expect(other.TryGrow(2 << 20)).To(BeTrue())
+		got, body := ask(s.dial(), post("/x", crowdMaxBody, strings.Repeat("b", crowdMaxBody)))
+		Expect(got).To(Equal(503), body)
+		Expect(body).To(MatchRegexp(`"code":2018.*"ran":"no"`))
+		other.Release()
+		Expect(s.proxy.served.Load()).To(BeZero())
+	})
+
 	// Guards against callers of small requests that need a new connection after each refusal.
 	It("keeps its connection if the rest is short", func() {
 		c := startCrowdServer(48<<20, 10*time.Second).dial()
--- a/internal/adapter/gatewayhttp/gatewayhttp.go
+++ b/internal/adapter/gatewayhttp/gatewayhttp.go
@@ -116,7 +116,7 @@
 	}
 	body := s.memory.Reserve(memory.Body, match.Team())
 	defer body.Release()
-	pieces, refusal := s.receiveBody(r, match, &body)
+	pieces, refusal := s.receiveBody(r, match, &body, out)
 	if refusal != code.OK {
 		body.Release()
 		s.refuse(out, r, call, refusal)
@@ -160,6 +160,8 @@
 	// held is the memory of the request, and transfer the answer that the caller takes; nil before its first part.
 	held     *memory.Reservation
 	transfer *memory.Transfer
+	// hasWaited is true if the body waited for memory in vain.
+	hasWaited bool
 }
 
 // callerWriteTimeout bounds each write to a caller, after which the caller counts as
--- a/internal/adapter/gatewayhttp/hangup.go
+++ b/internal/adapter/gatewayhttp/hangup.go
@@ -16,6 +16,9 @@
 	// read to its end.
 	maxDrainedBytes = 256 << 10
 	lingerTime      = time.Second
+	// waitedLingerTime is lingerTime for a caller whose body of a legal length waited for memory in vain. Its rest is
+	// discarded, as many callers read no answer before they have sent all.
+	waitedLingerTime = 5 * time.Second
 	// maxLingering bounds the refused connections that are kept open until the answer has arrived.
 	maxLingering = 64
 )
@@ -57,21 +60,25 @@
 	if tracked, ok := conn.(*connection); ok {
 		inner = tracked.Conn // whose deadlines nobody else changes
 	}
-	_ = inner.SetDeadline(time.Now().Add(lingerTime)) // fails if the connection is closed already
+	drained, wait := int64(maxDrainedBytes), lingerTime
+	if out.hasWaited && r.ContentLength > drained {
+		drained, wait = r.ContentLength, waitedLingerTime
+	}
+	_ = inner.SetDeadline(time.Now().Add(wait)) // fails if the connection is closed already
 	answer := refusalAnswer(c, retryAfter, r.Method != http.MethodHead)
 	if _, err := inner.Write(answer); err == nil {
-		s.linger(inner)
+		s.linger(inner, drained)
 	}
 	return true
 }
 
-// linger waits until the caller has the answer, and discards what it still sends.
-func (s *Server) linger(conn net.Conn) {
+// linger waits until the caller has the answer, and discards up to n bytes that it still sends.
+func (s *Server) linger(conn net.Conn, n int64) {
 	if writer, ok := conn.(interface{ CloseWrite() error }); !ok || writer.CloseWrite() != nil {
 		return
 	}
 	if s.lingering.Add(1) <= maxLingering {
-		_, _ = io.CopyN(io.Discard, conn, maxDrainedBytes) // until the caller closes the connection or the deadline
+		_, _ = io.CopyN(io.Discard, conn, n) // until the caller closes the connection or the deadline
 	}
 	s.lingering.Add(-1)
 }
--- a/internal/memory/transfer.go
+++ b/internal/memory/transfer.go
@@ -23,12 +23,12 @@
 	end         func()
 
 	// Guarded by Account.mu.
-	total     int64 // bytes in all; -1 if unknown
-	moved     int64 // bytes so far
-	isPaused  bool  // the caller is not waited for
-	unread    int64 // bytes of an answer that the kernel may hold while the caller is waited for
-	hasEnded  bool  // end was called
-	startedAt time.Time
+	total     int64     // bytes in all; -1 if unknown
+	moved     int64     // bytes so far
+	isPaused  bool      // the caller is not waited for
+	unread    int64     // bytes of an answer that the kernel may hold while the caller is waited for
+	hasEnded  bool      // end was called
+	startedAt time.Time // when the observation began
 	lastAt    time.Time // when bytes last moved
 	recent    [2]mark   // the newest and the one before
 }
@@ -44,8 +44,8 @@
 func (r *Reservation) Begin(total int64, deadline time.Time, end func()) *Transfer {
 	a := r.account
 	now := a.now()
-	start := mark{at: now}
-	t := &Transfer{reservation: r, total: total, deadline: deadline, end: end, startedAt: now, lastAt: now, recent: [2]mark{start, start}}
+	t := &Transfer{reservation: r, total: total, deadline: deadline, end: end}
+	t.observeFrom(now)
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.transfers[t] = struct{}{}
@@ -80,7 +80,7 @@
 // Pause records that the process does not wait for the caller, until Resume is called. A paused transfer is not ended.
 func (t *Transfer) Pause() { t.setPaused(true) }
 
-// Resume is the end of Pause.
+// Resume is the end of Pause. The pace of the transfer is observed anew.
 func (t *Transfer) Resume() { t.setPaused(false) }
 
 func (t *Transfer) setPaused(paused bool) {
@@ -89,7 +89,14 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	t.holdUnread(!paused)
-	t.isPaused, t.lastAt = paused, now
+	t.isPaused = paused
+	t.observeFrom(now)
+}
+
+// observeFrom begins the observation of the transfer's pace. Account.mu must be held.
+func (t *Transfer) observeFrom(now time.Time) {
+	start := mark{at: now, moved: t.moved}
+	t.startedAt, t.lastAt, t.recent = now, now, [2]mark{start, start}
 }
 
 // holdUnread counts the unread bytes of an answer, or no longer. They count unless the transfer is paused. Account.mu must
--- a/internal/memory/transfer_test.go
+++ b/internal/memory/transfer_test.go
@@ -82,6 +82,21 @@
 		}
 	})
 
+	// Guards against bodies that are ended for the time for which they themselves had to wait.
+	It("does not count the time for which a body waited against its pace", func() {
+		waited := begin("a", memory.SmallBytes, 2*mb)
+		waited.Pause()
+		clock.Advance(4 * time.Second)
+		waited.Resume()
+		for range 3 {
+			clock.Advance(100 * time.Millisecond)
+			waited.Moved(64 << 10) // 3 s for the rest, 5.7 s are left
+		}
+		Expect(reserve(memory.Request, "").TryGrow(requestLevel - memory.SmallBytes)).To(BeTrue())
+		Expect(reserve(memory.Request, "").Grow(ctx, 1000)).To(MatchError(memory.ErrExhausted))
+		Expect(waited.hasEnded.Load()).To(BeFalse())
+	})
+
 	// Guards against transfers that are ended without need.
 	It("is not there while memory is left", func() {
 		silent := begin("a", mb, 2*mb)
