--- a/internal/adapter/gatewayhttp/framing.go
+++ b/internal/adapter/gatewayhttp/framing.go
@@ -7,7 +7,7 @@
 )
 
 const (
-	// framingBytesPerCore is how many bytes a second of the framing of chunks one core takes in a third of its time.
+	// framingBytesPerCore is how many bytes a second of the framing of chunks are decoded for each core.
 	framingBytesPerCore = 10 << 20
 	// freeFramingBytes is the framing of a body that is not counted, nor is as much as the body itself has.
 	freeFramingBytes = 64 << 10
@@ -16,7 +16,7 @@
 )
 
 // framingMeter spreads the processor time that the framing of chunked bodies costs over time: decoding chunks of one
-// byte costs a hundred times as much as a body of the same length. A single such body is not held up. It is safe
+// byte costs far more than a body of the same length. A single such body is not held up. It is safe
 // for concurrent use.
 type framingMeter struct {
 	bytesPerSecond float64
