--- a/internal/adapter/gatewayhttp/crowd_test.go
+++ b/internal/adapter/gatewayhttp/crowd_test.go
@@ -268,6 +268,15 @@
 	)
 })
 
+var _ = Describe("a header of many lines within the limit of bytes", func() {
+	// Guards against a limit on the number of lines that the HTTP library sets and the platform does not.
+	It("is accepted", func() {
+		s := startCrowdServer(64<<20, 10*time.Second)
+		got, _ := ask(s.dial(), "GET /x HTTP/1.1\r\nHost: h\r\n"+strings.Repeat("a:\r\n", 2000)+"\r\n")
+		Expect(got).To(Equal(200))
+	})
+})
+
 var _ = Describe("headers for which there is no memory", func() {
 	// Guards against a router whose memory is taken by headers of many short lines.
 	It("are refused, and ordinary requests are served", func() {
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -181,7 +181,7 @@
 		server  *http.Server
 		wrap    func(net.Listener) net.Listener
 	}{
-		{"callers", g.settings.CallerAddress, listenForCallers, &http.Server{Handler: g.callerConnections.Handler(load.count(callerServer)), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: g.callerConnections.OnStateChange, ConnContext: g.callerConnections.ConnContext},
+		{"callers", g.settings.CallerAddress, listenForCallers, g.newCallersServer(load.count(callerServer)),
 			func(l net.Listener) net.Listener { return g.callerConnections.Wrap(g.loadGate.Wrap(l)) }},
 		{"readiness", g.settings.ReadinessAddress, listen, newStatusServer(recovery.Handler(g.log, "readiness", callerServer.ReadinessHandler(g.settings.ReadinessPath))), g.limits.readiness.Wrap},
 		{"peers", g.settings.Gateway.Address, listen, peer.NewServer(peerMux, g.limits.memory),
@@ -202,6 +202,16 @@
 	return nil
 }
 
+// newCallersServer returns the server for callers.
+func (g *Gateway) newCallersServer(handler http.Handler) *http.Server {
+	s := &http.Server{
+		Handler: g.callerConnections.Handler(handler), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+		ConnState: g.callerConnections.OnStateChange, ConnContext: g.callerConnections.ConnContext,
+	}
+	gatewayhttp.LimitHeaders(s, maxHeaderBytes)
+	return s
+}
+
 // Reload applies the bounds of changed settings, and the grace period to a stop that begins later. A changed address takes
 // effect at the next start.
 // If err is not nil, Reload only logs it.
