--- a/internal/core/route/route.go
+++ b/internal/core/route/route.go
@@ -130,7 +130,9 @@
 	}
 	for i := range s.Teams {
 		for _, key := range s.Teams[i].Keys {
-			t.byKey[key] = &s.Teams[i]
+			if key != "" { // that of a request without a key
+				t.byKey[key] = &s.Teams[i]
+			}
 		}
 	}
 	return t
--- a/internal/core/route/route_test.go
+++ b/internal/core/route/route_test.go
@@ -50,6 +50,15 @@
 		Expect(ok).To(BeFalse())
 	})
 
+	// Guards against requests without a key that run as the team whose key is the empty text.
+	It("takes the empty text for no key", func() {
+		t := route.Build(&route.DesiredState{Teams: []route.Team{{Name: "t", Keys: []string{"", "k"}}}})
+		_, ok := t.TeamByKey("")
+		Expect(ok).To(BeFalse())
+		_, ok = t.TeamByKey("k")
+		Expect(ok).To(BeTrue())
+	})
+
 	// Guards against routes that are open to anybody once the last key is revoked.
 	DescribeTable("requires a key if it has teams, whether or not they have keys",
 		func(state route.DesiredState, required bool) {
