--- a/internal/app/gateway/answer.go
+++ b/internal/app/gateway/answer.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"io"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -218,13 +219,16 @@
 // findLastEventID returns the ID of the last event that has one.
 func findLastEventID(events []byte) (string, bool) {
 	start := bytes.LastIndex(events, []byte("id:"))
-	for start > 0 && events[start-1] != '\n' {
+	for start > 0 && !strings.ContainsRune(lineEnds, rune(events[start-1])) {
 		start = bytes.LastIndex(events[:start], []byte("id:"))
 	}
 	if start < 0 {
 		return "", false
 	}
-	line, _, _ := bytes.Cut(events[start+len("id:"):], []byte("\n"))
+	line := events[start+len("id:"):]
+	if end := bytes.IndexAny(line, lineEnds); end >= 0 {
+		line = line[:end]
+	}
 	return string(bytes.TrimSpace(line)), true
 }
 
