--- a/internal/core/rendezvous/rendezvous.go
+++ b/internal/core/rendezvous/rendezvous.go
@@ -8,6 +8,18 @@
 // Hash returns the hash of a name, for use as a key or a node seed.
 func Hash(name string) uint64 { return xxhash.Sum64String(name) }
 
+// Hasher hashes a text that grows.
+type Hasher struct{ digest *xxhash.Digest }
+
+// NewHasher returns a Hasher of the empty text.
+func NewHasher() Hasher { return Hasher{xxhash.New()} }
+
+// Append appends to the text and returns Hash of all of it.
+func (h Hasher) Append(text string) uint64 {
+	_, _ = h.digest.WriteString(text) // never fails
+	return h.digest.Sum64()
+}
+
 // Mix combines a key with a node seed into a uniformly distributed weight. It is the finalizer of
 // the SplitMix64 generator.
 func Mix(key, seed uint64) uint64 {
