--- a/internal/adapter/gatewayhttp/body.go
+++ b/internal/adapter/gatewayhttp/body.go
@@ -56,6 +56,9 @@
 	conn := trackedConnection(r)
 	conn.beginBody(deadline)
 	defer conn.endBody()
+	if isStopping(r) { // after beginBody: InterruptBodies follows the end of the request's context
+		return nil, code.ShuttingDown
+	}
 	transfer := held.Begin(r.ContentLength, deadline, conn.interruptBody)
 	defer transfer.Done()
 	source := &bodySource{body: r.Body, transfer: transfer, conn: conn, meter: &s.framing, deadline: deadline, now: s.now, isChunked: r.ContentLength < 0}
@@ -71,9 +74,17 @@
 		return err
 	}}
 	pieces, err := reader.Read(source, r.ContentLength)
+	if err != nil && isStopping(r) {
+		return nil, code.ShuttingDown
+	}
 	return pieces, bodyCode(err, transfer.HasEnded())
 }
 
+// isStopping reports whether open requests must be answered because the router stops.
+func isStopping(r *http.Request) bool {
+	return errors.Is(context.Cause(r.Context()), gateway.ErrStopping)
+}
+
 // waitShare is the part of the time until its deadline for which a body waits for memory. The rest is for its arrival and
 // for the target.
 const waitShare = 0.5
--- a/internal/adapter/gatewayhttp/connections.go
+++ b/internal/adapter/gatewayhttp/connections.go
@@ -270,6 +270,15 @@
 	return s.Shutdown(ctx)
 }
 
+// InterruptBodies ends the reading of all bodies that have not arrived. The contexts of their requests must have ended.
+func (c *ConnTracker) InterruptBodies() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for tracked := range c.open {
+		tracked.interruptBody()
+	}
+}
+
 // closeIdle closes the idle connections. It reports whether any connection is idle or has begun a
 // request whose handler has not begun.
 func (c *ConnTracker) closeIdle(now time.Time) bool {
--- a/internal/app/gateway/control.go
+++ b/internal/app/gateway/control.go
@@ -103,6 +103,7 @@
 		cachedTargets: newTargetCache(decoder),
 		rejections:    newRejectionLog(log),
 	}
+	c.traffic.serving, c.traffic.endServing = context.WithCancelCause(context.Background())
 	c.paths = &pathChecker{dataCentre: s.DataCentre, traffic: c.traffic, upstream: up, log: log, now: now}
 	return c
 }
--- a/internal/app/gateway/forwarding.go
+++ b/internal/app/gateway/forwarding.go
@@ -42,6 +42,10 @@
 	defer p.traffic.earlyRequests.Add(-1)
 	p.log.Line(eventlog.Forwarding).Str("request", req.GetRequestId()).Str("target", target.ID).Msg("")
 	f := &forwarding{proxy: p, request: req, target: target, send: send}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stopWatch := context.AfterFunc(p.traffic.serving, cancel)
+	defer stopWatch()
 	return f.run(ctx)
 }
 
@@ -83,11 +87,11 @@
 	if err := f.send(&peerv1.ForwardResponse{Part: &peerv1.ForwardResponse_Head{Head: head}}); err != nil {
 		return err
 	}
-	return f.sendBody(answer)
+	return f.sendBody(ctx, answer)
 }
 
 // sendBody passes on the body as it arrives.
-func (f *forwarding) sendBody(answer *upstream.Answer) error {
+func (f *forwarding) sendBody(ctx context.Context, answer *upstream.Answer) error {
 	chunk := make([]byte, streamReadSize)
 	for {
 		n, err := answer.Read(chunk)
@@ -104,7 +108,9 @@
 		case errors.Is(err, io.EOF):
 			return nil
 		case err != nil:
-			f.checkTargetExit(err)
+			if ctx.Err() == nil {
+				f.checkTargetExit(err)
+			}
 			return f.send(forwardFailure(&peerv1.ForwardFailure{Error: err.Error()}))
 		}
 	}
--- a/internal/app/gateway/proxy.go
+++ b/internal/app/gateway/proxy.go
@@ -13,6 +13,7 @@
 	"github.com/hemlockdyke/hemlockdyke/internal/core/poison"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/rendezvous"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/route"
+	"github.com/hemlockdyke/hemlockdyke/internal/core/shutdown"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/targetload"
 	"github.com/hemlockdyke/hemlockdyke/internal/eventlog"
 )
@@ -88,9 +89,6 @@
 	// because no target executed the request. Further refusals count: in a full or changing pool
 	// a third target rarely accepts the request, so its caller is soon asked to retry later.
 	maxNotExecuted = 2
-	// answerGrace is how long after the deadline an answer from a target is still accepted before
-	// the router sends its own.
-	answerGrace = 60 * time.Millisecond
 	// defaultTimeout applies if neither the caller nor the route sets a timeout.
 	defaultTimeout = 30 * time.Second
 )
@@ -250,7 +248,7 @@
 	}
 	r.stream.lastEventID = m.call.LastEventID
 	var cancel context.CancelFunc
-	r.ctx, cancel = context.WithDeadline(ctx, r.deadline.Add(answerGrace))
+	r.ctx, cancel = context.WithDeadline(ctx, r.deadline.Add(shutdown.AnswerGrace))
 	defer cancel()
 	mayGoOn := code.OK
 	if r.resumes() {
--- a/internal/app/gateway/run.go
+++ b/internal/app/gateway/run.go
@@ -239,9 +239,13 @@
 	}
 }
 
-// endEarly ends a request whose caller disconnected or whose deadline passed.
+// endEarly ends a request whose caller disconnected or whose deadline passed, or which this router must answer before it
+// stops.
 func (r *openRequest) endEarly() attempt.Action {
-	if errors.Is(context.Cause(r.ctx), context.Canceled) {
+	switch cause := context.Cause(r.ctx); {
+	case errors.Is(cause, ErrStopping):
+		return r.step(attempt.RouterStopping{})
+	case errors.Is(cause, context.Canceled):
 		return r.step(attempt.CallerDisconnected{})
 	}
 	return r.step(attempt.DeadlinePassed{})
--- a/internal/app/gateway/target_attempt.go
+++ b/internal/app/gateway/target_attempt.go
@@ -269,11 +269,17 @@
 	return fallback
 }
 
-// endByContext ends an attempt whose caller disconnected or whose deadline passed. If the deadline
+// failureStopping is the reason for attempts that were cancelled because this router stops.
+const failureStopping = "stopping"
+
+// endByContext ends an attempt whose caller disconnected, whose deadline passed, or whose router stops. If the deadline
 // passed, the target counts as failed.
 func (t *targetAttempt) endByContext() attempt.Action {
 	r := t.request
-	if !errors.Is(context.Cause(r.ctx), context.Canceled) {
+	switch cause := context.Cause(r.ctx); {
+	case errors.Is(cause, ErrStopping):
+		t.failure, t.outcome = failureStopping, placement.Neutral
+	case !errors.Is(cause, context.Canceled):
 		t.recordFailure("deadline", nil)
 		if t.isForwarded() {
 			t.outcome = placement.Neutral // the target or the forwarder: this router can't tell
--- a/internal/app/gateway/view.go
+++ b/internal/app/gateway/view.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -30,6 +31,9 @@
 	// shutdownDeadline is the time by which all requests must end. It is set when the load balancer
 	// has had time to notice the shutdown; nil before.
 	shutdownDeadline atomic.Pointer[time.Time]
+	// serving ends when open requests must be answered, see Control.EndOpenRequests.
+	serving    context.Context
+	endServing context.CancelCauseFunc
 	// earlyRequests is the number of open requests accepted before shutdownDeadline was set.
 	earlyRequests atomic.Int64
 	ready         atomic.Bool
--- a/internal/core/attempt/attempt.go
+++ b/internal/core/attempt/attempt.go
@@ -91,6 +91,8 @@
 	DeadlinePassed struct{}
 	// CallerDisconnected means that the caller closed its connection.
 	CallerDisconnected struct{}
+	// RouterStopping means that this router ends soon, and that the request must be answered now.
+	RouterStopping struct{}
 )
 
 func (TicketGranted) isEvent()      {}
@@ -108,6 +110,7 @@
 func (ConnectionFailed) isEvent()   {}
 func (DeadlinePassed) isEvent()     {}
 func (CallerDisconnected) isEvent() {}
+func (RouterStopping) isEvent()     {}
 
 // ActionKind is the kind of an Action.
 type ActionKind int
@@ -201,6 +204,8 @@
 		return m.deadlinePassed()
 	case CallerDisconnected:
 		return m.finish(code.CallerGone)
+	case RouterStopping:
+		return m.routerStopping()
 	case NotSent:
 		return m.forCurrentAttempt(ev.Attempt, m.notSent)
 	case WriteStarted:
@@ -382,6 +387,18 @@
 	}
 }
 
+func (m *Machine) routerStopping() Action {
+	switch {
+	case !m.MayHaveExecuted() && m.state != Dispatched:
+		return m.finish(code.ShuttingDown)
+	case !m.spec.Idempotent:
+		return m.finish(code.OutcomeUnknown)
+	case m.offset > 0:
+		return m.finish(code.StreamCut)
+	}
+	return m.finish(code.RouterStopped)
+}
+
 func (m *Machine) finish(c code.Code) Action {
 	m.state = Finished
 	return Action{Kind: Finish, Code: c}
--- a/internal/core/code/code.go
+++ b/internal/core/code/code.go
@@ -71,6 +71,7 @@
 	RetryBudget     Code = 3004
 	AnswerMismatch  Code = 3005
 	CallerGone      Code = 3006
+	RouterStopped   Code = 3007
 	OutcomeUnknown  Code = 4001
 	ChangeUnknown   Code = 4002
 	InternalError   Code = 4003
@@ -133,6 +134,7 @@
 	RetryBudget:      {"retry_budget", 503, Executed, "Come back after Retry-After; retries are suspended."},
 	AnswerMismatch:   {"answer_mismatch", 502, Executed, "Ask again; the target answered another request."},
 	CallerGone:       {"caller_gone", 499, Executed, "None; the caller closed the connection."},
+	RouterStopped:    {"router_stopped", 502, Executed, "Ask again at another router; this one ended before the target had answered."},
 	OutcomeUnknown:   {"outcome_unknown", 502, ExecutionUnknown, "Check at the service before asking again."},
 	ChangeUnknown:    {"change_unknown", 503, ExecutionUnknown, "Ask for the named operation until it settles."},
 	InternalError:    {"internal_error", 500, ExecutionUnknown, "Ask again if the request may run twice; see the router's panic line."},
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -31,7 +31,7 @@
 	MetricsAddress   string
 	MemoryBytes      int64 // memory limit of the process; 0 if unknown
 	FileDescriptors  int   // limit of the process; 0 if unknown
-	// GracePeriod is the time between SIGTERM and the kill of the process.
+	// GracePeriod is the time between SIGTERM and the kill of the process, shutdown.MinGracePeriod or longer.
 	GracePeriod time.Duration
 	Gateway     gateway.Settings
 	// DialAddress, if set, returns the address to dial for a target's address. Tests use it to put
@@ -43,15 +43,6 @@
 	// copyTimeout is the timeout of a request for a table copy. Most requests have a shorter one of
 	// their own.
 	copyTimeout = 2 * time.Second
-	// balancerLag is the time for which the balancer still opens connections to a router after its
-	// first failed check. The balancer checks every second and removes a router after two failed
-	// checks.
-	balancerLag = 2100 * time.Millisecond
-	// drainPollInterval is the interval at which a shutdown checks whether the requests that came
-	// before SetShutdownDeadline was called have ended.
-	drainPollInterval = 20 * time.Millisecond
-	// graceMargin is the time between the latest end of a graceful shutdown and the kill.
-	graceMargin = 500 * time.Millisecond
 	// headerTimeout and idleTimeout close the connections of slow and idle callers. They are long
 	// because callers reuse connections that have been idle for many seconds.
 	headerTimeout = 5 * time.Second
@@ -202,11 +193,12 @@
 	return nil
 }
 
-// newCallersServer returns the server for callers.
+// newCallersServer returns the server for callers. The contexts of its requests end when they must be answered.
 func (g *Gateway) newCallersServer(handler http.Handler) *http.Server {
 	s := &http.Server{
 		Handler: g.callerConnections.Handler(handler), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 		ConnState: g.callerConnections.OnStateChange, ConnContext: g.callerConnections.ConnContext,
+		BaseContext: func(net.Listener) context.Context { return g.control.Serving() },
 	}
 	gatewayhttp.LimitHeaders(s, maxHeaderBytes)
 	return s
@@ -231,34 +223,6 @@
 // Failures returns the channel on which the error of a failed listener or socket arrives.
 func (g *Gateway) Failures() <-chan error { return g.failures }
 
-// Shutdown stops the gateway gracefully. First the gateway becomes unready, but accepts all
-// requests until balancerLag has passed. Then it accepts only requests that will end before the
-// deadline, and waits for the requests that came earlier. The port for callers stays open until
-// these have ended: while few routers are ready, the balancer also sends requests to routers that
-// are shutting down, and a closed port would cost these callers an attempt.
-func (g *Gateway) Shutdown(ctx context.Context) {
-	startedAt := time.Now()
-	g.log.Line(eventlog.Stopping).Msg("")
-	g.control.BeginShutdown(ctx)
-	sleep(ctx, balancerLag)
-	deadline := startedAt.Add(time.Duration(g.gracePeriod.Load()) - graceMargin)
-	graceCtx, cancel := context.WithDeadline(ctx, deadline)
-	defer cancel()
-	g.control.SetShutdownDeadline(deadline)
-	for g.control.OpenEarlyRequests() > 0 && graceCtx.Err() == nil {
-		sleep(graceCtx, drainPollInterval)
-	}
-	if err := g.callerConnections.Shutdown(graceCtx, g.servers[0]); err != nil {
-		g.log.Line(eventlog.RequestsCut).Err(err).Msg("")
-	}
-	if err := g.control.Unregister(graceCtx); err != nil {
-		g.log.Line(eventlog.RouterListFailed).Err(err).Msg("")
-	}
-	g.stop()
-	_ = g.digestSocket.Close()
-	g.log.Line(eventlog.Stopped).Dur("after", time.Since(startedAt)).Msg("")
-}
-
 // Kill stops the gateway immediately, without a graceful shutdown. Tests use it to simulate the
 // loss of a VM.
 func (g *Gateway) Kill() {
--- a/internal/eventlog/kinds.go
+++ b/internal/eventlog/kinds.go
@@ -43,6 +43,7 @@
 	Stopped               = Kind{"stopped", zerolog.InfoLevel, 10, "the process ends"}
 	Reloaded              = Kind{"reloaded", zerolog.InfoLevel, 10, "the settings file was read again"}
 	ReloadRejected        = Kind{"reload_rejected", zerolog.ErrorLevel, 10, "the settings file is bad; the last good settings stay"}
+	RequestsEnded         = Kind{"requests_ended", zerolog.WarnLevel, 10, "a stopping router answers the requests that are still open"}
 	RequestsCut           = Kind{"requests_cut", zerolog.ErrorLevel, 10, "the grace time ended with requests open"}
 	ReadyChanged          = Kind{"ready", zerolog.InfoLevel, 20, "the answer to the balancer's checks changed"}
 	Evacuation            = Kind{"evacuation", zerolog.InfoLevel, 20, "an operator's order to evacuate a data centre was applied or withdrawn"}
@@ -91,7 +92,7 @@
 func Kinds() []Kind {
 	return []Kind{
 		TicketRefused, Placed, AttemptFailed, RetryDenied, NotAdmitted, PrefillWait, PoisonRefused, Forwarded, NotForwarded, Forwarding, StreamRefused, Finished, Failed, Incomplete,
-		Started, Stopping, Stopped, Reloaded, ReloadRejected, RequestsCut, ReadyChanged, StaleChanged, DesiredState, Evacuation, TargetCold, TargetBrittle, TargetLoadIgnored,
+		Started, Stopping, Stopped, Reloaded, ReloadRejected, RequestsEnded, RequestsCut, ReadyChanged, StaleChanged, DesiredState, Evacuation, TargetCold, TargetBrittle, TargetLoadIgnored,
 		DesiredStateRejected, TargetsChanged, TargetRejected, TargetRestarted, TargetDeparted, StoreChanged, StoreReadFailed, TableCopyFailed, TableCopyRefused, TableCopied, LinkUse, MemoryShare, RouterListFailed, SuspectStoreFailed,
 		PeerUp, PeerDown, PeerUnlisted, PathChanged, Overload, RoleChanged, TargetSuspended, TargetNotice, TargetExited, PoisonChanged, PeerCallFailed, Panic, ServerError, ListenerFailed,
 		ChangeAccepted, PlannedChangeProgress, PlannedChangeFailed, ClaimUnsettled, BurnIncomplete, LinesDropped,
