--- a/internal/adapter/gatewayhttp/connections.go
+++ b/internal/adapter/gatewayhttp/connections.go
@@ -10,7 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/hemlockdyke/hemlockdyke/internal/core/code"
+	"github.com/hemlockdyke/hemlockdyke/internal/core/route"
 	"github.com/hemlockdyke/hemlockdyke/internal/memory"
 )
 
@@ -25,6 +25,7 @@
 	begun    func() // called for the first request of each connection
 	memory   *memory.Account
 	turnAway func(net.Conn)
+	limits   func() route.ConnectionLimits
 
 	mu      sync.Mutex
 	open    map[*connection]struct{}
@@ -37,7 +38,7 @@
 // NewConnTracker returns an empty ConnTracker. It calls begun for the first request of each connection, and turnAway, which
 // must close it, for each connection for which there is no room.
 func NewConnTracker(memory *memory.Account, begun func(), turnAway func(net.Conn)) *ConnTracker {
-	return &ConnTracker{begun: begun, memory: memory, turnAway: turnAway, open: make(map[*connection]struct{})}
+	return &ConnTracker{begun: begun, memory: memory, turnAway: turnAway, open: make(map[*connection]struct{}), limits: func() route.ConnectionLimits { return route.ConnectionLimits{} }}
 }
 
 // connection is a caller's connection.
@@ -156,9 +157,9 @@
 	c.recordRead(n, err)
 	if n > 0 {
 		c.markRequestBegun()
-		if !c.holdRead(int64(n)) {
-			c.refuse(code.NoMemory)
-			return 0, errNoMemory
+		if reason, err := c.holdRead(int64(n)); err != nil {
+			c.refuse(reason)
+			return 0, err
 		}
 	}
 	return n, err
--- a/internal/adapter/gatewayhttp/room.go
+++ b/internal/adapter/gatewayhttp/room.go
@@ -169,25 +169,32 @@
 // refusalWriteTimeout bounds the writing of an answer for which a new connection has room.
 const refusalWriteTimeout = 10 * time.Millisecond
 
-// holdRead counts n bytes that were read. It reports false if they are of a header for which there is no memory.
-func (c *connection) holdRead(n int64) bool {
+// holdRead counts n bytes that were read. It fails, with the code for the caller, if they are of a header that is too large
+// or for which there is no memory.
+func (c *connection) holdRead(n int64) (code.Code, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.requestBegunAt.IsZero() { // of a body
 		c.bodyBytesRead += n
-		return true
+		return code.OK, nil
 	}
 	before := max(c.headBytes-freeHeadBytes, 0)
 	c.headBytes += n
+	if c.headBytes > c.tracker.maxHeadBytes() {
+		return code.HeaderTooLarge, errHeaderTooLarge
+	}
 	more := max(c.headBytes-freeHeadBytes, 0) - before
 	if more == 0 || c.isClosed {
-		return true
+		return code.OK, nil
 	}
 	if c.head == nil {
 		c.head = c.held.Begin(-1, c.requestBegunAt.Add(headTime), c.giveWay)
 	}
 	c.head.Moved(n)
-	return c.held.TryGrow(headFactor * more)
+	if !c.held.TryGrow(headFactor * more) {
+		return code.NoMemory, errNoMemory
+	}
+	return code.OK, nil
 }
 
 // giveWay closes the connection if its header is still incomplete.
--- a/internal/adapter/gatewayhttp/server_test.go
+++ b/internal/adapter/gatewayhttp/server_test.go
@@ -134,7 +134,7 @@
 		},
 		ConnContext: s.tracker.ConnContext, ErrorLog: eventlog.NewServerLog(log, "callers"),
 	}
-	gatewayhttp.LimitHeaders(s.server, http.DefaultMaxHeaderBytes)
+	gatewayhttp.LimitHeaders(s.server)
 	if wrap == nil {
 		wrap = func(c net.Conn) net.Conn { return c }
 	}
--- a/internal/app/gateway/control.go
+++ b/internal/app/gateway/control.go
@@ -13,6 +13,7 @@
 	"github.com/hemlockdyke/hemlockdyke/internal/core/fleet"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/placement"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/retry"
+	"github.com/hemlockdyke/hemlockdyke/internal/core/route"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/warmup"
 	"github.com/hemlockdyke/hemlockdyke/internal/eventlog"
 )
@@ -136,6 +137,14 @@
 	}
 }
 
+// ConnectionLimits returns the limits for callers' connections in the desired state; none before there is one.
+func (c *Control) ConnectionLimits() route.ConnectionLimits {
+	if table := c.traffic.table.Load(); table != nil {
+		return table.Connections
+	}
+	return route.ConnectionLimits{}
+}
+
 // AliveRouters returns the number of other routers that are alive.
 func (c *Control) AliveRouters() int { return int(c.aliveRouters.Load()) }
 
--- a/internal/core/code/code.go
+++ b/internal/core/code/code.go
@@ -46,6 +46,7 @@
 	NotFound         Code = 1007
 	UnknownKey       Code = 1008
 	RequestTooSlow   Code = 1009
+	HeaderTooLarge   Code = 1010
 	NotReady         Code = 2001
 	QueueFull        Code = 2002
 	DeadlineTooShort Code = 2003
@@ -110,6 +111,7 @@
 	NotFound:         {"not_found", 404, NotExecuted, "Correct the path."},
 	UnknownKey:       {"unknown_key", 401, NotExecuted, "Send a key that a team of the desired state holds."},
 	RequestTooSlow:   {"request_too_slow", 408, NotExecuted, "Send the request sooner, or allow more time: it can't be complete before its deadline."},
+	HeaderTooLarge:   {"header_too_large", 431, NotExecuted, "Send a smaller header or raise the limit of the desired state."},
 	NotReady:         {"not_ready", 503, NotExecuted, "Wait for the router to load its configuration."},
 	QueueFull:        {"queue_full", 503, NotExecuted, "Come back after Retry-After; add targets if it lasts."},
 	DeadlineTooShort: {"deadline_too_short", 503, NotExecuted, "Come back after Retry-After or allow more time."},
--- a/internal/core/route/route.go
+++ b/internal/core/route/route.go
@@ -93,12 +93,23 @@
 	Teams []Team
 	// MaxBodyBytes is the largest size of a request body; 0 means unset.
 	MaxBodyBytes int64
+	Connections  ConnectionLimits
+}
+
+// ConnectionLimits bound what callers may do on a connection. A field that is not positive means that it is unset.
+type ConnectionLimits struct {
+	MaxHeaderBytes int64
+	// HeaderTimeout is the longest time from the first byte of a header to its end.
+	HeaderTimeout time.Duration
+	// IdleTimeout is the longest time between two requests.
+	IdleTimeout time.Duration
 }
 
 // Table is an immutable view of one DesiredState. It is safe for concurrent use.
 type Table struct {
 	Version      uint64
 	MaxBodyBytes int64
+	Connections  ConnectionLimits
 	byHost       map[string][]*Route // routes of each host, the longest prefix first
 	pools        map[string]Pool
 	referenced   map[string]bool // pools that the state defines or a route refers to
@@ -109,7 +120,7 @@
 // Build derives a Table from a DesiredState.
 func Build(s *DesiredState) *Table {
 	t := &Table{
-		Version: s.Version, MaxBodyBytes: s.MaxBodyBytes,
+		Version: s.Version, MaxBodyBytes: s.MaxBodyBytes, Connections: s.Connections,
 		byHost: make(map[string][]*Route), pools: make(map[string]Pool),
 		referenced: make(map[string]bool), byKey: make(map[string]*Team), requiresKey: s.Teams != nil,
 	}
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -43,12 +43,6 @@
 	// copyTimeout is the timeout of a request for a table copy. Most requests have a shorter one of
 	// their own.
 	copyTimeout = 2 * time.Second
-	// headerTimeout and idleTimeout close the connections of slow and idle callers. They are long
-	// because callers reuse connections that have been idle for many seconds.
-	headerTimeout = 5 * time.Second
-	idleTimeout   = 60 * time.Second
-	// maxHeaderBytes is twice the header size that the platform allows to callers.
-	maxHeaderBytes = 32 << 10
 )
 
 // Gateway is a running gateway.
@@ -103,6 +97,7 @@
 	g.proxy = proxy
 	g.loadGate = gatewayhttp.NewLoadGate(g.control.AliveRouters, m.CountClosedUnread, func() { m.CountRefusal(code.Overloaded) }, func(limited bool) { log.Line(eventlog.Overload).Bool("limited", limited).Msg("") })
 	g.callerConnections = gatewayhttp.NewConnTracker(s.Gateway.Memory, g.loadGate.RecordBegun, g.loadGate.TurnAway)
+	g.callerConnections.LimitConnections(g.control.ConnectionLimits)
 	g.limits = limits{
 		memory: s.Gateway.Memory, connections: g.callerConnections, targets: targets,
 		peers: connlimit.NewLimiter(time.Now), readiness: connlimit.NewLimiter(time.Now), metrics: connlimit.NewLimiter(time.Now),
@@ -122,6 +117,7 @@
 	log.GoOrEnd("link", func() { reporter.run(ctx) })
 	log.GoOrEnd("memory", func() { g.memoryReporter.run(ctx) })
 	log.GoOrEnd("load_gate", func() { g.loadGate.Run(ctx) })
+	log.GoOrEnd("caller_timeouts", func() { g.callerConnections.EnforceTimeouts(ctx) })
 	log.GoOrEnd("digests", func() { g.receiveDigests(ctx) })
 	log.GoOrEnd("control", func() { g.control.Run(ctx) })
 	log.Line(eventlog.Started).Str("callers", s.CallerAddress).Str("peers", s.Gateway.Address).Msg("")
@@ -196,11 +192,11 @@
 // newCallersServer returns the server for callers. The contexts of its requests end when they must be answered.
 func (g *Gateway) newCallersServer(handler http.Handler) *http.Server {
 	s := &http.Server{
-		Handler: g.callerConnections.Handler(handler), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+		Handler:   g.callerConnections.Handler(handler),
 		ConnState: g.callerConnections.OnStateChange, ConnContext: g.callerConnections.ConnContext,
 		BaseContext: func(net.Listener) context.Context { return g.control.Serving() },
 	}
-	gatewayhttp.LimitHeaders(s, maxHeaderBytes)
+	gatewayhttp.LimitHeaders(s)
 	return s
 }
 
--- a/internal/daemon/server_test.go
+++ b/internal/daemon/server_test.go
@@ -58,7 +58,7 @@
 		defer c.Close()
 		_, err = io.WriteString(c, "GET / HTTP/1.1\r\n")
 		Expect(err).NotTo(HaveOccurred())
-		Expect(c.SetReadDeadline(time.Now().Add(headerTimeout + 3*time.Second))).To(Succeed())
+		Expect(c.SetReadDeadline(time.Now().Add(statusTimeout + 3*time.Second))).To(Succeed())
 		_, err = io.ReadAll(c)
 		Expect(err).NotTo(HaveOccurred(), "the server closes it")
 	})
