--- a/cmd/hemlockdyke-router/main.go
+++ b/cmd/hemlockdyke-router/main.go
@@ -46,20 +46,18 @@
 
 // runOnPlatform runs the router on the users' platform until it is stopped.
 func runOnPlatform(app *kingpin.Application) {
-	s, err := platform.LoadSettings(os.Getenv(platform.SettingsPathEnv))
+	signals := daemon.NotifySignals()
+	file := platform.NewSettingsFile(os.Getenv(platform.SettingsPathEnv))
+	s, err := file.LoadAll()
 	app.FatalIfError(err, "settings")
 	out := eventlog.NewWriter(os.Stdout)
 	defer out.Close()
 	log := eventlog.New(logging.NewGateway(out, s.Gateway.Gateway.Name), time.Now)
 	log.FlushWith(out.Flush)
-	reload := func() (daemon.GatewaySettings, error) {
-		reloaded, err := platform.LoadSettings(os.Getenv(platform.SettingsPathEnv))
-		return reloaded.Gateway, err
-	}
 	m := metrics.NewGateway(time.Now)
 	gateway, err := daemon.StartGateway(s.Gateway, daemon.Platform{
 		Store: platform.NewStore(s.StoreAddress, m.CountStoreCall), Decoder: platform.Decoder{}, HeaderCodec: platform.HeaderCodec{},
 	}, m, log)
 	app.FatalIfError(err, "start")
-	daemon.RunGateway(gateway, reload, log)
+	daemon.RunGateway(gateway, signals, file, log)
 }
--- a/internal/app/gateway/budget.go
+++ b/internal/app/gateway/budget.go
@@ -22,7 +22,7 @@
 // time, the number stays 0 until the other routers are known and retry.SlackDelay is over.
 func (c *Control) updateSlackSharers(now time.Time) {
 	c.maxAlive = max(c.maxAlive, c.core.AliveCount(now)+1)
-	if !c.settings.FirstStart && (c.otherRouters == nil || now.Sub(c.startedAt) < retry.SlackDelay(c.settings.RetrySpan)) {
+	if !c.budgetsUnused && (c.otherRouters == nil || now.Sub(c.budgetsSince) < retry.SlackDelay(c.settings.RetrySpan)) {
 		return
 	}
 	n := max(c.maxAlive, len(c.otherRouters)+1)
@@ -31,6 +31,15 @@
 	c.traffic.retryLimits.Routers = n
 }
 
+// resetRetryBudgets begins new budgets over another span. Their slack is 0 until updateSlackSharers sets it, because what
+// the earlier ones used counts in the new span too.
+func (t *trafficState) resetRetryBudgets(span time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.retrySpan, t.retryLimits.Routers = span, 0
+	clear(t.retryBudgets)
+}
+
 // retryBudget returns the retry budget of a pool, which it creates on first use.
 func (t *trafficState) retryBudget(now time.Time, pool string) *retry.Window {
 	w, ok := t.retryBudgets[pool]
--- a/internal/app/gateway/budget_test.go
+++ b/internal/app/gateway/budget_test.go
@@ -50,4 +50,38 @@
 		Entry("first start of the fleet, then restarts", 8, true),
 		Entry("restarts of routers that have not heard from each other", 62, false),
 	)
+
+	// Guards against the slack that is granted again when settings with another span are applied, and against a span that
+	// never is.
+	It("grants the slack once per span when the span changes", func() {
+		now := time.Now()
+		settings := Settings{Name: "r", Address: "10.0.0.1:1", FirstStart: true, MaxApplyDelay: 2 * time.Second, MaxDepartureDelay: 2 * time.Second,
+			LoadMultiple: 2, RetrySlack: slack, RetrySpan: span}
+		c := NewControl(settings, silentStore{}, jsonDecoder{}, unreachablePeers{}, unreachableTargets{}, eventlog.Nop(), func() time.Time { return now })
+		for t := range c.readCtx {
+			c.readCtx[t], c.cancelRead[t] = context.WithCancel(context.Background())
+		}
+		useAll := func() (n int) {
+			c.updateSlackSharers(now)
+			for {
+				if _, ok := c.traffic.tryRetry(now, "p"); !ok {
+					return n
+				}
+				n++
+			}
+		}
+		granted := useAll()
+		Expect(granted).To(BeNumerically(">", 0))
+		settings.RetrySpan = span / 2
+		c.ApplySettings(settings)
+		(<-c.inbox)(now)
+		c.otherRouters = []string{}
+		Expect(useAll()).To(BeZero())
+		now = now.Add(span/2 + time.Second)
+		Expect(useAll()).To(BeZero())
+		now = now.Add(2 * time.Second)
+		Expect(useAll()).To(Equal(granted), "the slack of the new span, once")
+		now = now.Add(span/2 + time.Second)
+		Expect(useAll()).To(Equal(granted), "again after the new span, which is shorter")
+	})
 })
--- a/internal/app/gateway/control.go
+++ b/internal/app/gateway/control.go
@@ -48,19 +48,22 @@
 
 	// The fields below are owned by the control goroutine, except copyServer, routerListRead and
 	// suspectsChanged, which are safe for concurrent use.
-	ctx              context.Context // passed to Run
-	core             *fleet.Core
-	targetSet        *placement.TargetSet
-	cachedTargets    *targetCache
-	copyServer       *copyServer
-	rejections       *rejectionLog
-	departures       departureQueue
-	cancelRead       [fleet.TableCount]context.CancelFunc
-	readCtx          [fleet.TableCount]context.Context
-	desiredVersion   uint64       // version of the applied desired state
-	maxAlive         int          // largest number of routers alive at once
-	aliveRouters     atomic.Int64 // other routers that are alive; safe for concurrent use
-	startedAt        time.Time
+	ctx            context.Context // passed to Run
+	core           *fleet.Core
+	targetSet      *placement.TargetSet
+	cachedTargets  *targetCache
+	copyServer     *copyServer
+	rejections     *rejectionLog
+	departures     departureQueue
+	cancelRead     [fleet.TableCount]context.CancelFunc
+	readCtx        [fleet.TableCount]context.Context
+	desiredVersion uint64       // version of the applied desired state
+	maxAlive       int          // largest number of routers alive at once
+	aliveRouters   atomic.Int64 // other routers that are alive; safe for concurrent use
+	startedAt      time.Time
+	// budgetsSince is when the retry budgets began. budgetsUnused is true if no retry can have been counted before.
+	budgetsSince     time.Time
+	budgetsUnused    bool
 	routerListRead   atomic.Bool // the store's router list has been read at least once
 	otherRouters     []string    // other routers known to placement; nil if not known yet
 	desiredAppliedAt time.Time
@@ -82,8 +85,8 @@
 	placementSettings.ColdMultiple, placementSettings.ColdSlack = s.ColdMultiple, s.ColdSlack
 	placementSettings.ScheduleByWork = s.ScheduleByWork
 	c := &Control{
-		startedAt: now(),
-		settings:  s, store: store, decoder: decoder, peers: peers, upstream: up, log: log, now: now,
+		startedAt: now(), budgetsSince: now(), budgetsUnused: s.FirstStart,
+		settings: s, store: store, decoder: decoder, peers: peers, upstream: up, log: log, now: now,
 		traffic: &trafficState{
 			balancer:     placement.New(placementSettings, rand.New(rand.NewPCG(incarnation, 1))),
 			gates:        make(map[string]*admission.Gate),
@@ -314,9 +317,18 @@
 	return c.traffic.ready.Load() && !c.traffic.shuttingDown.Load() && !c.traffic.stale.Load()
 }
 
-// ApplySettings applies the ratio and slack of the retry budget and the load bounds in s. All other
-// settings need a restart.
+// ApplySettings applies the retry budget, the load bounds, the delays and the seeds in s. All other settings need a
+// restart: they are the process's addresses, its data centre and its VM's capacity.
 func (c *Control) ApplySettings(s Settings) {
+	c.submit(func(now time.Time) {
+		if c.settings.RetrySpan != s.RetrySpan {
+			c.settings.RetrySpan, c.budgetsSince, c.budgetsUnused = s.RetrySpan, now, false
+			c.traffic.resetRetryBudgets(s.RetrySpan)
+		}
+		c.settings.MaxApplyDelay, c.settings.MaxDepartureDelay = s.MaxApplyDelay, s.MaxDepartureDelay
+		c.core.SetMaxDelays(s.MaxApplyDelay, s.MaxDepartureDelay)
+		c.handleEvent(c.ctx, now, fleet.AddressesDiscovered{Addresses: toFleetAddresses(s.Seeds)})
+	})
 	c.traffic.mu.Lock()
 	defer c.traffic.mu.Unlock()
 	c.traffic.retryLimits.Ratio, c.traffic.retryLimits.Slack = s.RetryRatio, s.RetrySlack
--- a/internal/core/fleet/fleet.go
+++ b/internal/core/fleet/fleet.go
@@ -196,6 +196,11 @@
 	actions []Action
 }
 
+// SetMaxDelays changes Settings.MaxApplyDelay and Settings.MaxDepartureDelay. Calls to the store that wait keep their times.
+func (c *Core) SetMaxDelays(apply, departure time.Duration) {
+	c.settings.MaxApplyDelay, c.settings.MaxDepartureDelay = apply, departure
+}
+
 // New returns a Core with empty tables.
 func New(now time.Time, s Settings) *Core {
 	c := &Core{
