--- a/internal/adapter/callerhttp/callerhttp_test.go
+++ b/internal/adapter/callerhttp/callerhttp_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -20,6 +21,7 @@
 	"github.com/hemlockdyke/hemlockdyke/internal/app/router"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/resource"
 	core "github.com/hemlockdyke/hemlockdyke/internal/core/router"
+	"github.com/hemlockdyke/hemlockdyke/internal/core/shutdown"
 	"github.com/hemlockdyke/hemlockdyke/internal/eventlog"
 	"github.com/hemlockdyke/hemlockdyke/internal/faketable"
 	"github.com/hemlockdyke/hemlockdyke/internal/standin/engine"
@@ -44,6 +46,7 @@
 	engines     []*httptest.Server
 	serviceHTTP *httptest.Server
 	callers     *httptest.Server
+	endServing  context.CancelCauseFunc // ends the contexts of all requests
 }
 
 func resourceOf(kind resource.Kind, name, spec string) resource.Resource {
@@ -82,7 +85,11 @@
 	claims := router.NewClaims(r.table, control, 1, 1, log, time.Now)
 	s := callerhttp.New(callerhttp.Settings{MaxBodyBytes: 4096, DefaultDeadline: 5 * time.Second},
 		control, forwarder, claims, nopObserver{}, log, time.Now)
-	r.callers = httptest.NewServer(s.Handler())
+	serving, endServing := context.WithCancelCause(context.Background())
+	r.endServing = endServing
+	r.callers = httptest.NewUnstartedServer(s.Handler())
+	r.callers.Config.BaseContext = func(net.Listener) context.Context { return serving }
+	r.callers.Start()
 	go control.Run(ctx)
 	DeferCleanup(func() {
 		r.callers.Close()
@@ -222,6 +229,37 @@
 	})
 })
 
+var _ = Describe("requests that are open at the end of a planned stop", func() {
+	// Guards against connections that end without an answer with a router that could still tell what it knows.
+	DescribeTable("are answered, and as not executed only if that is true", func(faults, body string, status int, expected ...string) {
+		r := startTestRouter()
+		r.setEngineFaults(faults)
+		type reply struct {
+			resp *http.Response
+			body string
+		}
+		got := make(chan reply, 1)
+		go func() {
+			defer GinkgoRecover()
+			resp, text := r.post("/v1/chat/completions", body, wire.HeaderDeadline, "4500")
+			got <- reply{resp, text}
+		}()
+		time.Sleep(150 * time.Millisecond)
+		r.endServing(shutdown.ErrStopping)
+		var answer reply
+		Eventually(got, "1s").Should(Receive(&answer))
+		Expect(answer.resp.StatusCode).To(Equal(status))
+		for _, text := range expected {
+			Expect(answer.body).To(ContainSubstring(text))
+		}
+		Expect(answer.body).NotTo(ContainSubstring("[DONE]"))
+	},
+		Entry("sent to a silent engine", `{"silent":true}`, chatBody, 502, `"code":4004`, `"ran":"unknown"`),
+		Entry("a stream that a silent engine has not begun", `{"silent":true}`, strings.Replace(chatBody, `"max`, `"stream":true,"max`, 1), 502, `"code":4004`),
+		Entry("refused by every engine", `{"refuse":true}`, chatBody, 503, `"ran":"no"`),
+	)
+})
+
 var _ = Describe("service requests", func() {
 	It("are executed once per key, and a repeated request gets the recorded answer", func() {
 		r := startTestRouter()
--- a/internal/adapter/gatewayhttp/body.go
+++ b/internal/adapter/gatewayhttp/body.go
@@ -11,6 +11,7 @@
 
 	"github.com/hemlockdyke/hemlockdyke/internal/app/gateway"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/code"
+	"github.com/hemlockdyke/hemlockdyke/internal/core/shutdown"
 	"github.com/hemlockdyke/hemlockdyke/internal/memory"
 )
 
@@ -82,7 +83,7 @@
 
 // isStopping reports whether open requests must be answered because the router stops.
 func isStopping(r *http.Request) bool {
-	return errors.Is(context.Cause(r.Context()), gateway.ErrStopping)
+	return errors.Is(context.Cause(r.Context()), shutdown.ErrStopping)
 }
 
 // waitShare is the part of the time until its deadline for which a body waits for memory. The rest is for its arrival and
--- a/internal/adapter/gatewayhttp/stopping_test.go
+++ b/internal/adapter/gatewayhttp/stopping_test.go
@@ -11,7 +11,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"github.com/hemlockdyke/hemlockdyke/internal/app/gateway"
+	"github.com/hemlockdyke/hemlockdyke/internal/core/shutdown"
 	"github.com/hemlockdyke/hemlockdyke/internal/memory"
 )
 
@@ -29,7 +29,7 @@
 		c := s.dial()
 		go func() { _, _ = io.WriteString(c, request) }()
 		time.Sleep(100 * time.Millisecond)
-		endServing(gateway.ErrStopping)
+		endServing(shutdown.ErrStopping)
 		s.tracker.InterruptBodies()
 		got, body := takeAnswer(c)
 		Expect(got).To(Equal(http.StatusServiceUnavailable), body)
--- a/internal/app/gateway/run.go
+++ b/internal/app/gateway/run.go
@@ -15,6 +15,7 @@
 	"github.com/hemlockdyke/hemlockdyke/internal/core/code"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/poison"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/retry"
+	"github.com/hemlockdyke/hemlockdyke/internal/core/shutdown"
 	"github.com/hemlockdyke/hemlockdyke/internal/eventlog"
 	"github.com/hemlockdyke/hemlockdyke/internal/memory"
 )
@@ -243,7 +244,7 @@
 // stops.
 func (r *openRequest) endEarly() attempt.Action {
 	switch cause := context.Cause(r.ctx); {
-	case errors.Is(cause, ErrStopping):
+	case errors.Is(cause, shutdown.ErrStopping):
 		return r.step(attempt.RouterStopping{})
 	case errors.Is(cause, context.Canceled):
 		return r.step(attempt.CallerDisconnected{})
--- a/internal/app/gateway/shutdown.go
+++ b/internal/app/gateway/shutdown.go
@@ -4,9 +4,8 @@
 	"context"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"github.com/hemlockdyke/hemlockdyke/internal/core/fleet"
+	"github.com/hemlockdyke/hemlockdyke/internal/core/shutdown"
 )
 
 // ShuttingDown reports whether the router is shutting down.
@@ -22,15 +21,12 @@
 // if their deadline is not after by.
 func (c *Control) SetShutdownDeadline(by time.Time) { c.traffic.shutdownDeadline.Store(&by) }
 
-// ErrStopping is the cause of the end of the context of Serving.
-var ErrStopping = errors.New("router is stopping")
-
-// Serving returns a context that ends, with the cause ErrStopping, when all open requests must be answered. The contexts of
+// Serving returns a context that ends, with the cause shutdown.ErrStopping, when all open requests must be answered. The contexts of
 // requests must be derived from it.
 func (c *Control) Serving() context.Context { return c.traffic.serving }
 
 // EndOpenRequests makes all open requests end with an answer: a graceful shutdown has no more time for them.
-func (c *Control) EndOpenRequests() { c.traffic.endServing(ErrStopping) }
+func (c *Control) EndOpenRequests() { c.traffic.endServing(shutdown.ErrStopping) }
 
 // OpenEarlyRequests returns the number of open requests that were accepted before
 // SetShutdownDeadline was called.
--- a/internal/app/gateway/target_attempt.go
+++ b/internal/app/gateway/target_attempt.go
@@ -13,6 +13,7 @@
 	"github.com/hemlockdyke/hemlockdyke/internal/core/attempt"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/placement"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/route"
+	"github.com/hemlockdyke/hemlockdyke/internal/core/shutdown"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/workload"
 	"github.com/hemlockdyke/hemlockdyke/internal/memory"
 )
@@ -277,7 +278,7 @@
 func (t *targetAttempt) endByContext() attempt.Action {
 	r := t.request
 	switch cause := context.Cause(r.ctx); {
-	case errors.Is(cause, ErrStopping):
+	case errors.Is(cause, shutdown.ErrStopping):
 		t.failure, t.outcome = failureStopping, placement.Neutral
 	case !errors.Is(cause, context.Canceled):
 		t.recordFailure("deadline", nil)
--- a/internal/app/router/traffic.go
+++ b/internal/app/router/traffic.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 
 	peerv1 "github.com/hemlockdyke/hemlockdyke/gen/hemlockdyke/peer/v1"
@@ -18,6 +19,7 @@
 	"github.com/hemlockdyke/hemlockdyke/internal/core/retry"
 	core "github.com/hemlockdyke/hemlockdyke/internal/core/router"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/routing"
+	"github.com/hemlockdyke/hemlockdyke/internal/core/shutdown"
 	"github.com/hemlockdyke/hemlockdyke/internal/eventlog"
 )
 
@@ -169,7 +171,7 @@
 	case <-deadline:
 		event = attempt.DeadlinePassed{}
 	case <-ctx.Done():
-		event = attempt.CallerDisconnected{}
+		event = endOfContext(ctx)
 	}
 	if event != nil {
 		r.failure = failureReason(event, r.failure)
@@ -177,6 +179,14 @@
 	}
 }
 
+// endOfContext returns the event of a request whose context has ended: its caller disconnected, or this router stops.
+func endOfContext(ctx context.Context) attempt.Event {
+	if errors.Is(context.Cause(ctx), shutdown.ErrStopping) {
+		return attempt.RouterStopping{}
+	}
+	return attempt.CallerDisconnected{}
+}
+
 // onDecision returns the event that follows from a decision. If the grant is too old, it releases
 // the ticket, requests another one and returns nil.
 func (r *activeRequest) onDecision(d decision) attempt.Event {
--- a/internal/core/code/code.go
+++ b/internal/core/code/code.go
@@ -72,10 +72,10 @@
 	RetryBudget     Code = 3004
 	AnswerMismatch  Code = 3005
 	CallerGone      Code = 3006
-	RouterStopped   Code = 3007
 	OutcomeUnknown  Code = 4001
 	ChangeUnknown   Code = 4002
 	InternalError   Code = 4003
+	RouterStopped   Code = 4004
 	BadResource     Code = 5001
 	Conflict        Code = 5002
 	NoSuchResource  Code = 5003
@@ -136,10 +136,10 @@
 	RetryBudget:      {"retry_budget", 503, Executed, "Come back after Retry-After; retries are suspended."},
 	AnswerMismatch:   {"answer_mismatch", 502, Executed, "Ask again; the target answered another request."},
 	CallerGone:       {"caller_gone", 499, Executed, "None; the caller closed the connection."},
-	RouterStopped:    {"router_stopped", 502, Executed, "Ask again at another router; this one ended before the target had answered."},
 	OutcomeUnknown:   {"outcome_unknown", 502, ExecutionUnknown, "Check at the service before asking again."},
 	ChangeUnknown:    {"change_unknown", 503, ExecutionUnknown, "Ask for the named operation until it settles."},
 	InternalError:    {"internal_error", 500, ExecutionUnknown, "Ask again if the request may run twice; see the router's panic line."},
+	RouterStopped:    {"router_stopped", 502, ExecutionUnknown, "Ask again at another router; this one ended before the target had answered."},
 	BadResource:      {"bad_resource", 422, NotExecuted, "Correct the field that the message names."},
 	Conflict:         {"conflict", 409, NotExecuted, "Read the resource again and repeat the change on it."},
 	NoSuchResource:   {"no_such_resource", 404, NotExecuted, "Check kind and name."},
--- a/internal/core/shutdown/schedule.go
+++ b/internal/core/shutdown/schedule.go
@@ -2,7 +2,14 @@
 // answers what is open, so that nothing is cut without an answer when the process is killed.
 package shutdown
 
-import "time"
+import (
+	"errors"
+	"time"
+)
+
+// ErrStopping is the cause of the end of a request's context when a stopping router has no more time for the request and
+// must answer it.
+var ErrStopping = errors.New("router is stopping")
 
 // The parts of the time between the latest deadline of a request that is still accepted and the kill of the process.
 const (
@@ -11,14 +18,14 @@
 	AnswerGrace = 60 * time.Millisecond
 	// TickInterval is the time between two looks at the schedule.
 	TickInterval = 20 * time.Millisecond
-	// writeTime is the time for writing the last answers, on a VM that is short of processor time. The router's
+	// WriteTime is the time for writing the last answers, on a VM that is short of processor time. The router's
 	// entry in the router list is deleted meanwhile.
-	writeTime = 270 * time.Millisecond
+	WriteTime = 270 * time.Millisecond
 	// exitTime is the time between the end of the last connection and the end of the process. A process whose share of
 	// a core is used up may get none for most of a tenth of a second.
 	exitTime = 150 * time.Millisecond
 	// closingTime is the sum of the parts.
-	closingTime = AnswerGrace + TickInterval + writeTime + exitTime
+	closingTime = AnswerGrace + TickInterval + WriteTime + exitTime
 )
 
 const (
--- a/internal/core/shutdown/schedule_test.go
+++ b/internal/core/shutdown/schedule_test.go
@@ -25,7 +25,7 @@
 			if s.LastDeadline+AnswerGrace+TickInterval > s.AnswerOpen {
 				t.Fatalf("an accepted request may still be open at AnswerOpen in %+v", s)
 			}
-			if s.AnswerOpen+writeTime > s.Close || s.Close+exitTime > grace {
+			if s.AnswerOpen+WriteTime > s.Close || s.Close+exitTime > grace {
 				t.Fatalf("no time for the last answers in %+v", s)
 			}
 		})
--- a/internal/daemon/router.go
+++ b/internal/daemon/router.go
@@ -18,6 +18,7 @@
 	"github.com/hemlockdyke/hemlockdyke/internal/app/configstore"
 	"github.com/hemlockdyke/hemlockdyke/internal/app/router"
 	core "github.com/hemlockdyke/hemlockdyke/internal/core/router"
+	"github.com/hemlockdyke/hemlockdyke/internal/core/shutdown"
 	"github.com/hemlockdyke/hemlockdyke/internal/eventlog"
 	"github.com/hemlockdyke/hemlockdyke/internal/settings"
 )
@@ -42,6 +43,9 @@
 	adminServer    *http.Server
 	failures       chan error
 	stop           context.CancelFunc
+	// serving ends when open requests must be answered; the contexts of requests are derived from it.
+	serving    context.Context
+	endServing context.CancelCauseFunc
 }
 
 // StartRouter starts a router and returns once its ports are open. incarnation must increase with
@@ -52,6 +56,7 @@
 		settings: s, log: log, requestMetrics: metrics.NewRequestCounts(), peerTraffic: &metrics.ConnectionTraffic{},
 		failures: make(chan error, 3), stop: stop,
 	}
+	r.serving, r.endServing = context.WithCancelCause(context.Background())
 	store := tableservice.New(s.Platform.URL, s.Platform.Timeout.Std())
 	r.control = router.NewControl(
 		core.New(time.Now(), coreSettings(s, incarnation)),
@@ -68,6 +73,7 @@
 	r.callersServer = &http.Server{
 		Handler: recovery.Handler(log, "callers", callerServer.Handler()), MaxHeaderBytes: s.Limits.MaxHeaderBytes,
 		ReadTimeout: s.Limits.ReadTimeout.Std(), ReadHeaderTimeout: s.Limits.ReadTimeout.Std(),
+		BaseContext: func(net.Listener) context.Context { return r.serving },
 	}
 	peerMux := http.NewServeMux()
 	peerMux.Handle(peer.NewHandler(burn, recordPeerPanics(log)))
@@ -164,8 +170,8 @@
 func (r *Router) Failures() <-chan error { return r.failures }
 
 // Shutdown stops the router gracefully. First the router becomes unready. It still accepts requests
-// until the balancer has stopped sending them. Then it waits for open requests. The peer service
-// ends last, as open requests release their tickets and this router may own pools.
+// until the balancer has stopped sending them. Then it waits for open requests; those that the grace
+// period leaves open are answered by the router itself. The peer service ends last, as open requests release their tickets and this router may own pools.
 func (r *Router) Shutdown(ctx context.Context) {
 	startedAt := time.Now()
 	r.log.Line(eventlog.Stopping).Msg("")
@@ -173,7 +179,11 @@
 	sleep(ctx, r.settings.Shutdown.BalancerLag.Std())
 	graceCtx, cancel := context.WithTimeout(ctx, r.settings.Shutdown.GracePeriod.Std())
 	defer cancel()
-	if err := r.callersServer.Shutdown(graceCtx); err != nil {
+	endOpenRequests := context.AfterFunc(graceCtx, func() { r.endServing(shutdown.ErrStopping) })
+	defer endOpenRequests()
+	answerCtx, cancelAnswers := context.WithTimeout(ctx, r.settings.Shutdown.GracePeriod.Std()+shutdown.WriteTime)
+	defer cancelAnswers()
+	if err := r.callersServer.Shutdown(answerCtx); err != nil {
 		r.log.Line(eventlog.RequestsCut).Int64("open", r.forwarder.OpenRequests()).Err(err).Msg("")
 	}
 	_ = r.peersServer.Shutdown(graceCtx)
