--- a/internal/adapter/storecall/conn.go
+++ b/internal/adapter/storecall/conn.go
@@ -6,6 +6,7 @@
 	"net/http/httptrace"
 	"sync/atomic"
 
+	"github.com/hemlockdyke/hemlockdyke/internal/adapter/answerconn"
 	"github.com/hemlockdyke/hemlockdyke/internal/readlimit"
 )
 
@@ -14,22 +15,20 @@
 // size.
 const maxWireBytes = 20 << 20
 
-type dialFunc func(ctx context.Context, network, address string) (net.Conn, error)
-
 // conn is a connection whose reads fail beyond maxWireBytes after each call of beginReply.
 type conn struct {
-	net.Conn
+	*answerconn.Conn
 	left atomic.Int64
 }
 
 // limitReads returns a dial function whose connections bound the bytes of a reply.
-func limitReads(dial dialFunc) dialFunc {
+func limitReads(dial answerconn.DialFunc) answerconn.DialFunc {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		c, err := dial(ctx, network, address)
 		if err != nil {
 			return nil, err
 		}
-		limited := &conn{Conn: c}
+		limited := &conn{Conn: answerconn.New(c)}
 		limited.beginReply()
 		return limited, nil
 	}
--- a/internal/adapter/storecall/storecall_test.go
+++ b/internal/adapter/storecall/storecall_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -80,6 +81,19 @@
 		Expect(server.Taken()).To(BeNumerically("<=", 1<<20))
 	})
 
+	// Guards against a part of a reply that is taken for all of it: the write of the call takes the error of the reset from
+	// the socket, and the read that follows sees the end of a reply without a length.
+	It("has an unknown outcome if the store resets the connection during its reply, before it has read the call", func() {
+		address := testkit.StartAnsweringServer(func(c *net.TCPConn) {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\n{}")
+			testkit.Reset(c)
+		})
+		for range 20 {
+			status, data, err := newClient(address).Call(context.Background(), http.MethodPost, "/x", make([]byte, 4<<20))
+			Expect(errors.Is(err, port.ErrOutcomeUnknown)).To(BeTrue(), "status %d, reply %q, %v", status, data, err)
+		}
+	})
+
 	reply := func(size int) *httptest.Server {
 		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(bytes.Repeat([]byte("x"), size)) }))
 		DeferCleanup(s.Close)
--- /dev/null
+++ b/internal/adapter/target/broken_answer_test.go
@@ -0,0 +1,72 @@
+package target_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/hemlockdyke/hemlockdyke/internal/adapter/target"
+	"github.com/hemlockdyke/hemlockdyke/internal/core/attempt"
+	"github.com/hemlockdyke/hemlockdyke/internal/testkit"
+)
+
+const (
+	plays       = 20
+	uploadBytes = 4 << 20
+)
+
+// sendUpload sends a long request to a target and returns its last event, and the status and body of the answer, if any.
+func sendUpload(address string, fresh bool) (last attempt.Event, status int, body string) {
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	target.New(target.DefaultSettings()).SendAttempt(ctx, target.AttemptRequest{
+		Address: address, Method: http.MethodPost, Path: "/", Header: http.Header{}, Body: make([]byte, uploadBytes), RequestID: "r", Number: 1, FreshConnection: fresh,
+	}, func(a target.Answer) {
+		last = a.Event
+		if a.Status != 0 {
+			status, body = a.Status, string(a.Body)
+		}
+	})
+	return last, status, body
+}
+
+var _ = Describe("a service target that answers before it has read the request", func() {
+	const head, part = "HTTP/1.1 200 OK\r\n\r\n", "part of a body"
+
+	// Guards against a part of an answer that is taken for all of it: the write of the request takes the error of the
+	// reset from the socket, and the read that follows sees the end of an answer without a length.
+	DescribeTable("has no answer if it resets the connection", func(fresh bool) {
+		address := testkit.StartAnsweringServer(func(c *net.TCPConn) {
+			_, _ = io.WriteString(c, head+part)
+			testkit.Reset(c)
+		})
+		for range plays {
+			last, status, body := sendUpload(address, fresh)
+			Expect(last).To(Equal(attempt.ConnectionFailed{Attempt: 1}), "status %d, body %q", status, body)
+		}
+	}, Entry("on a pooled connection", false), Entry("on a connection of its own", true))
+
+	// Guards against a sound answer that is taken for a broken one, or ends late, because its request is being written.
+	It("has its answer if that ends in order", func() {
+		long := strings.Repeat("x", 1<<20)
+		address := testkit.StartAnsweringServer(func(c *net.TCPConn) {
+			_, _ = io.WriteString(c, head+long)
+			_ = c.CloseWrite()
+			time.Sleep(time.Second)
+		})
+		for range 3 {
+			startedAt := time.Now()
+			last, status, body := sendUpload(address, true)
+			Expect(last).To(Equal(attempt.End{Attempt: 1, Echo: 1, Total: 1}))
+			Expect(status).To(Equal(200))
+			Expect(body).To(Equal(long))
+			Expect(time.Since(startedAt)).To(BeNumerically("<", time.Second), "it does not wait for the target's close")
+		}
+	})
+})
--- a/internal/adapter/target/target.go
+++ b/internal/adapter/target/target.go
@@ -17,6 +17,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/hemlockdyke/hemlockdyke/internal/adapter/answerconn"
 	"github.com/hemlockdyke/hemlockdyke/internal/core/attempt"
 	"github.com/hemlockdyke/hemlockdyke/internal/wire"
 )
@@ -85,13 +86,13 @@
 
 // New returns a Client.
 func New(s Settings) *Client {
-	dialer := &net.Dialer{Timeout: s.DialTimeout}
+	dial := answerconn.WrapDial((&net.Dialer{Timeout: s.DialTimeout}).DialContext)
 	pooled := &http.Transport{
-		DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxIdlePerTarget,
+		DialContext: dial, MaxIdleConnsPerHost: maxIdlePerTarget,
 		IdleConnTimeout: idleTimeout, DisableCompression: true, MaxResponseHeaderBytes: maxHeadBytes,
 	}
 	fresh := &http.Transport{
-		DialContext: dialer.DialContext, DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: maxHeadBytes,
+		DialContext: dial, DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: maxHeadBytes,
 	}
 	return &Client{settings: s, pooled: pooled, fresh: fresh}
 }
--- a/internal/adapter/upstream/conn.go
+++ b/internal/adapter/upstream/conn.go
@@ -10,11 +10,14 @@
 
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
+
+	"github.com/hemlockdyke/hemlockdyke/internal/adapter/answerconn"
 )
 
 // conn is a connection to a target. It carries one request at a time.
 type conn struct {
-	net.Conn
+	*answerconn.Conn
+	tcp    *net.TCPConn // under Conn
 	source *limitedReader
 	reader *bufio.Reader // reads from source
 	// usableUntil is the time after which the idle connection is no longer reused, since the target
@@ -83,8 +86,10 @@
 	if err != nil {
 		return nil, err
 	}
-	source := &limitedReader{reader: c, remaining: unlimited}
-	return &conn{Conn: c, source: source, reader: bufio.NewReaderSize(source, readBufferBytes), onClose: onClose}, nil
+	cn := &conn{Conn: answerconn.New(c), tcp: c.(*net.TCPConn), onClose: onClose}
+	cn.source = &limitedReader{reader: cn.Conn, remaining: unlimited}
+	cn.reader = bufio.NewReaderSize(cn.source, readBufferBytes)
+	return cn, nil
 }
 
 // ReceiveBufferBytes is how much of an answer the kernel keeps for a connection, about: it also counts its
@@ -101,11 +106,7 @@
 	if c.reader.Buffered() > 0 {
 		return false
 	}
-	tcp, ok := c.Conn.(*net.TCPConn)
-	if !ok {
-		return false
-	}
-	raw, err := tcp.SyscallConn()
+	raw, err := c.tcp.SyscallConn()
 	if err != nil {
 		return false
 	}
--- a/internal/adapter/upstream/upstream.go
+++ b/internal/adapter/upstream/upstream.go
@@ -109,8 +109,8 @@
 	Status int
 	Header http.Header
 	// Framed reports whether a Content-Length or chunked encoding marks the end of the body.
-	// Otherwise the end of the connection ends the body, and a truncated body can't be
-	// recognised.
+	// Otherwise the end of the connection ends the body: a reset shows that it is truncated, but a target that
+	// ends early in order does not.
 	Framed bool
 	// Length is the length of the body in bytes; -1 if the header does not tell.
 	Length int64
@@ -237,9 +237,7 @@
 	a.writeDone = make(chan error, 1)
 	go func() {
 		// The pieces are not copied: other attempts may write them as well.
-		parts := append(net.Buffers{b.Bytes()}, r.Body...)
-		_, err := parts.WriteTo(a.conn.Conn)
-		a.writeDone <- err
+		a.writeDone <- a.conn.WriteBuffers(append(net.Buffers{b.Bytes()}, r.Body...))
 	}()
 	return nil
 }
@@ -331,7 +329,8 @@
 	a.mustCloseConn = resp.Close || !a.Framed
 }
 
-// Read reads the body. If Framed is set, io.EOF means that the body is complete.
+// Read reads the body. io.EOF means that the body is complete, or, if Framed is not set, that the target has ended it in
+// order.
 func (a *Answer) Read(p []byte) (int, error) {
 	n, err := a.body.Read(p)
 	if errors.Is(err, io.EOF) {
--- a/internal/adapter/upstream/watch.go
+++ b/internal/adapter/upstream/watch.go
@@ -79,11 +79,7 @@
 
 // control passes the connection's socket to f. It does nothing if the connection is closed already.
 func (c *conn) control(f func(fd uintptr)) {
-	tcp, ok := c.Conn.(*net.TCPConn)
-	if !ok {
-		return
-	}
-	raw, err := tcp.SyscallConn()
+	raw, err := c.tcp.SyscallConn()
 	if err != nil {
 		return
 	}
@@ -115,7 +111,5 @@
 }
 
 func (c *conn) setKeepAlive(config net.KeepAliveConfig) {
-	if tcp, ok := c.Conn.(*net.TCPConn); ok {
-		_ = tcp.SetKeepAliveConfig(config) // fails only if the connection is closed already
-	}
+	_ = c.tcp.SetKeepAliveConfig(config) // fails only if the connection is closed already
 }
