--- a/internal/adapter/answerconn/answerconn.go
+++ b/internal/adapter/answerconn/answerconn.go
@@ -24,6 +24,9 @@
 
 	write    sync.Mutex // held during a write
 	writeErr error      // of the first write that failed; guarded by write
+
+	headMu sync.Mutex // guards head
+	head   headCheck
 }
 
 // New returns a Conn over a TCP connection.
@@ -45,7 +48,13 @@
 
 // Read reads from the connection. At its end, it interrupts the write that is in progress, if any.
 func (c *Conn) Read(p []byte) (int, error) {
+	if _, err := c.checkHead(nil); err != nil {
+		return 0, err // again: bufio.Reader.ReadLine drops an error that follows a part of a line
+	}
 	n, err := c.Conn.Read(p)
+	if checked, headErr := c.checkHead(p[:n]); headErr != nil {
+		return checked, headErr
+	}
 	if errors.Is(err, io.EOF) {
 		if lost := c.endWrites(); lost != nil {
 			return n, lost
--- /dev/null
+++ b/internal/adapter/answerconn/head.go
@@ -0,0 +1,128 @@
+package answerconn
+
+import (
+	"bytes"
+	"context"
+	"net/http"
+	"net/http/httptrace"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/net/http/httpguts"
+)
+
+// ErrMalformedHead means that an answer has no head by RFC 9112. Package net/http takes many of them: some for interim
+// answers, others for answers without a length or a coding that they declare.
+var ErrMalformedHead = errors.New("malformed head of an answer")
+
+// BeginAnswer makes Read check the head of the next answer, and of interim answers before it: Read fails with
+// ErrMalformedHead at the first line that is malformed, and does not return the end of that line. buffered are bytes of
+// the answer that were read before; BeginAnswer fails if they are malformed.
+func (c *Conn) BeginAnswer(buffered []byte) error {
+	c.headMu.Lock()
+	defer c.headMu.Unlock()
+	c.head = headCheck{checking: true}
+	_, err := c.head.check(buffered)
+	return err
+}
+
+// BeginAnswers returns a context for a request of an http.Transport whose connections are a Conn each or embed one. The
+// head of each answer is checked.
+func BeginAnswers(ctx context.Context) context.Context {
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		if c, ok := info.Conn.(interface{ BeginAnswer([]byte) error }); ok {
+			_ = c.BeginAnswer(nil) // fails only for buffered bytes
+		}
+	}})
+}
+
+// checkHead checks bytes that were read. It returns how many of them may be used, and an error if not all.
+func (c *Conn) checkHead(p []byte) (int, error) {
+	c.headMu.Lock()
+	defer c.headMu.Unlock()
+	return c.head.check(p)
+}
+
+// headCheck checks the heads of one answer and of the interim answers before it.
+type headCheck struct {
+	checking bool   // the end of the answer's head has not been reached
+	line     []byte // the beginning of a line whose end has not been read
+	status   int    // of the head that is being read; 0 before its status line
+	err      error
+}
+
+// check checks the next bytes of the connection. If a line is malformed, it returns the number of the bytes before that
+// line's end, so that no reader takes the line for a whole one.
+func (h *headCheck) check(p []byte) (int, error) {
+	checked := 0
+	for h.checking {
+		if h.err != nil {
+			return checked, h.err
+		}
+		end := bytes.IndexByte(p[checked:], '\n')
+		if end < 0 {
+			h.line = append(h.line, p[checked:]...)
+			break
+		}
+		line := p[checked : checked+end]
+		if len(h.line) > 0 {
+			line, h.line = append(h.line, line...), nil
+		}
+		checked += end
+		if h.err = h.checkLine(bytes.TrimSuffix(line, []byte{'\r'})); h.err == nil {
+			checked++
+		}
+	}
+	return len(p), nil
+}
+
+// checkLine checks a line without its end.
+func (h *headCheck) checkLine(line []byte) error {
+	switch {
+	case h.status == 0:
+		var err error
+		h.status, err = parseStatusLine(line)
+		return err
+	case len(line) == 0:
+		h.checking = h.status < http.StatusOK // the next answer follows an interim one
+		h.status = 0
+	}
+	return nil
+}
+
+const (
+	minStatus, maxStatus = 100, 599
+	statusDigits         = 3
+)
+
+// parseStatusLine returns the status of an answer. A switch of protocols is malformed, as none is asked for.
+func parseStatusLine(line []byte) (int, error) {
+	version, rest, _ := bytes.Cut(line, []byte{' '})
+	minor, ok := bytes.CutPrefix(version, []byte("HTTP/1."))
+	if !ok || len(minor) != 1 || !isDigit(minor[0]) {
+		return 0, malformed("version", version)
+	}
+	digits, reason, _ := bytes.Cut(bytes.TrimLeft(rest, " "), []byte{' '})
+	status := 0
+	for _, digit := range digits {
+		if !isDigit(digit) || len(digits) != statusDigits {
+			return 0, malformed("status", digits)
+		}
+		status = 10*status + int(digit-'0')
+	}
+	if status < minStatus || status > maxStatus || status == http.StatusSwitchingProtocols {
+		return 0, malformed("status", digits)
+	}
+	if !httpguts.ValidHeaderFieldValue(string(reason)) {
+		return 0, malformed("reason", reason)
+	}
+	return status, nil
+}
+
+func isDigit(b byte) bool { return '0' <= b && b <= '9' }
+
+// maxQuotedBytes limits what an error quotes of a head.
+const maxQuotedBytes = 40
+
+func malformed(part string, text []byte) error {
+	return errors.Mark(errors.Newf("malformed head of an answer: %s %q", part, text[:min(len(text), maxQuotedBytes)]), ErrMalformedHead)
+}
--- a/internal/adapter/storecall/conn.go
+++ b/internal/adapter/storecall/conn.go
@@ -34,8 +34,8 @@
 	}
 }
 
-// withReplyLimit returns a context for a request whose reply may take maxWireBytes.
-func withReplyLimit(ctx context.Context) context.Context {
+// withReplyChecks returns a context for a request whose reply may take maxWireBytes and must have a proper head.
+func withReplyChecks(ctx context.Context) context.Context {
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		if c, ok := info.Conn.(*conn); ok {
 			c.beginReply()
@@ -43,7 +43,10 @@
 	}})
 }
 
-func (c *conn) beginReply() { c.left.Store(maxWireBytes) }
+func (c *conn) beginReply() {
+	c.left.Store(maxWireBytes)
+	_ = c.BeginAnswer(nil) // fails only for buffered bytes
+}
 
 // Read reads from the connection.
 func (c *conn) Read(p []byte) (int, error) {
--- a/internal/adapter/storecall/storecall.go
+++ b/internal/adapter/storecall/storecall.go
@@ -60,7 +60,7 @@
 	if body != nil {
 		noReply = port.ErrOutcomeUnknown
 	}
-	req, err := http.NewRequestWithContext(withReplyLimit(ctx), method, c.baseURL+path, bytes.NewReader(body))
+	req, err := http.NewRequestWithContext(withReplyChecks(ctx), method, c.baseURL+path, bytes.NewReader(body))
 	if err != nil {
 		return 0, nil, errors.Wrap(err, "create request")
 	}
--- a/internal/adapter/storecall/storecall_test.go
+++ b/internal/adapter/storecall/storecall_test.go
@@ -1,6 +1,7 @@
 package storecall_test
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"io"
@@ -31,6 +32,35 @@
 	maxBodyBytes = 24 << 20
 )
 
+// startReplyingServer starts a server that replies with a short body after the head that is given for the path of a
+// call. It returns its address.
+func startReplyingServer(heads map[string]string) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(l.Close)
+	serve := func(c net.Conn) {
+		defer c.Close()
+		requests := bufio.NewReader(c)
+		for {
+			r, err := http.ReadRequest(requests)
+			if err != nil {
+				return
+			}
+			_, _ = io.WriteString(c, heads[r.URL.Path]+"Content-Length: 2\r\n\r\n{}")
+		}
+	}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go serve(c)
+		}
+	}()
+	return l.Addr().String()
+}
+
 var _ = Describe("a call to the store", func() {
 	newClient := func(address string) *storecall.StoreClient {
 		return storecall.New("http://"+address, (&net.Dialer{}).DialContext)
@@ -94,6 +124,24 @@
 		}
 	})
 
+	// Guards against a reply in trouble that counts as one, on a new connection and on one that has carried others.
+	DescribeTable("has an unknown outcome if the head of its reply is malformed", func(head string) {
+		server := startReplyingServer(map[string]string{"/good": "HTTP/1.1 200 OK\r\n", "/malformed": head})
+		client := newClient(server)
+		ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+		defer cancel()
+		for range 3 {
+			_, _, err := client.Call(ctx, http.MethodPost, "/good", []byte{})
+			Expect(err).NotTo(HaveOccurred())
+			status, reply, err := client.Call(ctx, http.MethodPost, "/malformed", []byte{})
+			Expect(errors.Is(err, port.ErrOutcomeUnknown)).To(BeTrue(), "status %d, reply %q, %v", status, reply, err)
+		}
+	},
+		Entry("with status 000", "HTTP/1.1 000 Trouble\r\n"),
+		Entry("with status 600", "HTTP/1.1 600 Trouble\r\n"),
+		Entry("that switches protocols", "HTTP/1.1 101 Switching Protocols\r\n"),
+	)
+
 	reply := func(size int) *httptest.Server {
 		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(bytes.Repeat([]byte("x"), size)) }))
 		DeferCleanup(s.Close)
--- a/internal/adapter/target/broken_answer_test.go
+++ b/internal/adapter/target/broken_answer_test.go
@@ -21,12 +21,13 @@
 	uploadBytes = 4 << 20
 )
 
-// sendUpload sends a long request to a target and returns its last event, and the status and body of the answer, if any.
-func sendUpload(address string, fresh bool) (last attempt.Event, status int, body string) {
+// send sends a request with a body of a size to a target and returns its last event, and the status and body of the answer,
+// if any.
+func send(address string, fresh bool, size int) (last attempt.Event, status int, body string) {
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 	defer cancel()
 	target.New(target.DefaultSettings()).SendAttempt(ctx, target.AttemptRequest{
-		Address: address, Method: http.MethodPost, Path: "/", Header: http.Header{}, Body: make([]byte, uploadBytes), RequestID: "r", Number: 1, FreshConnection: fresh,
+		Address: address, Method: http.MethodPost, Path: "/", Header: http.Header{}, Body: make([]byte, size), RequestID: "r", Number: 1, FreshConnection: fresh,
 	}, func(a target.Answer) {
 		last = a.Event
 		if a.Status != 0 {
@@ -47,7 +48,7 @@
 			testkit.Reset(c)
 		})
 		for range plays {
-			last, status, body := sendUpload(address, fresh)
+			last, status, body := send(address, fresh, uploadBytes)
 			Expect(last).To(Equal(attempt.ConnectionFailed{Attempt: 1}), "status %d, body %q", status, body)
 		}
 	}, Entry("on a pooled connection", false), Entry("on a connection of its own", true))
@@ -62,7 +63,7 @@
 		})
 		for range 3 {
 			startedAt := time.Now()
-			last, status, body := sendUpload(address, true)
+			last, status, body := send(address, true, uploadBytes)
 			Expect(last).To(Equal(attempt.End{Attempt: 1, Echo: 1, Total: 1}))
 			Expect(status).To(Equal(200))
 			Expect(body).To(Equal(long))
@@ -70,3 +71,21 @@
 		}
 	})
 })
+
+var _ = Describe("a service target whose answer has a malformed head", func() {
+	// Guards against an answer in trouble that reaches the caller.
+	DescribeTable("has no answer", func(head string) {
+		address := testkit.StartAnsweringServer(func(c *net.TCPConn) {
+			_, _ = io.WriteString(c, head+"Content-Length: 14\r\n\r\npart of a body")
+		})
+		for _, fresh := range []bool{false, true} {
+			last, status, body := send(address, fresh, 0)
+			Expect(last).To(Equal(attempt.ConnectionFailed{Attempt: 1}), "status %d, body %q", status, body)
+		}
+	},
+		Entry("with status 000", "HTTP/1.1 000 Trouble\r\n"),
+		Entry("with status 600", "HTTP/1.1 600 Trouble\r\n"),
+		Entry("that switches protocols", "HTTP/1.1 101 Switching Protocols\r\n"),
+		Entry("with another version", "HTTP/2.0 200 OK\r\n"),
+	)
+})
--- a/internal/adapter/target/orders.go
+++ b/internal/adapter/target/orders.go
@@ -5,11 +5,13 @@
 	"context"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/hemlockdyke/hemlockdyke/internal/adapter/answerconn"
 	"github.com/hemlockdyke/hemlockdyke/internal/readlimit"
 )
 
@@ -23,7 +25,9 @@
 // NewOrderClient returns an OrderClient whose calls are bounded by timeout.
 func NewOrderClient(timeout time.Duration) *OrderClient {
 	return &OrderClient{client: &http.Client{Timeout: timeout, Transport: &readlimit.Transport{
-		Base:  &http.Transport{DisableCompression: true, MaxResponseHeaderBytes: maxHeadBytes, IdleConnTimeout: idleTimeout},
+		Base: &http.Transport{
+			DialContext: answerconn.WrapDial((&net.Dialer{}).DialContext), DisableCompression: true, MaxResponseHeaderBytes: maxHeadBytes, IdleConnTimeout: idleTimeout,
+		},
 		Limit: maxStatusBytes,
 	}}}
 }
@@ -35,7 +39,7 @@
 // ReadStatus returns the number of a target's open requests and the state that its last orders set.
 // The keys of the state are actions, its values their arguments.
 func (o *OrderClient) ReadStatus(ctx context.Context, address string) (int, map[string]string, error) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/status", nil)
+	req, err := http.NewRequestWithContext(answerconn.BeginAnswers(ctx), http.MethodGet, "http://"+address+"/status", nil)
 	if err != nil {
 		return 0, nil, errors.Wrap(err, "create request")
 	}
@@ -67,7 +71,7 @@
 	if err != nil {
 		return errors.Wrap(err, "encode order")
 	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/orders", bytes.NewReader(body))
+	req, err := http.NewRequestWithContext(answerconn.BeginAnswers(ctx), http.MethodPost, "http://"+address+"/orders", bytes.NewReader(body))
 	if err != nil {
 		return errors.Wrap(err, "create request")
 	}
--- a/internal/adapter/target/target.go
+++ b/internal/adapter/target/target.go
@@ -114,7 +114,7 @@
 		connected = true
 		emit(Answer{Event: attempt.WriteStarted{Attempt: r.Number}})
 	}}
-	req, err := c.newRequest(httptrace.WithClientTrace(ctx, trace), r)
+	req, err := c.newRequest(httptrace.WithClientTrace(answerconn.BeginAnswers(ctx), trace), r)
 	if err != nil {
 		emit(Answer{Event: attempt.NotSent{Attempt: r.Number}})
 		return
--- a/internal/adapter/upstream/conn.go
+++ b/internal/adapter/upstream/conn.go
@@ -92,6 +92,12 @@
 	return cn, nil
 }
 
+// beginAnswer has the head of the next answer checked as it is read. Its error is an ErrConnectionBroken.
+func (c *conn) beginAnswer() error {
+	buffered, _ := c.reader.Peek(c.reader.Buffered()) // all of them are there
+	return errors.Mark(c.BeginAnswer(buffered), ErrConnectionBroken)
+}
+
 // ReceiveBufferBytes is how much of an answer the kernel keeps for a connection, about: it also counts its
 // bookkeeping. It lets a target in another region send a megabyte in a second.
 const ReceiveBufferBytes = 64 << 10
--- a/internal/adapter/upstream/upstream.go
+++ b/internal/adapter/upstream/upstream.go
@@ -261,6 +261,9 @@
 	source := a.conn.source
 	source.remaining = maxHeadBytes
 	defer func() { source.remaining = unlimited }()
+	if err := a.conn.beginAnswer(); err != nil {
+		return err
+	}
 	skippable := int64(maxSkippedBytes)
 	for mismatches := 0; ; {
 		resp, err := http.ReadResponse(a.conn.reader, &http.Request{Method: r.Method})
@@ -289,6 +292,9 @@
 		}
 		skippable -= skipped
 		source.remaining = limit
+		if err := a.conn.beginAnswer(); err != nil {
+			return err
+		}
 	}
 }
 
