--- a/internal/adapter/answerconn/head.go
+++ b/internal/adapter/answerconn/head.go
@@ -5,6 +5,7 @@
 	"context"
 	"net/http"
 	"net/http/httptrace"
+	"slices"
 
 	"github.com/cockroachdb/errors"
 	"golang.org/x/net/http/httpguts"
@@ -35,6 +36,16 @@
 	}})
 }
 
+// CheckTrailer fails with ErrMalformedHead if the trailer of an answer has a name that is no token.
+func CheckTrailer(trailer http.Header) error {
+	for name := range trailer {
+		if !isToken([]byte(name)) {
+			return malformed("field of the trailer", []byte(name))
+		}
+	}
+	return nil
+}
+
 // checkHead checks bytes that were read. It returns how many of them may be used, and an error if not all.
 func (c *Conn) checkHead(p []byte) (int, error) {
 	c.headMu.Lock()
@@ -46,10 +57,18 @@
 type headCheck struct {
 	checking bool   // the end of the answer's head has not been reached
 	line     []byte // the beginning of a line whose end has not been read
-	status   int    // of the head that is being read; 0 before its status line
+	head     head   // that is being read
 	err      error
 }
 
+// head is what was read of a head.
+type head struct {
+	status             int // 0 before the status line
+	minorVersion       int
+	hasField           bool
+	hasLength, isCoded bool // it has a Content-Length, a Transfer-Encoding
+}
+
 // check checks the next bytes of the connection. If a line is malformed, it returns the number of the bytes before that
 // line's end, so that no reader takes the line for a whole one.
 func (h *headCheck) check(p []byte) (int, error) {
@@ -78,13 +97,44 @@
 // checkLine checks a line without its end.
 func (h *headCheck) checkLine(line []byte) error {
 	switch {
-	case h.status == 0:
+	case h.head.status == 0:
 		var err error
-		h.status, err = parseStatusLine(line)
+		h.head.status, h.head.minorVersion, err = parseStatusLine(line)
+		return err
+	case len(line) > 0:
+		return h.head.addField(line)
+	}
+	if err := h.head.checkFraming(); err != nil {
 		return err
-	case len(line) == 0:
-		h.checking = h.status < http.StatusOK // the next answer follows an interim one
-		h.status = 0
+	}
+	h.checking = h.head.status < http.StatusOK // the next head follows an interim answer
+	h.head = head{}
+	return nil
+}
+
+// addField checks a line of a field. A line that begins with a blank goes on with the value of the line before.
+func (h *head) addField(line []byte) error {
+	if line[0] == ' ' || line[0] == '\t' {
+		if !h.hasField || !isValue(line) {
+			return malformed("field", line)
+		}
+		return nil
+	}
+	name, value, ok := bytes.Cut(line, []byte{':'})
+	if !ok || !isToken(name) || !isValue(value) {
+		return malformed("field", line)
+	}
+	h.hasField = true
+	h.hasLength = h.hasLength || bytes.EqualFold(name, []byte("Content-Length"))
+	h.isCoded = h.isCoded || bytes.EqualFold(name, []byte("Transfer-Encoding"))
+	return nil
+}
+
+// checkFraming checks that the length of the body is certain. Package net/http takes no notice of a transfer coding in
+// HTTP/1.0, and hands out the coded bytes, nor of a length beside it.
+func (h *head) checkFraming() error {
+	if h.isCoded && (h.hasLength || h.minorVersion == 0) {
+		return malformed("framing", []byte("Transfer-Encoding with a length or in HTTP/1.0"))
 	}
 	return nil
 }
@@ -94,28 +144,38 @@
 	statusDigits         = 3
 )
 
-// parseStatusLine returns the status of an answer. A switch of protocols is malformed, as none is asked for.
-func parseStatusLine(line []byte) (int, error) {
+// parseStatusLine returns the status of an answer and the minor version of the protocol. A switch of protocols is
+// malformed, as none is asked for.
+func parseStatusLine(line []byte) (status, minorVersion int, err error) {
 	version, rest, _ := bytes.Cut(line, []byte{' '})
 	minor, ok := bytes.CutPrefix(version, []byte("HTTP/1."))
 	if !ok || len(minor) != 1 || !isDigit(minor[0]) {
-		return 0, malformed("version", version)
+		return 0, 0, malformed("version", version)
 	}
 	digits, reason, _ := bytes.Cut(bytes.TrimLeft(rest, " "), []byte{' '})
-	status := 0
 	for _, digit := range digits {
 		if !isDigit(digit) || len(digits) != statusDigits {
-			return 0, malformed("status", digits)
+			return 0, 0, malformed("status", digits)
 		}
 		status = 10*status + int(digit-'0')
 	}
 	if status < minStatus || status > maxStatus || status == http.StatusSwitchingProtocols {
-		return 0, malformed("status", digits)
+		return 0, 0, malformed("status", digits)
 	}
-	if !httpguts.ValidHeaderFieldValue(string(reason)) {
-		return 0, malformed("reason", reason)
+	if !isValue(reason) {
+		return 0, 0, malformed("reason", reason)
 	}
-	return status, nil
+	return status, int(minor[0] - '0'), nil
+}
+
+// isToken reports whether a text may be the name of a field.
+func isToken(text []byte) bool {
+	return len(text) > 0 && !slices.ContainsFunc(text, func(b byte) bool { return !httpguts.IsTokenRune(rune(b)) })
+}
+
+// isValue reports whether a text may be the value of a field or a reason: it has no control byte but tabs.
+func isValue(text []byte) bool {
+	return !slices.ContainsFunc(text, func(b byte) bool { return (b < ' ' && b != '\t') || b == 0x7f })
 }
 
 func isDigit(b byte) bool { return '0' <= b && b <= '9' }
--- a/internal/adapter/answerconn/head_test.go
+++ b/internal/adapter/answerconn/head_test.go
@@ -55,6 +55,11 @@
 	}
 }
 
+// fieldHead returns an answer without a body that has a line in its head.
+func fieldHead(line string) string {
+	return "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n" + line + "\r\n\r\n"
+}
+
 const wholeAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody"
 
 var _ = Describe("the head of an answer", func() {
@@ -80,6 +85,22 @@
 		Entry("with a control byte in the reason", "HTTP/1.1 200 O\x00K\r\nContent-Length: 0\r\n\r\n"),
 		Entry("with a bare CR in the reason", "HTTP/1.1 200 O\rK\r\nContent-Length: 0\r\n\r\n"),
 		Entry("after an interim answer", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 000 Trouble\r\n\r\n"),
+		Entry("with a blank in a name", fieldHead("X Y: 1")),
+		Entry("with a blank after the name of the length", fieldHead("Content-Length : 4")),
+		Entry("with a tab after a name", fieldHead("X\t: 1")),
+		Entry("with a control byte in a name", fieldHead("X\x01: 1")),
+		Entry("with a name that is not ASCII", fieldHead("X\u00e9: 1")),
+		Entry("with an empty name", fieldHead(": 1")),
+		Entry("with a line that is no field", fieldHead("X")),
+		Entry("with a control byte in a value", fieldHead("X: a\x00b")),
+		Entry("with DEL in a value", fieldHead("X: a\x7fb")),
+		Entry("with a bare CR in a value", fieldHead("X: a\rb")),
+		Entry("with a control byte in a value that goes on", fieldHead("X: a\r\n b\x01")),
+		Entry("with a first line that goes on", "HTTP/1.1 200 OK\r\n X: 1\r\nContent-Length: 0\r\n\r\n"),
+		Entry("with a coding and a length", fieldHead("Transfer-Encoding: chunked")),
+		Entry("with a coding and a length, in that order", "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\ncontent-length: 0\r\n\r\n0\r\n\r\n"),
+		Entry("with a coding in HTTP/1.0", "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"),
+		Entry("with a blank in a name of an interim answer", "HTTP/1.1 103 Early Hints\r\nX Y: 1\r\n\r\n"),
 	)
 
 	// Guards against sound answers that are refused.
@@ -107,8 +128,19 @@
 		Entry("HTTP/1.0", "HTTP/1.0 200 OK", 200), Entry("a later minor version", "HTTP/1.2 200 OK", 200),
 		Entry("a reason of several words", "HTTP/1.1 404 Not \tFound", 404), Entry("a reason that is not ASCII", "HTTP/1.1 404 Introuvable\u00e9", 404),
 		Entry("an unknown status", "HTTP/1.1 299 Odd", 299), Entry("the last status", "HTTP/1.1 599 Odd", 599),
+		Entry("each byte that a name may have", "HTTP/1.1 200 OK\r\n!#$%&'*+-.^_`|~09azAZ: 1", 200),
+		Entry("each byte that a value may have", "HTTP/1.1 200 OK\r\nX: \t ~!\u00e9\x80\xff \t", 200),
+		Entry("an empty value", "HTTP/1.1 200 OK\r\nX:", 200), Entry("a value that goes on", "HTTP/1.1 200 OK\r\nX: a\r\n\tb\r\n c", 200),
+		Entry("bare LF", "HTTP/1.1 200 OK\nX: a", 200), Entry("the same length twice", "HTTP/1.1 200 OK\r\nContent-Length: 4", 200),
 	)
 
+	// Guards against a trailer that is less than a head.
+	It("is followed by a trailer of fields whose names are tokens", func() {
+		Expect(answerconn.CheckTrailer(http.Header{"Digest": {"x"}})).To(Succeed())
+		Expect(answerconn.CheckTrailer(nil)).To(Succeed())
+		Expect(errors.Is(answerconn.CheckTrailer(http.Header{"X Y": {"1"}}), answerconn.ErrMalformedHead)).To(BeTrue())
+	})
+
 	// Guards against a body that is checked as a head, and against a next answer that is not checked.
 	It("is checked for each answer that begins, and nothing else", func() {
 		const odd = "HTTP/1.1 000 in a body"
--- a/internal/adapter/storecall/storecall_test.go
+++ b/internal/adapter/storecall/storecall_test.go
@@ -140,6 +140,7 @@
 		Entry("with status 000", "HTTP/1.1 000 Trouble\r\n"),
 		Entry("with status 600", "HTTP/1.1 600 Trouble\r\n"),
 		Entry("that switches protocols", "HTTP/1.1 101 Switching Protocols\r\n"),
+		Entry("with a blank in a name", "HTTP/1.1 200 OK\r\nX Y: 1\r\n"),
 	)
 
 	reply := func(size int) *httptest.Server {
--- a/internal/adapter/target/broken_answer_test.go
+++ b/internal/adapter/target/broken_answer_test.go
@@ -87,5 +87,7 @@
 		Entry("with status 600", "HTTP/1.1 600 Trouble\r\n"),
 		Entry("that switches protocols", "HTTP/1.1 101 Switching Protocols\r\n"),
 		Entry("with another version", "HTTP/2.0 200 OK\r\n"),
+		Entry("with a blank in a name", "HTTP/1.1 200 OK\r\nX Y: 1\r\n"),
+		Entry("with a blank after a name", "HTTP/1.1 200 OK\r\nContent-Length : 4\r\n"),
 	)
 })
--- a/internal/adapter/target/target.go
+++ b/internal/adapter/target/target.go
@@ -214,6 +214,9 @@
 // body must not reach the caller as a complete one.
 func (c *Client) readService(r AttemptRequest, resp *http.Response, emit func(Answer)) {
 	body, err := io.ReadAll(io.LimitReader(resp.Body, c.settings.MaxAnswerBytes+1))
+	if err == nil {
+		err = answerconn.CheckTrailer(resp.Trailer)
+	}
 	if err != nil || int64(len(body)) > c.settings.MaxAnswerBytes {
 		emit(Answer{Event: attempt.ConnectionFailed{Attempt: r.Number}})
 		return
--- a/internal/adapter/upstream/upstream.go
+++ b/internal/adapter/upstream/upstream.go
@@ -16,6 +16,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/hemlockdyke/hemlockdyke/internal/adapter/answerconn"
 )
 
 // Errors of Client.Do. They say how much of the request the target may have received.
@@ -116,6 +118,7 @@
 	Length int64
 
 	body          io.ReadCloser
+	response      *http.Response // nil if the answer was forwarded
 	client        *Client
 	target        uint64
 	conn          *conn
@@ -327,7 +330,7 @@
 }
 
 func (a *Answer) setResponse(resp *http.Response) {
-	a.Status, a.Header, a.body = resp.StatusCode, resp.Header, resp.Body
+	a.response, a.Status, a.Header, a.body = resp, resp.StatusCode, resp.Header, resp.Body
 	a.Framed, a.Length = isFramed(resp), resp.ContentLength
 	if resp.Body == http.NoBody { // the answer to a HEAD request has the length of another one
 		a.Length = 0
@@ -339,9 +342,15 @@
 // order.
 func (a *Answer) Read(p []byte) (int, error) {
 	n, err := a.body.Read(p)
-	if errors.Is(err, io.EOF) {
-		a.bodyRead = true
+	if !errors.Is(err, io.EOF) {
+		return n, err
+	}
+	if a.response != nil {
+		if trailerErr := answerconn.CheckTrailer(a.response.Trailer); trailerErr != nil {
+			return n, trailerErr
+		}
 	}
+	a.bodyRead = true
 	return n, err
 }
 
