--- a/internal/adapter/gatewayhttp/gatewayhttp.go
+++ b/internal/adapter/gatewayhttp/gatewayhttp.go
@@ -93,7 +93,7 @@
 	}
 	held := s.memory.Reserve(memory.Request, "")
 	defer held.Release()
-	out := &responder{w: w, controller: http.NewResponseController(w), now: s.now, writeTimeout: s.writeTimeout, held: &held}
+	out := &responder{w: w, controller: http.NewResponseController(w), now: s.now, writeTimeout: s.writeTimeout, held: &held, unframed: unframedConnection(r)}
 	defer out.endTransfer()
 	// The server writes what is buffered, and the end of a body without a length, after this function.
 	defer out.extendDeadline()
@@ -129,6 +129,7 @@
 	if out.aborted {
 		panic(http.ErrAbortHandler) // closes the connection without completing the answer
 	}
+	out.endUnframed()
 }
 
 // ReadinessHandler returns the handler of the balancer's readiness check at a path.
@@ -160,6 +161,8 @@
 	// held is the memory of the request, and transfer the answer that the caller takes; nil before its first part.
 	held     *memory.Reservation
 	transfer *memory.Transfer
+	// unframed is the connection if a body without a length ends with it; nil otherwise.
+	unframed *connection
 	// hasWaited is true if the body waited for memory in vain.
 	hasWaited bool
 }
@@ -187,6 +190,9 @@
 		h["Content-Type"] = nil // keeps the server from detecting one
 	}
 	o.streaming = length < 0
+	if o.streaming && o.unframed != nil {
+		o.unframed.setResetOnClose(true)
+	}
 	if !o.streaming {
 		h.Set("Content-Length", strconv.FormatInt(length, 10))
 	}
@@ -194,6 +200,13 @@
 	o.w.WriteHeader(status)
 }
 
+// endUnframed has the connection end in order if the body is complete.
+func (o *responder) endUnframed() {
+	if o.streaming && o.unframed != nil && o.writeError == nil {
+		o.unframed.setResetOnClose(false)
+	}
+}
+
 // Write sends a part of the body. It flushes each part of a body without a known length.
 func (o *responder) Write(p []byte) error {
 	o.extendDeadline()
