--- a/internal/adapter/answerconn/reset_test.go
+++ b/internal/adapter/answerconn/reset_test.go
@@ -10,6 +10,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/hemlockdyke/hemlockdyke/internal/adapter/answerconn"
+	"github.com/hemlockdyke/hemlockdyke/internal/testkit"
 )
 
 const (
@@ -42,11 +43,6 @@
 	return done
 }
 
-func reset(peer *net.TCPConn) {
-	Expect(peer.SetLinger(0)).To(Succeed())
-	Expect(peer.Close()).To(Succeed())
-}
-
 var _ = Describe("a connection whose peer answers while the request is written", func() {
 	// Guards against a part of an answer that looks whole: the write takes the kernel's error of the reset, and the read
 	// that follows gets an end of file.
@@ -56,7 +52,7 @@
 			done := startWrite(c)
 			_, err := io.WriteString(peer, answerPart)
 			Expect(err).NotTo(HaveOccurred())
-			reset(peer)
+			testkit.Reset(peer)
 			if writeIsFirst {
 				Eventually(done).Should(Receive(MatchError(syscall.ECONNRESET)))
 			}
@@ -71,7 +67,7 @@
 	// Guards against a write of several parts that goes on after the one that took the error.
 	It("is not read to an end if a later write fails as well", func() {
 		c, peer := connect()
-		reset(peer)
+		testkit.Reset(peer)
 		Eventually(func() error {
 			_, err := c.Write([]byte("x"))
 			return err
@@ -105,7 +101,7 @@
 		_, err := io.WriteString(peer, answerPart)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(peer.CloseWrite()).To(Succeed())
-		reset(peer)
+		testkit.Reset(peer)
 		Eventually(done).Should(Receive(MatchError(syscall.EPIPE)))
 		answer, err := io.ReadAll(c)
 		Expect(err).NotTo(HaveOccurred())
